--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -8,25 +8,10 @@
 """
 
 from collections import deque
-from math import ceil, sqrt
-
-from wickdyke.interface import (
-    RPC,
-    Allowance,
-    CallOut,
-    Decision,
-    Directory,
-    Listing,
-    Method,
-    Place,
-    Program,
-    Ration,
-    Seat,
-    Stock,
-    Tariff,
-    Warmup,
-    Worker,
-)
+from math import ceil, log, sqrt
+
+from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place, Program
+from wickdyke.interface import Ration, Seat, Stock, Tariff, Warmup, Worker
 
 # ---- books ----
 KEPT = 16  # samples kept of each thing measured
@@ -187,7 +172,7 @@
 PERIOD = 500.0  # ms between fills
 CALLS_WINDOW = 4000.0  # ms over which calls are counted
 HEADROOM = 1.0  # standard deviations of a Poisson load kept free in lanes
-TARGET = 0.65  # share of a worker's width that the fill plans to use
+TARGET, MOST = 0.6, 0.85  # share of a worker's width that the fill plans for, and that makes it move things
 CAP = 2  # new holds for each worker and period
 STAY = 0.8  # a worker in use is left only for one faster by this factor
 LATENCY_WINDOW = 1.5  # workers within this factor of the best count as low-latency
@@ -229,11 +214,13 @@
                 busy = mean([r.get("busy", 0.0) for _, r, _ in worker.reports], 0.0)
             share = TARGET * width / self.front_ends
             room[worker] = share if busy is None else own[worker] + (TARGET - busy) * width / self.front_ends
-        pace = {w: latency.pace(w, now) * (STAY if w in self.used else 1.0) for w in workers}
+        stay = {w: (MOST - TARGET) * latency.width(w) / self.front_ends for w in workers}
+        rank = {w: round(log(latency.pace(w, now) / latency.average * (STAY if w in self.used else 1.0))
+                         / log(LATENCY_WINDOW)) for w in workers}
         wanted = sum(a + HEADROOM * sqrt(a) / 4 for a in demand.values())
         memory = sum(p.memory for p in demand)
         opened: list[Worker] = []
-        for worker in sorted(workers, key=lambda w: (pace[w], w.listing.ident)):
+        for worker in sorted(workers, key=lambda w: (rank[w], -w.listing.size, w.listing.ident)):
             if sum(room[w] for w in opened) >= wanted and sum(w.budget for w in opened) >= memory:
                 break
             if room[worker] > 0:
@@ -244,21 +231,21 @@
         self.used = set(opened)
         budget = {w: w.budget for w in workers}
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
-            self.put(program, demand[program], opened or workers, room, budget, now)
+            self.put(program, demand[program], opened or workers, room, stay, budget, now)
 
-    def put(self, program: Program, load: float, workers: list[Worker], room: dict, budget: dict,
-            now: float) -> None:
+    def put(self, program: Program, load: float, workers: list[Worker], room: dict, stay: dict,
+            budget: dict, now: float) -> None:
         """One program's places: those it has first, then by lot among the low-latency workers with room."""
         stands = {place.worker: self.latency.stands(place, now) for place in program.places}
         placed = {place.worker for place in program.places if place.placed}
         order = sorted(workers, key=lambda w: (w not in placed, not stands.get(w, False), lot(program, w)))
         lanes = program.lanes
         fits = [w for w in order if budget[w] >= program.memory or stands.get(w, False)]
-        alone = [w for w in fits if room[w] >= load]
+        alone = [w for w in fits if room[w] + (stay[w] if w in placed else 0.0) >= load]
         chosen = alone[:1]
         if not chosen:
             got = 0.0
-            for worker in sorted(fits, key=lambda w: -room[w]):
+            for worker in sorted(fits, key=lambda w: (w not in placed, -room[w])):
                 if got >= load:
                     break
                 chosen.append(worker)
@@ -316,6 +303,8 @@
                 best = min(score for score, _ in scores)
                 ties = [p for score, p in scores if score <= best * 1.02]
                 return ties[self.chance.below(len(ties))] if len(ties) > 1 else ties[0]
+        if any(p.full_until > now and latency.stands(p, now) for p in program.places):
+            return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
         free = [w for w in fresh if w.full_until <= now]
         if not free:
             return None
@@ -351,7 +340,7 @@
             if worker.shuns:
                 self.note(f"worker {worker.listing.ident} answers again after {worker.shuns} shuns")
             worker.shuns, worker.shun_until = 0, 0.0
-        if outcome in ("ok", "error", "timeout", "cut", "unreached"):
+        if outcome in ("ok", "error", "cut", "unreached"):
             worker.results.append((now, outcome == "ok"))
         recent = [good for at, good in worker.results if now - at < BAD_AGE]
         bad = recent.count(False)
@@ -374,8 +363,7 @@
 
 
 # ---- further call-outs and denials ----
-PATIENCE = 4.0  # multiples of the expected latency that a warm call-out gets before another is tried
-PATIENCE_SOFT = 0.5  # of the time to the soft deadline that it gets at the least
+PATIENCE = 10.0  # multiples of the expected latency that a warm call-out gets, and never less than to soft
 
 
 class Repeats:
@@ -413,7 +401,7 @@
         """How long to wait for a warm call-out that another may follow; a load is waited for."""
         if not call_out.warm or len(rpc.call_outs) >= self.most or rpc.method.effect == "side-effecting":
             return None
-        wait = max(PATIENCE * call_out.expected, PATIENCE_SOFT * (rpc.soft - now), OVERDUE_LEAST)
+        wait = max(PATIENCE * call_out.expected, rpc.soft - now, OVERDUE_LEAST)
         return wait if now + wait < rpc.ends else None
 
 
@@ -531,7 +519,7 @@
             if worker is None:
                 worker = self.workers[row.ident] = Worker(
                     row, self.fill.budget(row), deque(maxlen=KEPT), deque(maxlen=KEPT // 2),
-                    deque(maxlen=KEPT // 4), deque())
+                    deque(maxlen=KEPT // 2), deque())
                 worker.cold_from = row.born
             elif row.born != worker.listing.born:  # the same id with nothing loaded
                 self.emptied(worker)
