--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -148,7 +148,7 @@
     loads: deque
     places: list["Place"] = field(default_factory=list)
     called: float = 0.0
-    lots: dict[str, int] = field(default_factory=dict)
+    lots: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -30,14 +30,15 @@
         return (self.state >> 33) % bound
 
 
-def lot(program: Program, worker: Worker) -> int:
+def lot(program: Program, worker: Worker) -> float:
     """A draw that hangs on the two names alone, so that front ends that share nothing draw alike."""
     ident = worker.listing.ident
     if ident not in program.lots:
         state = 0
         for char in f"{program.name}/{ident}":
             state = (state * 6364136223846793005 + ord(char) * 1442695040888963407 + 1) % 2**64
-        program.lots[ident] = Chance(state).below(2**31)
+        share = (Chance(state).below(2**31) + 1) / (2**31 + 1)
+        program.lots[ident] = -log(share) / max(worker.listing.size, 1e-6)  # larger workers win more often
     return program.lots[ident]
 
 
@@ -65,8 +66,8 @@
 COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
 LOAD_GUESS = 1000.0  # ms a load takes until one was seen
 WIDTH_GUESS = 4.0  # RPCs that a worker of mean size runs at once, until reports tell
-OVERDUE = 4.0  # multiples of what was expected after which a silent call-out is evidence
-OVERDUE_LEAST = 300.0  # ms that are never overdue
+OVERDUE = 5.0  # multiples of what was expected after which a silent call-out is evidence
+OVERDUE_LEAST = 400.0  # ms that are never overdue
 
 
 class Latency:
@@ -173,6 +174,8 @@
 CALLS_WINDOW = 4000.0  # ms over which calls are counted
 HEADROOM = 1.0  # standard deviations of a Poisson load kept free in lanes
 TARGET, MOST = 0.6, 0.85  # share of a worker's width that the fill plans for, and that makes it move things
+SLACK, STAY_SLACK = 1.3, 1.8  # of its even part that a worker may be given, and may keep
+CLOSE = 0.75  # of what the open workers stand: below this load the last of them is closed
 CAP = 2  # new holds for each worker and period
 STAY = 0.8  # a worker in use is left only for one faster by this factor
 LATENCY_WINDOW = 1.5  # workers within this factor of the best count as low-latency
@@ -186,7 +189,7 @@
     def __init__(self, latency: Latency, stock: Stock, seat: Seat) -> None:
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
         self.front_ends = seat.of
-        self.used: set[Worker] = set()
+        self.opened: set[Worker] = set()
 
     def budget(self, listing: Listing) -> float:
         known = listing.kind < len(self.memory)
@@ -198,6 +201,25 @@
         span = now - recent[0] if len(recent) == KEPT_CALLS else CALLS_WINDOW
         return len(recent) / max(span, 1.0) * self.latency.usual(program) * self.latency.average
 
+    def open(self, workers: list[Worker], total: float, memory: float, now: float) -> list[Worker]:
+        """The fewest lowest-latency workers that carry the fleet's load, as all front ends would see it."""
+        latency = self.latency
+        carries = {w: latency.width(w) * latency.average / latency.pace(w, now) for w in workers}
+        busy = {w: mean([r["busy"] for _, r, _ in w.reports if "busy" in r], -1.0) for w in workers}
+        load = sum(busy[w] * carries[w] for w in workers) if workers and min(busy.values()) >= 0 else 0.0
+        load = max(load, total * self.front_ends * TARGET)
+        rank = {w: round(log(latency.pace(w, now) / latency.average * (STAY if w in self.opened else 1.0))
+                         / log(LATENCY_WINDOW)) for w in workers}
+        opened, stood, room = [], 0.0, 0.0
+        for worker in sorted(workers, key=lambda w: (rank[w], -w.listing.size, w.listing.ident)):
+            need = load * (1 / CLOSE if worker in self.opened else 1.0)
+            if stood * TARGET >= need and room >= memory:
+                break
+            opened.append(worker)
+            stood, room = stood + carries[worker], room + worker.budget
+        self.opened = set(opened)
+        return opened
+
     def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
         latency = self.latency
         latency.survey(workers, now)
@@ -205,44 +227,25 @@
         for program in programs:
             for place in program.places:
                 place.placed = place.placed and program in demand
-        own = {w: sum(demand.get(p, 0.0) / max(1, sum(q.placed for q in p.places))
-                      for p, place in w.places.items() if place.placed) for w in workers}
-        room = {}
-        for worker in workers:
-            width, busy = latency.width(worker), None
-            if worker.reports:
-                busy = mean([r.get("busy", 0.0) for _, r, _ in worker.reports], 0.0)
-            share = TARGET * width / self.front_ends
-            room[worker] = share if busy is None else own[worker] + (TARGET - busy) * width / self.front_ends
-        stay = {w: (MOST - TARGET) * latency.width(w) / self.front_ends for w in workers}
-        rank = {w: round(log(latency.pace(w, now) / latency.average * (STAY if w in self.used else 1.0))
-                         / log(LATENCY_WINDOW)) for w in workers}
-        wanted = sum(a + HEADROOM * sqrt(a) / 4 for a in demand.values())
-        memory = sum(p.memory for p in demand)
-        opened: list[Worker] = []
-        for worker in sorted(workers, key=lambda w: (rank[w], -w.listing.size, w.listing.ident)):
-            if sum(room[w] for w in opened) >= wanted and sum(w.budget for w in opened) >= memory:
-                break
-            if room[worker] > 0:
-                opened.append(worker)
-        short = wanted / max(1e-9, sum(room[w] for w in opened)) if opened else 1.0
-        if short > 1:  # more than the fleet's share: spread what there is in proportion
-            room = {w: max(room[w], 0.05) * short for w in room}
-        self.used = set(opened)
+        total = sum(demand.values())
+        opened = self.open(workers, total, sum(p.memory for p in demand), now)
+        carries = {w: latency.width(w) * latency.average / latency.pace(w, now) for w in workers}
+        even = total / max(1e-9, sum(carries[w] for w in opened))
+        room = {w: SLACK * even * carries[w] for w in workers}
+        stay = {w: (STAY_SLACK - SLACK) * even * carries[w] for w in workers}
         budget = {w: w.budget for w in workers}
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
-            self.put(program, demand[program], opened or workers, room, stay, budget, now)
+            self.put(program, demand[program], opened, room, stay, budget, now)
 
-    def put(self, program: Program, load: float, workers: list[Worker], room: dict, stay: dict,
+    def put(self, program: Program, load: float, opened: list[Worker], room: dict, stay: dict,
             budget: dict, now: float) -> None:
         """One program's places: those it has first, then by lot among the low-latency workers with room."""
         stands = {place.worker: self.latency.stands(place, now) for place in program.places}
-        placed = {place.worker for place in program.places if place.placed}
-        order = sorted(workers, key=lambda w: (w not in placed, not stands.get(w, False), lot(program, w)))
-        lanes = program.lanes
+        placed = [place.worker for place in program.places if place.placed and place.worker in room]
+        order = placed + sorted((w for w in opened if w not in placed),
+                                key=lambda w: (not stands.get(w, False), lot(program, w)))
         fits = [w for w in order if budget[w] >= program.memory or stands.get(w, False)]
-        alone = [w for w in fits if room[w] + (stay[w] if w in placed else 0.0) >= load]
-        chosen = alone[:1]
+        chosen = [w for w in fits if room[w] + (stay[w] if w in placed else 0.0) >= load][:1]
         if not chosen:
             got = 0.0
             for worker in sorted(fits, key=lambda w: (w not in placed, -room[w])):
@@ -252,7 +255,7 @@
                 got += max(room[worker], 0.0)
         chosen = chosen or order[:1]
         each = load / max(1, len(chosen))
-        copies = max(1, ceil((each + HEADROOM * sqrt(each)) / lanes))
+        copies = max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
         for worker in chosen:
             room[worker] -= each
             budget[worker] -= program.memory * copies
@@ -316,10 +319,10 @@
 
 
 # ---- health ----
-SHUN = 500.0  # ms for which a worker is first left alone, doubled each time
+SHUN = 1500.0  # ms for which a worker is first left alone, doubled each time
 SHUN_MOST = 8000.0
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
-SILENT_LEAST = 2  # overdue call-outs that make a silent worker
+SILENT_LEAST = 3  # overdue call-outs that make a silent worker
 
 
 class Health:
