--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -62,10 +62,12 @@
 
 # ---- latency ----
 SAMPLE_AGE = 15000.0  # ms after which a worker's samples no longer count
-PRIOR = 3.0  # samples' worth of the fleet's average that every worker starts from
+PRIOR = 6.0  # samples' worth of the fleet's average that every worker starts from
 COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
 LOAD_GUESS = 1000.0  # ms a load takes until one was seen
 WIDTH_GUESS = 4.0  # RPCs that a worker of mean size runs at once, until reports tell
+WIDTH_LOW = 0.3  # which of the sorted samples of the width is believed
+KEPT_RATIOS = 40  # latency samples kept of each worker
 OVERDUE = 5.0  # multiples of what was expected after which a silent call-out is evidence
 OVERDUE_LEAST = 400.0  # ms that are never overdue
 
@@ -105,7 +107,8 @@
 
     def survey(self, workers: list[Worker], now: float) -> None:
         """Once a period: the fleet's average pace, and how wide a worker is for each unit of its size."""
-        took = cost = held = busy = 0.0
+        took = cost = 0.0
+        widths = []
         for worker in workers:
             for at, ms, expected in worker.ratios:
                 if now - at < SAMPLE_AGE:
@@ -113,13 +116,13 @@
             for _, report, own in worker.reports:
                 share = report.get("busy", 0.0)
                 if 0.15 < share < 0.85:  # outside, queues and noise say little of the cores
-                    held += report["held"] if "held" in report else own * self.front_ends
-                    busy += share * worker.listing.size
+                    held = report["held"] if "held" in report else own * self.front_ends
+                    widths.append(max(1.0, held) / (share * worker.listing.size))
         if cost:
             self.average = took / cost
         size = mean([worker.listing.size for worker in workers], 1.0)
-        guess = WIDTH_GUESS / max(size, 1e-6)
-        self.width_each = (held + guess * size * 4) / (busy + size * 4)
+        widths.sort()  # waiting for lanes and loads holds RPCs but no core: the low samples tell the width
+        self.width_each = widths[int(len(widths) * WIDTH_LOW)] if len(widths) > KEPT else WIDTH_GUESS / size
 
     def load_time(self, program: Program) -> float:
         return mean(program.loads, program.load_hint or mean(self.loads, LOAD_GUESS))
@@ -174,11 +177,11 @@
 CALLS_WINDOW = 4000.0  # ms over which calls are counted
 HEADROOM = 1.0  # standard deviations of a Poisson load kept free in lanes
 TARGET, MOST = 0.6, 0.85  # share of a worker's width that the fill plans for, and that makes it move things
-SLACK, STAY_SLACK = 1.3, 1.8  # of its even part that a worker may be given, and may keep
-CLOSE = 0.75  # of what the open workers stand: below this load the last of them is closed
+SLACK = 1.3  # of its even part that a worker may be given
+CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 CAP = 2  # new holds for each worker and period
 STAY = 0.8  # a worker in use is left only for one faster by this factor
-LATENCY_WINDOW = 1.5  # workers within this factor of the best count as low-latency
+LATENCY_WINDOW = 1.6  # workers within this factor of the best count as low-latency
 RENEW = 0.7  # of the idle life: when a copy that is still called is renewed
 GROWTH, SHRINK = 1.25, 0.7  # of a worker's budget, after a hold in full and after a refusal
 
@@ -224,53 +227,51 @@
         latency = self.latency
         latency.survey(workers, now)
         demand = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
-        for program in programs:
-            for place in program.places:
-                place.placed = place.placed and program in demand
-        total = sum(demand.values())
-        opened = self.open(workers, total, sum(p.memory for p in demand), now)
+        opened = self.open(workers, sum(demand.values()), sum(p.memory for p in demand), now)
         carries = {w: latency.width(w) * latency.average / latency.pace(w, now) for w in workers}
-        even = total / max(1e-9, sum(carries[w] for w in opened))
-        room = {w: SLACK * even * carries[w] for w in workers}
-        stay = {w: (STAY_SLACK - SLACK) * even * carries[w] for w in workers}
-        budget = {w: w.budget for w in workers}
-        for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
-            self.put(program, demand[program], opened, room, stay, budget, now)
-
-    def put(self, program: Program, load: float, opened: list[Worker], room: dict, stay: dict,
-            budget: dict, now: float) -> None:
-        """One program's places: those it has first, then by lot among the low-latency workers with room."""
-        stands = {place.worker: self.latency.stands(place, now) for place in program.places}
-        placed = [place.worker for place in program.places if place.placed and place.worker in room]
-        order = placed + sorted((w for w in opened if w not in placed),
-                                key=lambda w: (not stands.get(w, False), lot(program, w)))
-        fits = [w for w in order if budget[w] >= program.memory or stands.get(w, False)]
-        chosen = [w for w in fits if room[w] + (stay[w] if w in placed else 0.0) >= load][:1]
+        even = SLACK * sum(demand.values()) / max(1e-9, sum(carries[w] for w in opened))
+        part = {w: max(even * carries[w], TARGET * carries[w] / self.front_ends) for w in workers}
+        room, budget = dict(part), {w: w.budget for w in workers}
+        tired = {w for w in workers if mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) > MOST}
+        placed = {p: [q.worker for q in p.places if q.placed and q.worker in room] for p in demand}
+        for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
+            chosen, copies = self.put(program, demand[program], placed[program], opened, part, room, budget,
+                                      tired, now)
+            each = demand[program] / max(1, len(chosen))
+            for worker in chosen:
+                room[worker] -= each
+                budget[worker] -= program.memory * copies
+            for place in program.places:
+                place.placed = False
+            for worker in chosen:
+                place = place_of(program, worker)
+                place.placed, place.wanted = True, copies
+
+    def put(self, program: Program, load: float, placed: list[Worker], opened: list[Worker], part: dict,
+            room: dict, budget: dict, tired: set, now: float) -> tuple[list[Worker], int]:
+        """One program's workers: those it has first, then by lot among the low-latency workers with room."""
+        unit = max(1e-9, mean([part[w] for w in opened], 1.0))
+        need = max(1, ceil(load / unit))
+        if need < len(placed) and load > (len(placed) - 1) * unit * CLOSE:
+            need = len(placed)
+        chosen = [w for w in placed if w not in tired or room[w] >= load / need][:need]
+        stands = {place.worker for place in program.places if self.latency.stands(place, now)}
+        order = sorted((w for w in opened if w not in chosen and w not in tired),
+                       key=lambda w: (w not in stands, lot(program, w)))
+        for fits in (lambda w: room[w] >= load / need and (budget[w] >= program.memory or w in stands),
+                     lambda w: room[w] >= load / need):
+            chosen += [w for w in order if w not in chosen and fits(w)][:need - len(chosen)]
         if not chosen:
-            got = 0.0
-            for worker in sorted(fits, key=lambda w: (w not in placed, -room[w])):
-                if got >= load:
-                    break
-                chosen.append(worker)
-                got += max(room[worker], 0.0)
-        chosen = chosen or order[:1]
+            chosen = placed[:need] or sorted(order or opened, key=lambda w: (-room[w], lot(program, w)))[:1]
         each = load / max(1, len(chosen))
-        copies = max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
-        for worker in chosen:
-            room[worker] -= each
-            budget[worker] -= program.memory * copies
-        for place in program.places:
-            place.placed = place.worker in chosen
-        for worker in chosen:
-            place = place_of(program, worker)
-            place.placed, place.wanted = True, copies
+        return chosen, max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
 
     def holds(self, programs: list[Program], now: float) -> list[tuple[Place, int, bool]]:
         """Loads to order ahead and copies to renew, most called first: place, copies, whether renewal."""
         orders, new = [], {}
         for program in sorted(programs, key=lambda p: (-len(p.calls), p.name)):
             for place in program.places:
-                if not place.placed or place.ordered is not None or place.full_until > now:
+                if now - program.called > self.idle_life or not place.placed or place.ordered is not None or place.full_until > now:
                     continue
                 stands = self.latency.stands(place, now)
                 if stands and place.standing >= place.wanted:
@@ -521,7 +522,7 @@
             worker = self.workers.get(row.ident)
             if worker is None:
                 worker = self.workers[row.ident] = Worker(
-                    row, self.fill.budget(row), deque(maxlen=KEPT), deque(maxlen=KEPT // 2),
+                    row, self.fill.budget(row), deque(maxlen=KEPT_RATIOS), deque(maxlen=KEPT // 2),
                     deque(maxlen=KEPT // 2), deque())
                 worker.cold_from = row.born
             elif row.born != worker.listing.born:  # the same id with nothing loaded
