--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -176,7 +176,7 @@
 PERIOD = 500.0  # ms between fills
 CALLS_WINDOW = 4000.0  # ms over which calls are counted
 HEADROOM = 1.0  # standard deviations of a Poisson load kept free in lanes
-TARGET, MOST = 0.6, 0.85  # share of a worker's width that the fill plans for, and that makes it move things
+TARGET, MORE, MOST = 0.55, 0.75, 0.85  # busy share to plan for; to take nothing more; to give things up
 SLACK = 1.3  # of its even part that a worker may be given
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 CAP = 2  # new holds for each worker and period
@@ -230,9 +230,11 @@
         opened = self.open(workers, sum(demand.values()), sum(p.memory for p in demand), now)
         carries = {w: latency.width(w) * latency.average / latency.pace(w, now) for w in workers}
         even = SLACK * sum(demand.values()) / max(1e-9, sum(carries[w] for w in opened))
-        part = {w: max(even * carries[w], TARGET * carries[w] / self.front_ends) for w in workers}
+        part = {w: even * carries[w] for w in workers}
         room, budget = dict(part), {w: w.budget for w in workers}
-        tired = {w for w in workers if mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) > MOST}
+        busy = {w: mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) for w in workers}
+        tired = {w for w in workers if busy[w] > MOST}
+        opened = [w for w in opened if busy[w] < MORE] or opened
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in room] for p in demand}
         for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
             chosen, copies = self.put(program, demand[program], placed[program], opened, part, room, budget,
