--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -79,6 +79,7 @@
         self.idle_life, self.tells = stock.idle_life, stock.tells_standing
         self.report, self.front_ends = seat.report, seat.of
         self.average, self.width_each, self.loads = 1.0, 0.0, deque(maxlen=KEPT)
+        self.kinds: dict[int, float] = {}
 
     def cost(self, rpc: RPC) -> float:
         if rpc.work is not None:
@@ -92,14 +93,15 @@
         return (sum(program.times) + mean(method.times, method.soft * COST_GUESS)) / (len(program.times) + 1)
 
     def pace(self, worker: Worker, now: float) -> float:
-        """Time taken for each ms of cost; shrunk to the average, so an unheard worker counts as average."""
+        """Time taken for each ms of cost; shrunk to its kind's, so an unheard worker counts as average."""
         took = cost = 0.0
         fresh = 0
         for at, ms, expected in worker.ratios:
             if now - at < SAMPLE_AGE:
                 took, cost, fresh = took + ms, cost + expected, fresh + 1
         unit = cost / fresh if fresh else 1.0
-        return (took + PRIOR * unit * self.average) / (cost + PRIOR * unit)
+        usual = self.kinds.get(worker.listing.kind, self.average)
+        return (took + PRIOR * unit * usual) / (cost + PRIOR * unit)
 
     def width(self, worker: Worker) -> float:
         """RPCs the worker runs at once without slowing, by its size and what the reports of all show."""
@@ -107,19 +109,24 @@
 
     def survey(self, workers: list[Worker], now: float) -> None:
         """Once a period: the fleet's average pace, and how wide a worker is for each unit of its size."""
-        took = cost = 0.0
+        kinds: dict[int, list[float]] = {}
         widths = []
         for worker in workers:
+            pool = kinds.setdefault(worker.listing.kind, [0.0, 0.0])
             for at, ms, expected in worker.ratios:
                 if now - at < SAMPLE_AGE:
-                    took, cost = took + ms, cost + expected
+                    pool[0], pool[1] = pool[0] + ms, pool[1] + expected
             for _, report, own in worker.reports:
                 share = report.get("busy", 0.0)
                 if 0.15 < share < 0.85:  # outside, queues and noise say little of the cores
                     held = report["held"] if "held" in report else own * self.front_ends
                     widths.append(max(1.0, held) / (share * worker.listing.size))
+        took, cost = (sum(pool[at] for pool in kinds.values()) for at in (0, 1))
         if cost:
             self.average = took / cost
+            part = cost / KEPT  # a kind little heard of counts as average too
+            self.kinds = {kind: (pool[0] + part * self.average) / (pool[1] + part)
+                          for kind, pool in kinds.items()}
         size = mean([worker.listing.size for worker in workers], 1.0)
         widths.sort()  # waiting for lanes and loads holds RPCs but no core: the low samples tell the width
         self.width_each = widths[int(len(widths) * WIDTH_LOW)] if len(widths) > KEPT else WIDTH_GUESS / size
@@ -179,6 +186,7 @@
 TARGET, MORE, MOST = 0.55, 0.75, 0.85  # busy share to plan for; to take nothing more; to give things up
 SLACK = 1.3  # of its even part that a worker may be given
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
+MOVES = 1  # programs that go home to their lot in a period, so that front ends come to agree
 CAP = 2  # new holds for each worker and period
 STAY = 0.8  # a worker in use is left only for one faster by this factor
 LATENCY_WINDOW = 1.6  # workers within this factor of the best count as low-latency
@@ -211,10 +219,11 @@
         busy = {w: mean([r["busy"] for _, r, _ in w.reports if "busy" in r], -1.0) for w in workers}
         load = sum(busy[w] * carries[w] for w in workers) if workers and min(busy.values()) >= 0 else 0.0
         load = max(load, total * self.front_ends * TARGET)
-        rank = {w: round(log(latency.pace(w, now) / latency.average * (STAY if w in self.opened else 1.0))
-                         / log(LATENCY_WINDOW)) for w in workers}
+        usual = {w: latency.kinds.get(w.listing.kind, latency.average) for w in workers}
+        slow = {w: latency.pace(w, now) * (STAY if w in self.opened else 1.0) > LATENCY_WINDOW * usual[w]
+                for w in workers}
         opened, stood, room = [], 0.0, 0.0
-        for worker in sorted(workers, key=lambda w: (rank[w], -w.listing.size, w.listing.ident)):
+        for worker in sorted(workers, key=lambda w: (slow[w], usual[w], w.listing.ident)):
             need = load * (1 / CLOSE if worker in self.opened else 1.0)
             if stood * TARGET >= need and room >= memory:
                 break
@@ -235,10 +244,15 @@
         busy = {w: mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) for w in workers}
         tired = {w for w in workers if busy[w] > MOST}
         opened = [w for w in opened if busy[w] < MORE] or opened
+        moves = MOVES
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in room] for p in demand}
         for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
-            chosen, copies = self.put(program, demand[program], placed[program], opened, part, room, budget,
-                                      tired, now)
+            homes = placed[program]
+            chosen, copies = self.put(program, demand[program], homes, opened, part, room, budget, tired, now)
+            if moves and homes:
+                lots, _ = self.put(program, demand[program], [], opened, part, room, budget, tired, now)
+                if set(lots) != set(chosen):
+                    chosen, moves = lots, moves - 1
             each = demand[program] / max(1, len(chosen))
             for worker in chosen:
                 room[worker] -= each
@@ -259,7 +273,7 @@
         chosen = [w for w in placed if w not in tired or room[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
         order = sorted((w for w in opened if w not in chosen and w not in tired),
-                       key=lambda w: (w not in stands, lot(program, w)))
+                       key=lambda w: lot(program, w))
         for fits in (lambda w: room[w] >= load / need and (budget[w] >= program.memory or w in stands),
                      lambda w: room[w] >= load / need):
             chosen += [w for w in order if w not in chosen and fits(w)][:need - len(chosen)]
@@ -295,7 +309,7 @@
     def __init__(self, latency: Latency, chance: Chance) -> None:
         self.latency, self.chance = latency, chance
 
-    def choose(self, rpc: RPC, usable: list[Worker], now: float) -> Place | None:
+    def choose(self, rpc: RPC, usable: list[Worker], opened: set[Worker], now: float) -> Place | None:
         latency, program = self.latency, rpc.program
         tried = {call_out.place.worker for call_out in rpc.call_outs}
         fresh = [w for w in usable if w not in tried] or usable
@@ -314,10 +328,7 @@
         free = [w for w in fresh if w.full_until <= now]
         if not free:
             return None
-        paces = {w: latency.pace(w, now) * (1 + len(w.out) / latency.width(w)) + latency.lag(w, now)
-                 for w in free}
-        best = min(paces.values())
-        low = [w for w in free if paces[w] <= best * LATENCY_WINDOW]
+        low = [w for w in free if w in opened and not latency.lag(w, now)] or free
         return place_of(program, min(low, key=lambda w: lot(program, w)))
 
 
@@ -745,7 +756,7 @@
             ready = [w for w in self.workers.values()
                      if self.guards.may_call(w, rpc, now) and self.repeats.may_call(rpc, w, now)]
             usable = [w for w in ready if self.health.usable(w, now)]
-            place = self.dispatch.choose(rpc, usable, now) if usable else None
+            place = self.dispatch.choose(rpc, usable, self.fill.opened, now) if usable else None
             if place is not None:
                 self.call(rpc, place, now)
                 return
