--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -183,13 +183,14 @@
 PERIOD = 500.0  # ms between fills
 CALLS_WINDOW = 4000.0  # ms over which calls are counted
 HEADROOM = 1.0  # standard deviations of a Poisson load kept free in lanes
-TARGET, MORE, MOST = 0.55, 0.75, 0.85  # busy share to plan for; to take nothing more; to give things up
-SLACK = 1.3  # of its even part that a worker may be given
+TARGET, MOST = 0.55, 0.85  # busy share to plan for, and at which things are given up
+SLACK = 1.6  # of its even part that a worker may be given
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 MOVES = 1  # programs that go home to their lot in a period, so that front ends come to agree
 CAP = 2  # new holds for each worker and period
-STAY = 0.8  # a worker in use is left only for one faster by this factor
-LATENCY_WINDOW = 1.6  # workers within this factor of the best count as low-latency
+CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
+GRADE = 1.3  # latency steps by which kinds are told apart
+LATENCY_WINDOW = 1.8  # workers within this factor of their kind count as low-latency
 RENEW = 0.7  # of the idle life: when a copy that is still called is renewed
 GROWTH, SHRINK = 1.25, 0.7  # of a worker's budget, after a hold in full and after a refusal
 
@@ -200,7 +201,8 @@
     def __init__(self, latency: Latency, stock: Stock, seat: Seat) -> None:
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
         self.front_ends = seat.of
-        self.opened: set[Worker] = set()
+        self.opened: list[Worker] = []
+        self.count, self.calm = 10**6, 0
 
     def budget(self, listing: Listing) -> float:
         known = listing.kind < len(self.memory)
@@ -212,38 +214,50 @@
         span = now - recent[0] if len(recent) == KEPT_CALLS else CALLS_WINDOW
         return len(recent) / max(span, 1.0) * self.latency.usual(program) * self.latency.average
 
-    def open(self, workers: list[Worker], total: float, memory: float, now: float) -> list[Worker]:
-        """The fewest lowest-latency workers that carry the fleet's load, as all front ends would see it."""
-        latency = self.latency
-        carries = {w: latency.width(w) * latency.average / latency.pace(w, now) for w in workers}
-        busy = {w: mean([r["busy"] for _, r, _ in w.reports if "busy" in r], -1.0) for w in workers}
-        load = sum(busy[w] * carries[w] for w in workers) if workers and min(busy.values()) >= 0 else 0.0
-        load = max(load, total * self.front_ends * TARGET)
-        usual = {w: latency.kinds.get(w.listing.kind, latency.average) for w in workers}
-        slow = {w: latency.pace(w, now) * (STAY if w in self.opened else 1.0) > LATENCY_WINDOW * usual[w]
-                for w in workers}
-        opened, stood, room = [], 0.0, 0.0
-        for worker in sorted(workers, key=lambda w: (slow[w], usual[w], w.listing.ident)):
-            need = load * (1 / CLOSE if worker in self.opened else 1.0)
-            if stood * TARGET >= need and room >= memory:
-                break
-            opened.append(worker)
-            stood, room = stood + carries[worker], room + worker.budget
-        self.opened = set(opened)
-        return opened
-
-    def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
+    def open(self, workers: list[Worker], total: float, memory: float) -> list[Worker]:
+        """The fewest lowest-latency workers that carry the fleet's load, alike for all front ends."""
+        order = sorted(workers, key=lambda w: (self.grade(w), w.listing.ident))
+        carries = {w: self.carries(w) for w in order}
+        busy = {w: mean([r["busy"] for _, r, _ in w.reports if "busy" in r], 0.0) for w in order}
+        load = max(sum(busy[w] * carries[w] for w in order), total * self.front_ends * TARGET)
+        counts = []
+        for need in (load, load / CLOSE):
+            stood = room = 0.0
+            count = 0
+            for worker in order:
+                if stood * TARGET >= need and room >= memory:
+                    break
+                count, stood, room = count + 1, stood + carries[worker], room + worker.budget
+            counts.append(count)
+        self.calm = self.calm + 1 if counts[1] < self.count else 0
+        if counts[0] > self.count:
+            self.count = counts[0]
+        elif self.calm >= CLOSE_AFTER:
+            self.count, self.calm = min(self.count, len(order)) - 1, 0
+        self.opened = order[:max(1, self.count)]
+        return self.opened
+
+    def grade(self, worker: Worker) -> int:
+        """Latency in steps wide enough that front ends agree: by kind, of which more is heard."""
+        usual = self.latency.kinds.get(worker.listing.kind, self.latency.average)
+        return round(log(usual / self.latency.average) / log(GRADE))
+
+    def carries(self, worker: Worker) -> float:
+        return self.latency.width(worker) / GRADE ** self.grade(worker)
+
+    def run(self, programs: list[Program], workers: list[Worker], well: list[Worker], now: float) -> None:
         latency = self.latency
         latency.survey(workers, now)
         demand = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
-        opened = self.open(workers, sum(demand.values()), sum(p.memory for p in demand), now)
-        carries = {w: latency.width(w) * latency.average / latency.pace(w, now) for w in workers}
-        even = SLACK * sum(demand.values()) / max(1e-9, sum(carries[w] for w in opened))
-        part = {w: even * carries[w] for w in workers}
-        room, budget = dict(part), {w: w.budget for w in workers}
-        busy = {w: mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) for w in workers}
-        tired = {w for w in workers if busy[w] > MOST}
-        opened = [w for w in opened if busy[w] < MORE] or opened
+        opened = self.open(workers, sum(demand.values()), sum(p.memory for p in demand))
+        slow = {w for w in well if latency.pace(w, now)
+                > LATENCY_WINDOW * latency.kinds.get(w.listing.kind, latency.average)}
+        opened = [w for w in opened if w in well and w not in slow] or well
+        even = SLACK * sum(demand.values()) / max(1e-9, sum(self.carries(w) for w in opened))
+        part = {w: even * self.carries(w) for w in well}
+        room, budget = dict(part), {w: w.budget for w in well}
+        tired = {w for w in well if mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) > MOST}
+        tired |= slow
         moves = MOVES
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in room] for p in demand}
         for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
@@ -309,7 +323,7 @@
     def __init__(self, latency: Latency, chance: Chance) -> None:
         self.latency, self.chance = latency, chance
 
-    def choose(self, rpc: RPC, usable: list[Worker], opened: set[Worker], now: float) -> Place | None:
+    def choose(self, rpc: RPC, usable: list[Worker], opened: list[Worker], now: float) -> Place | None:
         latency, program = self.latency, rpc.program
         tried = {call_out.place.worker for call_out in rpc.call_outs}
         fresh = [w for w in usable if w not in tried] or usable
@@ -725,7 +739,7 @@
             self.guards.survey(ready, now)
             well = [w for w in ready if w.shun_until <= now] or ready
             if well:
-                self.fill.run(programs, well, now)
+                self.fill.run(programs, ready, well, now)
                 if self.stock.may_hold:
                     self.orders = deque(self.fill.holds(programs, now))
 
