--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -186,7 +186,7 @@
 TARGET, MOST = 0.55, 0.85  # busy share to plan for, and at which things are given up
 SLACK = 1.6  # of its even part that a worker may be given
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
-MOVES = 1  # programs that go home to their lot in a period, so that front ends come to agree
+MOVES = 0  # programs that go home to their lot in a period, so that front ends come to agree
 CAP = 2  # new holds for each worker and period
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
 GRADE = 1.3  # latency steps by which kinds are told apart
@@ -325,13 +325,13 @@
 
     def choose(self, rpc: RPC, usable: list[Worker], opened: list[Worker], now: float) -> Place | None:
         latency, program = self.latency, rpc.program
+        able = set(usable)
         tried = {call_out.place.worker for call_out in rpc.call_outs}
-        fresh = [w for w in usable if w not in tried] or usable
-        able = set(fresh)
-        open_places = [p for p in program.places if p.worker in able and p.full_until <= now]
-        standing = [p for p in open_places if latency.stands(p, now)]
-        for places in ([p for p in standing if p.placed], standing,
-                       [p for p in open_places if p.placed or p.loading is not None]):
+        places = [p for p in program.places if p.worker in able and p.full_until <= now]
+        standing = [p for p in places if latency.stands(p, now)]
+        for places in ([p for p in standing if p.placed and p.worker not in tried],
+                       [p for p in standing if p.worker not in tried], standing,
+                       [p for p in places if p.placed or p.loading is not None]):
             if places:
                 scores = [(latency.expect(p, rpc, now), p) for p in places]
                 best = min(score for score, _ in scores)
@@ -339,9 +339,7 @@
                 return ties[self.chance.below(len(ties))] if len(ties) > 1 else ties[0]
         if any(p.full_until > now and latency.stands(p, now) for p in program.places):
             return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
-        free = [w for w in fresh if w.full_until <= now]
-        if not free:
-            return None
+        free = [w for w in usable if w not in tried] or usable
         low = [w for w in free if w in opened and not latency.lag(w, now)] or free
         return place_of(program, min(low, key=lambda w: lot(program, w)))
 
@@ -428,10 +426,12 @@
             return True
         return rpc.method.effect == "tokened" and rpc.method.scope == "all"
 
-    def patience(self, rpc: RPC, call_out: CallOut, now: float) -> float | None:
+    def patience(self, rpc: RPC, call_out: CallOut, stands, now: float) -> float | None:
         """How long to wait for a warm call-out that another may follow; a load is waited for."""
         if not call_out.warm or len(rpc.call_outs) >= self.most or rpc.method.effect == "side-effecting":
             return None
+        if not any(p is not call_out.place and stands(p, now) for p in rpc.program.places):
+            return None  # a load elsewhere would take longer still
         wait = max(PATIENCE * call_out.expected, rpc.soft - now, OVERDUE_LEAST)
         return wait if now + wait < rpc.ends else None
 
@@ -790,7 +790,7 @@
                            max(0, place.out + 1 - lanes))
         rpc.call_outs.append(call_out)
         self.guards.called(worker, rpc, now)
-        self.acts.append(("call", rpc, worker, self.repeats.patience(rpc, call_out, now)))
+        self.acts.append(("call", rpc, worker, self.repeats.patience(rpc, call_out, latency.stands, now)))
         worker.out.append(call_out)
         place.out += 1
         place.used = now if warm else place.used
