--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -186,7 +186,7 @@
 TARGET, MOST = 0.55, 0.85  # busy share to plan for, and at which things are given up
 SLACK = 1.6  # of its even part that a worker may be given
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
-MOVES = 0  # programs that go home to their lot in a period, so that front ends come to agree
+CROWDED = 3000.0  # ms after a full answer for which a program gets one more place than it needs
 CAP = 2  # new holds for each worker and period
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
 GRADE = 1.3  # latency steps by which kinds are told apart
@@ -255,18 +255,20 @@
         opened = [w for w in opened if w in well and w not in slow] or well
         even = SLACK * sum(demand.values()) / max(1e-9, sum(self.carries(w) for w in opened))
         part = {w: even * self.carries(w) for w in well}
+        for worker in slow:
+            part[worker] *= latency.average / latency.pace(worker, now)
         room, budget = dict(part), {w: w.budget for w in well}
-        tired = {w for w in well if mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) > MOST}
-        tired |= slow
-        moves = MOVES
+        tired = set(slow)
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in room] for p in demand}
+        for worker in well:
+            busy = mean([r.get("busy", 0.0) for _, r, _ in worker.reports], 0.0)
+            if busy > MOST:  # it gives up the part of what is ours there that would bring it back to target
+                tired.add(worker)
+                own = sum(demand[p] / len(homes) for p, homes in placed.items() if worker in homes)
+                room[worker] = min(room[worker], own * TARGET / busy)
         for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
-            homes = placed[program]
-            chosen, copies = self.put(program, demand[program], homes, opened, part, room, budget, tired, now)
-            if moves and homes:
-                lots, _ = self.put(program, demand[program], [], opened, part, room, budget, tired, now)
-                if set(lots) != set(chosen):
-                    chosen, moves = lots, moves - 1
+            chosen, copies = self.put(program, demand[program], placed[program], opened, part, room, budget,
+                                      tired, now)
             each = demand[program] / max(1, len(chosen))
             for worker in chosen:
                 room[worker] -= each
@@ -284,6 +286,8 @@
         need = max(1, ceil(load / unit))
         if need < len(placed) and load > (len(placed) - 1) * unit * CLOSE:
             need = len(placed)
+        if now - program.crowded < CROWDED:
+            need = max(need, min(len(placed) + (now - program.crowded < PERIOD), len(opened)))
         chosen = [w for w in placed if w not in tired or room[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
         order = sorted((w for w in opened if w not in chosen and w not in tired),
@@ -619,7 +623,7 @@
         elif outcome == "miss":
             place.standing, place.loading = 0, None
         elif outcome == "full":
-            place.full_until = now + FULL_WAIT
+            place.full_until, place.program.crowded = now + FULL_WAIT, now
         elif outcome in ("unreached", "cut"):
             self.emptied(worker)
         if not (outcome == "timeout" and now >= rpc.ends - 1.0 and not call_out.warm):
