--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -181,10 +181,10 @@
 
 # ---- fill ----
 PERIOD = 500.0  # ms between fills
-CALLS_WINDOW = 4000.0  # ms over which calls are counted
-HEADROOM = 1.0  # standard deviations of a Poisson load kept free in lanes
+CALLS_WINDOW = 8000.0  # ms over which calls are counted
+HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
 TARGET, MOST = 0.55, 0.85  # busy share to plan for, and at which things are given up
-SLACK = 1.6  # of its even part that a worker may be given
+SLACK, STAY = 1.25, 1.4  # times its even part that a worker is given, times that that it may keep
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 CROWDED = 3000.0  # ms after a full answer for which a program gets one more place than it needs
 CAP = 2  # new holds for each worker and period
@@ -260,12 +260,7 @@
         room, budget = dict(part), {w: w.budget for w in well}
         tired = set(slow)
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in room] for p in demand}
-        for worker in well:
-            busy = mean([r.get("busy", 0.0) for _, r, _ in worker.reports], 0.0)
-            if busy > MOST:  # it gives up the part of what is ours there that would bring it back to target
-                tired.add(worker)
-                own = sum(demand[p] / len(homes) for p, homes in placed.items() if worker in homes)
-                room[worker] = min(room[worker], own * TARGET / busy)
+        tired |= {w for w in well if mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) > MOST}
         for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
             chosen, copies = self.put(program, demand[program], placed[program], opened, part, room, budget,
                                       tired, now)
@@ -288,7 +283,7 @@
             need = len(placed)
         if now - program.crowded < CROWDED:
             need = max(need, min(len(placed) + (now - program.crowded < PERIOD), len(opened)))
-        chosen = [w for w in placed if w not in tired or room[w] >= load / need][:need]
+        chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
         order = sorted((w for w in opened if w not in chosen and w not in tired),
                        key=lambda w: lot(program, w))
