--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -184,7 +184,8 @@
 CALLS_WINDOW = 8000.0  # ms over which calls are counted
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
 TARGET, MOST = 0.55, 0.85  # busy share to plan for, and at which things are given up
-SLACK, STAY = 1.25, 1.4  # times its even part that a worker is given, times that that it may keep
+SLACK, STAY = 1.1, 1.4  # times its even part that a worker is given, times that that it may keep
+NOISE = 2.5  # deviations of the calls counted for a worker that are added to the slack
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 CROWDED = 3000.0  # ms after a full answer for which a program gets one more place than it needs
 CAP = 2  # new holds for each worker and period
@@ -253,7 +254,8 @@
         slow = {w for w in well if latency.pace(w, now)
                 > LATENCY_WINDOW * latency.kinds.get(w.listing.kind, latency.average)}
         opened = [w for w in opened if w in well and w not in slow] or well
-        even = SLACK * sum(demand.values()) / max(1e-9, sum(self.carries(w) for w in opened))
+        calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / max(1, len(opened))
+        even = (SLACK + NOISE / sqrt(max(calls, 1.0))) * sum(demand.values()) / max(1e-9, sum(self.carries(w) for w in opened))
         part = {w: even * self.carries(w) for w in well}
         for worker in slow:
             part[worker] *= latency.average / latency.pace(worker, now)
@@ -618,7 +620,9 @@
         elif outcome == "miss":
             place.standing, place.loading = 0, None
         elif outcome == "full":
-            place.full_until, place.program.crowded = now + FULL_WAIT, now
+            place.full_until = now + FULL_WAIT
+            if self.latency.stands(place, now):  # lanes are short; were it memory, more places would add to it
+                place.program.crowded = now
         elif outcome in ("unreached", "cut"):
             self.emptied(worker)
         if not (outcome == "timeout" and now >= rpc.ends - 1.0 and not call_out.warm):
