--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -183,9 +183,9 @@
 PERIOD = 500.0  # ms between fills
 CALLS_WINDOW = 8000.0  # ms over which calls are counted
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
-TARGET, MOST = 0.55, 0.85  # busy share to plan for, and at which things are given up
+TARGET, HOT = 0.55, 1.2  # busy share to plan for; times the mean, where nothing more is placed
 SLACK, STAY = 1.1, 1.4  # times its even part that a worker is given, times that that it may keep
-NOISE = 2.5  # deviations of the calls counted for a worker that are added to the slack
+NOISE = 1.5  # deviations of the calls counted for a worker that are added to the slack
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 CROWDED = 3000.0  # ms after a full answer for which a program gets one more place than it needs
 CAP = 2  # new holds for each worker and period
@@ -262,7 +262,9 @@
         room, budget = dict(part), {w: w.budget for w in well}
         tired = set(slow)
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in room] for p in demand}
-        tired |= {w for w in well if mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) > MOST}
+        busy = {w: mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) for w in well}
+        hot = max(TARGET, HOT * mean([busy[w] for w in opened], 0.0))
+        tired |= {w for w in well if busy[w] > hot}  # all front ends see it and take their newcomers elsewhere
         for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
             chosen, copies = self.put(program, demand[program], placed[program], opened, part, room, budget,
                                       tired, now)
