--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -37,7 +37,8 @@
         self.list(rows if rows is not None else [row(name) for name in "abcdefghij"[:workers]])
 
     def list(self, rows, whole=True):
-        self.fe.listed(self.clock, rows, whole)
+        self.fe.woke(self.clock)
+        self.fe.listed(rows, whole)
         return self.pull()
 
     def pull(self):
@@ -46,14 +47,16 @@
 
     def take(self, program="p", left=4000.0):
         self.ids += 1
-        self.fe.took(self.clock, self.ids, left, self.method, program, 4000.0, 2, None, None, False)
+        self.fe.woke(self.clock)
+        self.fe.took(self.ids, left, self.method, program, 4000.0, 2, None, None, False)
         return self.pull()
 
     def end(self, rpc, outcome="ok", number=None, standing="stood", final=None):
         final = outcome == "ok" if final is None else final
         number = len(rpc.call_outs) - 1 if number is None else number
         standing = standing if outcome == "ok" else None
-        self.fe.ended(self.clock, rpc.ident, number, outcome, final, standing, 0, None)
+        self.fe.woke(self.clock)
+        self.fe.ended(rpc.ident, number, outcome, final, standing, 0, None)
         return self.pull()
 
     def pass_time(self, ms, step=50.0):
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -144,7 +144,7 @@
                 fleet.take()
                 worker = fleet.fe.workers["a"]
                 before = worker.budget
-                fleet.fe.held(fleet.clock, "a", "p", outcome, 1, 800.0)
+                fleet.fe.held("a", "p", outcome, 1, 800.0)
                 compare(worker.budget, before)
 
     def test_silent_worker_loses_its_good_latency(self):
@@ -177,7 +177,7 @@
     def test_lot_is_the_same_for_all(self):
         one, two = Fleet(seed=1).fe, Fleet(seed=2).fe
         for fe in (one, two):
-            fe.took(1000.0, 1, 4000.0, fe.methods[0], "p", 1.0, 1, None, None, False)
+            fe.took(1, 4000.0, fe.methods[0], "p", 1.0, 1, None, None, False)
         self.assertEqual([lot(one.programs["p"], w) for w in one.workers.values()],
                          [lot(two.programs["p"], w) for w in two.workers.values()])
 
--- /dev/null
+++ b/wickdyke/chance.py
@@ -0,0 +1,21 @@
+"""Chance that can be played again: the same seed gives the same draws on every machine."""
+
+
+class Chance:
+    """A linear congruential generator (Knuth's MMIX constants), of which the high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed % 2**64
+
+    def below(self, bound: int) -> int:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) % 2**64
+        return (self.state >> 33) % bound
+
+
+def draw(text: str) -> float:
+    """A number above 0 and at most 1 that hangs on the text alone."""
+    chance = Chance(0)
+    for byte in text.encode():
+        chance.state ^= byte
+        chance.below(1)
+    return (chance.below(2**31) + 1) / 2**31
--- a/wickdyke/drill/host.py
+++ b/wickdyke/drill/host.py
@@ -119,29 +119,29 @@
         return rows
 
     def _pass_on(self, instance: Instance, name: str, values: list) -> None:
-        front_end, now = instance.front_end, self.now
+        front_end = instance.front_end
+        front_end.woke(self.now)
         match name, values:
             case "NEW_REQUEST", [ident, bits, left, method, program, work, _, memory, load, lanes]:
                 if method >= len(front_end.methods):
                     raise BadInput(f"NEW_REQUEST: class is {method}, expected one of the settings")
-                front_end.took(now, ident, left, front_end.methods[method], program, memory,
+                front_end.took(ident, left, front_end.methods[method], program, memory,
                                max(1, int(lanes)), load, work if bits & 1 else None, bool(bits & 2))
             case "REPORT_BACK", [ident, number, _, outcome, _, complete, note, report]:
                 standing, company = codec.note(note)
-                front_end.ended(now, ident, number, outcome, complete, standing, company, report)
+                front_end.ended(ident, number, outcome, complete, standing, company, report)
             case "FIRST_BYTE", [ident, number, _, _]:
-                front_end.began(now, ident, number)
+                front_end.began(ident, number)
             case "ABORTED", [ident]:
-                front_end.left(now, ident)
+                front_end.left(ident)
             case "WAKEUP", [cookie]:
                 if cookie == instance.cookie:
                     instance.timer = None
-                front_end.woke(now)
             case "PING_RESULT", [worker, outcome, _, report]:
-                front_end.probed(now, worker, outcome, report)
+                front_end.probed(worker, outcome, report)
             case "BROUGHT_UP", [outcome, worker, copies, latency, program]:
-                front_end.held(now, worker, program, outcome, copies, latency)
+                front_end.held(worker, program, outcome, copies, latency)
             case "FLEET", [mode, _, rows]:
-                front_end.listed(now, rows, {"0": False, "3": None}.get(mode, True))
-            case "MEMO", [peer, data]:
-                front_end.told(now, peer, data or b"")
+                front_end.listed(rows, {"0": False, "3": None}.get(mode, True))
+            case "MEMO", _:
+                pass  # front ends have nothing to tell each other
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -4,11 +4,10 @@
 """
 
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Method:
     """A kind of RPC. `effect` is idempotent, tokened or side-effecting; `scope` is all, zone or cell."""
 
@@ -113,16 +112,16 @@
     born: float | None
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Worker:
     """A worker as this front end knows it."""
 
     listing: Listing
-    budget: float
-    ratios: deque
-    results: deque
-    reports: deque
-    sends: deque
+    budget: float = 0.0
+    ratios: deque = field(default_factory=deque)
+    results: deque = field(default_factory=deque)
+    reports: deque = field(default_factory=deque)
+    sends: deque = field(default_factory=deque)
     out: list["CallOut"] = field(default_factory=list)
     places: dict["Program", "Place"] = field(default_factory=dict)
     shun_until: float = 0.0
@@ -134,7 +133,7 @@
     cold_from: float | None = None
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Program:
     """What an RPC runs and a worker loads."""
 
@@ -152,7 +151,7 @@
     lots: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Place:
     """A program on a worker: copies believed to stand, copies asked for, and when it was last used."""
 
@@ -163,14 +162,12 @@
     placed: bool = False
     used: float = 0.0
     ordered: float | None = None
-    ordered_copies: int = 0
     loading: float | None = None
     full_until: float = 0.0
     out: int = 0
-    company: float = 0.0
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class RPC:
     """One RPC as taken; `ends` is when the client's time is up, `soft` when an answer is wanted."""
 
@@ -187,7 +184,7 @@
     queued: bool = False
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class CallOut:
     """One call-out of an RPC."""
 
@@ -202,5 +199,42 @@
     cancelled: bool = False
 
 
+def place_of(program: Program, worker: Worker) -> Place:
+    """The program's place on that worker, entered on both if it is new."""
+    place = worker.places.get(program)
+    if place is None:
+        place = worker.places[program] = Place(program, worker)
+        program.places.append(place)
+    return place
+
+
+def forget(places: list[Place]) -> None:
+    """Takes places out of both lists."""
+    for place in places:
+        place.worker.places.pop(place.program, None)
+        if place in place.program.places:
+            place.program.places.remove(place)
+
+
+def empty(worker: Worker) -> None:
+    """Nothing stands or loads there any more."""
+    for place in worker.places.values():
+        place.standing, place.loading = 0, None
+
+
+def begin(call_out: CallOut) -> None:
+    """Enters a call-out that goes out."""
+    call_out.rpc.call_outs.append(call_out)
+    call_out.place.out += 1
+    call_out.place.worker.out.append(call_out)
+
+
+def end(call_out: CallOut, outcome: str) -> None:
+    """Enters how a call-out ended; it is out no more."""
+    if call_out.outcome is None:
+        call_out.place.out -= 1
+        call_out.place.worker.out.remove(call_out)
+    call_out.outcome = outcome
+
+
 Decision = tuple
-Note = Callable[[str], None]
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -1,17 +1,19 @@
 """Every decision of a wickdyke front end, with its tables and tuned values.
 
-A host makes one FrontEnd at start and hands it what happens: listed, took, ended, held, probed, left, woke
-and so on. These only update the books. The host then calls decide() until it returns None; each decision is a
-plain tuple, a verb (call, cancel, deny, abort, hold, unload, probe, ask_list, follow_list, note) and objects of
-wickdyke/interface.py, where the shared plain types stand. wake_at is the next time to call woke(). Times are
-float ms on the host's clock; ids are used only in the arguments of the calls above.
+A host makes one FrontEnd at start and tells it the time (woke) and what happens: listed, took, ended, held,
+probed, left. These only update the books. The host then calls decide() until it returns None; a decision is a
+plain tuple of a verb (call, cancel, deny, abort, hold, probe, follow_list, note) and objects of
+wickdyke/interface.py, where the shared plain types stand. wake_at is the next time to call woke. Times are
+float ms on the host's clock; ids are used only at this door.
 """
 
 from collections import deque
+from dataclasses import replace
 from math import ceil, log, sqrt
 
+from wickdyke.chance import Chance, draw
 from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place, Program
-from wickdyke.interface import Ration, Seat, Stock, Tariff, Warmup, Worker
+from wickdyke.interface import Ration, Seat, Stock, Tariff, Warmup, Worker, begin, empty, end, forget, place_of
 
 # ---- books ----
 KEPT = 16  # samples kept of each thing measured
@@ -19,26 +21,11 @@
 NEVER_RAN = frozenset({"full", "unreached", "unsent", "miss"})  # outcomes that prove it
 
 
-class Chance:
-    """A linear congruential generator (Knuth's MMIX constants), of which the high bits are used."""
-
-    def __init__(self, seed: int) -> None:
-        self.state = seed
-
-    def below(self, bound: int) -> int:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) % 2**64
-        return (self.state >> 33) % bound
-
-
 def lot(program: Program, worker: Worker) -> float:
     """A draw that hangs on the two names alone, so that front ends that share nothing draw alike."""
     ident = worker.listing.ident
-    if ident not in program.lots:
-        state = 0
-        for char in f"{program.name}/{ident}":
-            state = (state * 6364136223846793005 + ord(char) * 1442695040888963407 + 1) % 2**64
-        share = (Chance(state).below(2**31) + 1) / (2**31 + 1)
-        program.lots[ident] = -log(share) / max(worker.listing.size, 1e-6)  # larger workers win more often
+    if ident not in program.lots:  # larger workers win more often
+        program.lots[ident] = -log(draw(f"{program.name}/{ident}")) / max(worker.listing.size, 1e-6)
     return program.lots[ident]
 
 
@@ -46,24 +33,15 @@
     return sum(samples) / len(samples) if samples else absent
 
 
-def place_of(program: Program, worker: Worker) -> Place:
-    place = worker.places.get(program)
-    if place is None:
-        place = worker.places[program] = Place(program, worker)
-        program.places.append(place)
-    return place
-
-
-def forget(place: Place) -> None:
-    place.worker.places.pop(place.program, None)
-    if place in place.program.places:
-        place.program.places.remove(place)
+def busy_share(worker: Worker) -> float:
+    return mean([report.get("busy", 0.0) for _, report, _ in worker.reports], 0.0)
 
 
 # ---- latency ----
 SAMPLE_AGE = 15000.0  # ms after which a worker's samples no longer count
 PRIOR = 6.0  # samples' worth of the fleet's average that every worker starts from
 COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
+LOAD_LEAST = 50.0  # ms under which a hold found the copy standing
 LOAD_GUESS = 1000.0  # ms a load takes until one was seen
 WIDTH_GUESS = 4.0  # RPCs that a worker of mean size runs at once, until reports tell
 WIDTH_LOW = 0.3  # which of the sorted samples of the width is believed
@@ -72,6 +50,12 @@
 OVERDUE_LEAST = 400.0  # ms that are never overdue
 
 
+def overdue(call_out: CallOut, now: float) -> bool:
+    """A call-out to a standing copy, long out, at a worker that has not said a word since."""
+    late = max(OVERDUE_LEAST, OVERDUE * call_out.expected)
+    return call_out.warm and call_out.place.worker.heard <= call_out.sent < now - late
+
+
 class Latency:
     """Round trip plus run time as measured, against what the same RPC takes on the average worker."""
 
@@ -82,29 +66,24 @@
         self.kinds: dict[int, float] = {}
 
     def cost(self, rpc: RPC) -> float:
-        if rpc.work is not None:
-            return max(1.0, rpc.work)
-        return self.usual(rpc.program)
+        return self.usual(rpc.program) if rpc.work is None else max(1.0, rpc.work)
 
     def usual(self, program: Program) -> float:
-        method = program.method
-        if len(program.times) >= 3:
-            return mean(program.times, 0.0)
-        return (sum(program.times) + mean(method.times, method.soft * COST_GUESS)) / (len(program.times) + 1)
+        times, method = program.times, program.method
+        return (sum(times) + mean(method.times, method.soft * COST_GUESS)) / (len(times) + 1)
 
     def pace(self, worker: Worker, now: float) -> float:
         """Time taken for each ms of cost; shrunk to its kind's, so an unheard worker counts as average."""
-        took = cost = 0.0
-        fresh = 0
-        for at, ms, expected in worker.ratios:
-            if now - at < SAMPLE_AGE:
-                took, cost, fresh = took + ms, cost + expected, fresh + 1
-        unit = cost / fresh if fresh else 1.0
-        usual = self.kinds.get(worker.listing.kind, self.average)
-        return (took + PRIOR * unit * usual) / (cost + PRIOR * unit)
+        fresh = [(ms, cost) for at, ms, cost in worker.ratios if now - at < SAMPLE_AGE]
+        took, cost = sum(ms for ms, _ in fresh), sum(cost for _, cost in fresh)
+        prior = PRIOR * cost / len(fresh) if fresh else 1.0
+        return (took + prior * self.usual_pace(worker)) / (cost + prior)
+
+    def usual_pace(self, worker: Worker) -> float:
+        return self.kinds.get(worker.listing.kind, self.average)
 
     def width(self, worker: Worker) -> float:
-        """RPCs the worker runs at once without slowing, by its size and what the reports of all show."""
+        """RPCs the worker runs at once without slowing."""
         return max(1.0, self.width_each * worker.listing.size)
 
     def survey(self, workers: list[Worker], now: float) -> None:
@@ -121,12 +100,11 @@
                 if 0.15 < share < 0.85:  # outside, queues and noise say little of the cores
                     held = report["held"] if "held" in report else own * self.front_ends
                     widths.append(max(1.0, held) / (share * worker.listing.size))
-        took, cost = (sum(pool[at] for pool in kinds.values()) for at in (0, 1))
+        cost = sum(pool[1] for pool in kinds.values())
         if cost:
-            self.average = took / cost
+            self.average = sum(pool[0] for pool in kinds.values()) / cost
             part = cost / KEPT  # a kind little heard of counts as average too
-            self.kinds = {kind: (pool[0] + part * self.average) / (pool[1] + part)
-                          for kind, pool in kinds.items()}
+            self.kinds = {kind: (ms + part * self.average) / (own + part) for kind, (ms, own) in kinds.items()}
         size = mean([worker.listing.size for worker in workers], 1.0)
         widths.sort()  # waiting for lanes and loads holds RPCs but no core: the low samples tell the width
         self.width_each = widths[int(len(widths) * WIDTH_LOW)] if len(widths) > KEPT else WIDTH_GUESS / size
@@ -139,11 +117,8 @@
 
     def load_left(self, place: Place, now: float) -> float:
         """What is left of the load that an RPC sent now would wait for."""
-        if self.stands(place, now):
-            return 0.0
-        whole = self.load_time(place.program)
-        since = place.loading if place.loading is not None else now
-        return max(whole * 0.2, since + whole - now)
+        whole = 0.0 if self.stands(place, now) else self.load_time(place.program)
+        return max(whole * 0.2, whole - (0.0 if place.loading is None else now - place.loading))
 
     def expect(self, place: Place, rpc: RPC, now: float) -> float:
         """The RPC's latency at that place, counting our own call-outs in flight."""
@@ -155,28 +130,17 @@
 
     def lag(self, worker: Worker, now: float) -> float:
         """The age of the oldest overdue call-out of a silent worker, which must not keep a good latency."""
-        for call_out in worker.out:
-            if call_out.warm and worker.heard <= call_out.sent:
-                age = now - call_out.sent
-                return age if age > max(OVERDUE_LEAST, OVERDUE * call_out.expected) else 0.0
-        return 0.0
+        return next((now - call_out.sent for call_out in worker.out if overdue(call_out, now)), 0.0)
 
     def learn(self, call_out: CallOut, standing: str | None, now: float) -> None:
         """A sample from an ok; one that contains a load says nothing of the worker."""
-        place, rpc = call_out.place, call_out.rpc
-        took = now - call_out.sent
+        worker, rpc = call_out.place.worker, call_out.rpc
         if standing in ("began", "awaited") or not call_out.warm and not self.tells:
             return
-        if call_out.crowd > 0:  # it waited for a lane: the queue's time is not the worker's
-            took *= 1 / (1 + call_out.crowd)
-        place.worker.ratios.append((now, took, self.cost(rpc)))
-        if rpc.work is None:
-            cost = took / self.pace(place.worker, now)
-            rpc.program.times.append(cost)
-            rpc.method.times.append(cost)
-        else:
-            rpc.program.times.append(rpc.work)
-            rpc.method.times.append(rpc.work)
+        took = (now - call_out.sent) / (1 + call_out.crowd)  # a lane's queue is not the worker's slowness
+        worker.ratios.append((now, took, self.cost(rpc)))
+        for times in (rpc.program.times, rpc.method.times):
+            times.append(took / self.pace(worker, now) if rpc.work is None else rpc.work)
 
 
 # ---- fill ----
@@ -192,6 +156,7 @@
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
 GRADE = 1.3  # latency steps by which kinds are told apart
 LATENCY_WINDOW = 1.8  # workers within this factor of their kind count as low-latency
+LOST = 4.0  # load times after which a load begun and never heard of counts as lost
 RENEW = 0.7  # of the idle life: when a copy that is still called is renewed
 GROWTH, SHRINK = 1.25, 0.7  # of a worker's budget, after a hold in full and after a refusal
 
@@ -206,8 +171,7 @@
         self.count, self.calm = 10**6, 0
 
     def budget(self, listing: Listing) -> float:
-        known = listing.kind < len(self.memory)
-        return (self.memory[listing.kind] if known else mean(self.memory, 0.0)) / self.front_ends
+        return (self.memory[listing.kind:] or self.memory or (0.0,))[0] / self.front_ends
 
     def demand(self, program: Program, now: float) -> float:
         """Lanes busy on average: recent calls times what one takes."""
@@ -218,30 +182,21 @@
     def open(self, workers: list[Worker], total: float, memory: float) -> list[Worker]:
         """The fewest lowest-latency workers that carry the fleet's load, alike for all front ends."""
         order = sorted(workers, key=lambda w: (self.grade(w), w.listing.ident))
-        carries = {w: self.carries(w) for w in order}
-        busy = {w: mean([r["busy"] for _, r, _ in w.reports if "busy" in r], 0.0) for w in order}
-        load = max(sum(busy[w] * carries[w] for w in order), total * self.front_ends * TARGET)
-        counts = []
-        for need in (load, load / CLOSE):
-            stood = room = 0.0
-            count = 0
-            for worker in order:
-                if stood * TARGET >= need and room >= memory:
-                    break
-                count, stood, room = count + 1, stood + carries[worker], room + worker.budget
-            counts.append(count)
-        self.calm = self.calm + 1 if counts[1] < self.count else 0
-        if counts[0] > self.count:
-            self.count = counts[0]
-        elif self.calm >= CLOSE_AFTER:
+        load = max(sum(busy_share(w) * self.carries(w) for w in order), total * self.front_ends * TARGET)
+        least, ample = (next((n for n in range(1, len(order))
+                              if sum(self.carries(w) for w in order[:n]) * TARGET >= need
+                              and sum(w.budget for w in order[:n]) >= memory), len(order))
+                        for need in (load, load / CLOSE))
+        self.calm = self.calm + 1 if ample < self.count else 0
+        if self.calm >= CLOSE_AFTER:
             self.count, self.calm = min(self.count, len(order)) - 1, 0
-        self.opened = order[:max(1, self.count)]
+        self.count = max(least, self.count)
+        self.opened = order[:self.count]
         return self.opened
 
     def grade(self, worker: Worker) -> int:
         """Latency in steps wide enough that front ends agree: by kind, of which more is heard."""
-        usual = self.latency.kinds.get(worker.listing.kind, self.latency.average)
-        return round(log(usual / self.latency.average) / log(GRADE))
+        return round(log(self.latency.usual_pace(worker) / self.latency.average) / log(GRADE))
 
     def carries(self, worker: Worker) -> float:
         return self.latency.width(worker) / GRADE ** self.grade(worker)
@@ -251,20 +206,17 @@
         latency.survey(workers, now)
         demand = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
         opened = self.open(workers, sum(demand.values()), sum(p.memory for p in demand))
-        slow = {w for w in well if latency.pace(w, now)
-                > LATENCY_WINDOW * latency.kinds.get(w.listing.kind, latency.average)}
+        slow = {w for w in well if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w)}
         opened = [w for w in opened if w in well and w not in slow] or well
-        calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / max(1, len(opened))
-        even = (SLACK + NOISE / sqrt(max(calls, 1.0))) * sum(demand.values()) / max(1e-9, sum(self.carries(w) for w in opened))
-        part = {w: even * self.carries(w) for w in well}
-        for worker in slow:
-            part[worker] *= latency.average / latency.pace(worker, now)
+        calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / len(opened)
+        slack = SLACK + NOISE / sqrt(max(calls, 1.0))
+        even = slack * sum(demand.values()) / sum(self.carries(w) for w in opened)
+        part = {w: even * self.carries(w) * (latency.average / latency.pace(w, now) if w in slow else 1.0)
+                for w in well}
         room, budget = dict(part), {w: w.budget for w in well}
-        tired = set(slow)
-        placed = {p: [q.worker for q in p.places if q.placed and q.worker in room] for p in demand}
-        busy = {w: mean([r.get("busy", 0.0) for _, r, _ in w.reports], 0.0) for w in well}
-        hot = max(TARGET, HOT * mean([busy[w] for w in opened], 0.0))
-        tired |= {w for w in well if busy[w] > hot}  # all front ends see it and take their newcomers elsewhere
+        placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened] for p in demand}
+        hot = max(TARGET, HOT * mean([busy_share(w) for w in opened], 0.0))
+        tired = slow | {w for w in well if busy_share(w) > hot}  # all see it: newcomers go elsewhere
         for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
             chosen, copies = self.put(program, demand[program], placed[program], opened, part, room, budget,
                                       tired, now)
@@ -272,11 +224,8 @@
             for worker in chosen:
                 room[worker] -= each
                 budget[worker] -= program.memory * copies
-            for place in program.places:
-                place.placed = False
-            for worker in chosen:
-                place = place_of(program, worker)
-                place.placed, place.wanted = True, copies
+            for place in [place_of(program, worker) for worker in chosen] and program.places:
+                place.placed, place.wanted = place.worker in chosen, copies
 
     def put(self, program: Program, load: float, placed: list[Worker], opened: list[Worker], part: dict,
             room: dict, budget: dict, tired: set, now: float) -> tuple[list[Worker], int]:
@@ -291,9 +240,9 @@
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
         order = sorted((w for w in opened if w not in chosen and w not in tired),
                        key=lambda w: lot(program, w))
-        for fits in (lambda w: room[w] >= load / need and (budget[w] >= program.memory or w in stands),
-                     lambda w: room[w] >= load / need):
-            chosen += [w for w in order if w not in chosen and fits(w)][:need - len(chosen)]
+        roomy = [w for w in order if room[w] >= load / need]
+        roomy.sort(key=lambda w: budget[w] < program.memory and w not in stands)  # within budget first
+        chosen += roomy[:need - len(chosen)]
         if not chosen:
             chosen = placed[:need] or sorted(order or opened, key=lambda w: (-room[w], lot(program, w)))[:1]
         each = load / max(1, len(chosen))
@@ -302,49 +251,48 @@
     def holds(self, programs: list[Program], now: float) -> list[tuple[Place, int, bool]]:
         """Loads to order ahead and copies to renew, most called first: place, copies, whether renewal."""
         orders, new = [], {}
-        for program in sorted(programs, key=lambda p: (-len(p.calls), p.name)):
+        called = [p for p in programs if now - p.called < self.idle_life]
+        for program in sorted(called, key=lambda p: (-len(p.calls), p.name)):
             for place in program.places:
-                if now - program.called > self.idle_life or not place.placed or place.ordered is not None or place.full_until > now:
+                if not place.placed or place.ordered is not None or place.full_until > now:
                     continue
                 stands = self.latency.stands(place, now)
                 if stands and place.standing >= place.wanted:
                     if now - place.used > RENEW * self.idle_life and len(program.calls) > 1:
                         orders.append((place, place.wanted, True))
-                elif new.get(place.worker, 0) < CAP and (stands or place.loading is None):
+                elif new.get(place.worker, 0) < CAP and (
+                        stands or place.loading is None
+                        or now - place.loading > LOST * self.latency.load_time(program)):
                     new[place.worker] = new.get(place.worker, 0) + 1
                     orders.append((place, place.wanted, False))
         return orders
 
 
 # ---- dispatch ----
+TIE = 1.02  # latencies within this factor are a tie
 FULL_WAIT = 250.0  # ms for which a place that answered full is passed over
 
 
-class Dispatch:
-    """Sends an RPC to the placed worker of lowest latency; an unplaced one to a random worker with room."""
-
-    def __init__(self, latency: Latency, chance: Chance) -> None:
-        self.latency, self.chance = latency, chance
-
-    def choose(self, rpc: RPC, usable: list[Worker], opened: list[Worker], now: float) -> Place | None:
-        latency, program = self.latency, rpc.program
-        able = set(usable)
-        tried = {call_out.place.worker for call_out in rpc.call_outs}
-        places = [p for p in program.places if p.worker in able and p.full_until <= now]
-        standing = [p for p in places if latency.stands(p, now)]
-        for places in ([p for p in standing if p.placed and p.worker not in tried],
-                       [p for p in standing if p.worker not in tried], standing,
-                       [p for p in places if p.placed or p.loading is not None]):
-            if places:
-                scores = [(latency.expect(p, rpc, now), p) for p in places]
-                best = min(score for score, _ in scores)
-                ties = [p for score, p in scores if score <= best * 1.02]
-                return ties[self.chance.below(len(ties))] if len(ties) > 1 else ties[0]
-        if any(p.full_until > now and latency.stands(p, now) for p in program.places):
-            return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
-        free = [w for w in usable if w not in tried] or usable
-        low = [w for w in free if w in opened and not latency.lag(w, now)] or free
-        return place_of(program, min(low, key=lambda w: lot(program, w)))
+def choose(rpc: RPC, usable: list[Worker], opened: list[Worker], latency: Latency, chance: Chance,
+           now: float) -> Place | None:
+    """The placed worker of lowest latency; for an unplaced program a random worker with room."""
+    program, able = rpc.program, set(usable)
+    tried = {call_out.place.worker for call_out in rpc.call_outs}
+    known = [p for p in program.places if p.worker in able and p.full_until <= now]
+    standing = [p for p in known if latency.stands(p, now)]
+    for places in ([p for p in standing if p.placed and p.worker not in tried],
+                   [p for p in standing if p.worker not in tried], standing,
+                   [p for p in known if p.placed or p.loading is not None]):
+        if places:
+            scores = [(latency.expect(p, rpc, now), p) for p in places]
+            best = min(score for score, _ in scores)
+            ties = [p for score, p in scores if score <= best * TIE]
+            return ties[chance.below(len(ties))]
+    if any(p.full_until > now and latency.stands(p, now) for p in program.places):
+        return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
+    free = [w for w in usable if w not in tried] or usable
+    low = [w for w in free if w in opened and not latency.lag(w, now)] or free
+    return place_of(program, min(low, key=lambda w: lot(program, w)))
 
 
 # ---- health ----
@@ -357,38 +305,33 @@
 class Health:
     """Whom not to send to. Judged by symptom, whatever the cause: unreachable, failing or silent."""
 
-    def __init__(self, latency: Latency, note) -> None:
-        self.latency, self.note = latency, note
+    def __init__(self, note) -> None:
+        self.note = note
 
     def usable(self, worker: Worker, now: float) -> bool:
-        if worker.shun_until > now:
-            return False
-        return not worker.shuns or not worker.out  # on trial: one call-out at a time until an ok
+        """After being shunned a worker is on trial: one call-out at a time until an ok."""
+        return worker.shun_until <= now and not (worker.shuns and worker.out)
 
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
-        if outcome not in ("cancelled", "unsent", "timeout", "unreached", "cut"):
+        if outcome in ("ok", "error", "full", "miss"):
             worker.heard = now
-        if outcome == "ok":
-            if worker.shuns:
-                self.note(f"worker {worker.listing.ident} answers again after {worker.shuns} shuns")
+        if outcome == "ok" and worker.shuns:
+            self.note(f"worker {worker.listing.ident} answers again after {worker.shuns} shuns")
             worker.shuns, worker.shun_until = 0, 0.0
         if outcome in ("ok", "error", "cut", "unreached"):
             worker.results.append((now, outcome == "ok"))
         recent = [good for at, good in worker.results if now - at < BAD_AGE]
         bad = recent.count(False)
-        if outcome == "unreached" or outcome != "ok" and (
-                bad >= BAD_LEAST and bad > BAD_SHARE * len(recent) or bad and worker.shuns):
+        if worker.shun_until <= now and (outcome == "unreached" or outcome != "ok" and (
+                bad >= BAD_LEAST and bad > BAD_SHARE * len(recent) or bad and worker.shuns)):
             self.shun(worker, now, f"{outcome}, {bad} of {len(recent)} bad")
 
     def silent(self, worker: Worker, now: float) -> bool:
         """A worker that takes RPCs and answers nothing: several overdue and not a word since."""
-        late = sum(co.warm and worker.heard <= co.sent and
-                   now - co.sent > max(OVERDUE_LEAST, OVERDUE * co.expected) for co in worker.out)
+        late = sum(overdue(call_out, now) for call_out in worker.out)
         return late >= SILENT_LEAST or late > 0 and worker.shuns > 0
 
     def shun(self, worker: Worker, now: float, why: str) -> None:
-        if worker.shun_until > now:
-            return
         worker.shun_until = now + min(SHUN_MOST, SHUN * 2**worker.shuns)
         worker.shuns += 1
         self.note(f"worker {worker.listing.ident} shunned for {worker.shun_until - now:.0f} ms: {why}")
@@ -398,45 +341,37 @@
 PATIENCE = 10.0  # multiples of the expected latency that a warm call-out gets, and never less than to soft
 
 
-class Repeats:
-    """What each RPC may still get, by its method's effect and what its call-outs came to."""
+def may_have_run(rpc: RPC) -> list[CallOut]:
+    return [call_out for call_out in rpc.call_outs if call_out.outcome not in NEVER_RAN]
 
-    def __init__(self, allowance: Allowance) -> None:
-        self.most, self.retry_after = allowance.call_outs, allowance.retry_after
 
-    def may_have_run(self, rpc: RPC) -> list[CallOut]:
-        return [co for co in rpc.call_outs if co.outcome not in NEVER_RAN]
+def may_repeat(rpc: RPC, worker: Worker, most: int, now: float) -> bool:
+    """Whether a further call-out may go there, by the method's effect and what the others came to."""
+    ran, method, row = may_have_run(rpc), rpc.method, worker.listing
+    if rpc.closed or len(rpc.call_outs) >= most or now >= rpc.ends:
+        return False
+    if not ran or method.effect == "idempotent":
+        return True
+    rows = [call_out.place.worker.listing for call_out in ran]
+    same = (method.scope == "all" or method.scope == "zone" and all(r.zone == row.zone for r in rows)
+            or method.scope == "cell" and all(r.cell == row.cell for r in rows))
+    return method.effect == "tokened" and same and now < ran[0].sent + method.window
 
-    def may_call(self, rpc: RPC, worker: Worker | None, now: float) -> bool:
-        """Whether a further call-out is allowed (to that worker, or at all where None)."""
-        if rpc.closed or len(rpc.call_outs) >= self.most or now >= rpc.ends:
-            return False
-        ran = self.may_have_run(rpc)
-        if not ran or rpc.method.effect == "idempotent":
-            return True
-        if rpc.method.effect != "tokened" or now >= ran[0].sent + rpc.method.window:
-            return False
-        return worker is None or all(self.same_group(co.place.worker, worker, rpc.method) for co in ran)
 
-    def same_group(self, one: Worker, other: Worker, method: Method) -> bool:
-        if method.scope == "all":
-            return True
-        a, b = one.listing, other.listing
-        return a.zone == b.zone if method.scope == "zone" else a.cell == b.cell
+def may_deny(rpc: RPC) -> bool:
+    method = rpc.method
+    return (method.effect == "idempotent" or not may_have_run(rpc)
+            or method.effect == "tokened" and method.scope == "all")
 
-    def may_deny(self, rpc: RPC) -> bool:
-        if rpc.method.effect == "idempotent" or not self.may_have_run(rpc):
-            return True
-        return rpc.method.effect == "tokened" and rpc.method.scope == "all"
 
-    def patience(self, rpc: RPC, call_out: CallOut, stands, now: float) -> float | None:
-        """How long to wait for a warm call-out that another may follow; a load is waited for."""
-        if not call_out.warm or len(rpc.call_outs) >= self.most or rpc.method.effect == "side-effecting":
-            return None
-        if not any(p is not call_out.place and stands(p, now) for p in rpc.program.places):
-            return None  # a load elsewhere would take longer still
-        wait = max(PATIENCE * call_out.expected, rpc.soft - now, OVERDUE_LEAST)
-        return wait if now + wait < rpc.ends else None
+def patience(rpc: RPC, call_out: CallOut, latency: Latency, most: int, now: float) -> float | None:
+    """How long to wait for a warm call-out that another may follow; a load is waited for."""
+    if not call_out.warm or len(rpc.call_outs) >= most or rpc.method.effect == "side-effecting":
+        return None
+    if not any(p is not call_out.place and latency.stands(p, now) for p in rpc.program.places):
+        return None  # a load elsewhere would take longer still
+    wait = max(PATIENCE * call_out.expected, rpc.soft - now, OVERDUE_LEAST)
+    return wait if now + wait < rpc.ends else None
 
 
 # ---- guards ----
@@ -448,8 +383,8 @@
 class Guards:
     """The rules. Every call-out and every hold passes here, and there is no way round."""
 
-    def __init__(self, latency: Latency, warmup: Warmup, ration: Ration) -> None:
-        self.latency, self.warmup, self.ration = latency, warmup, ration
+    def __init__(self, warmup: Warmup, ration: Ration) -> None:
+        self.warmup, self.ration = warmup, ration
         self.taken: deque[float] = deque()
         self.ordered: deque[float] = deque()
         self.carried: deque[tuple[float, float, Worker]] = deque()
@@ -458,7 +393,7 @@
     def cold(self, worker: Worker, now: float) -> bool:
         return worker.cold_from is not None and now - worker.cold_from < self.warmup.ramp
 
-    def survey(self, workers: list[Worker], now: float) -> None:
+    def survey(self, now: float) -> None:
         """What one unit of size carries for us: the guide to what a cold worker stands."""
         while self.carried and now - self.carried[0][0] > CARRIED:
             self.carried.popleft()
@@ -491,22 +426,16 @@
     def may_hold(self, worker: Worker, renewal: bool, now: float) -> bool:
         if worker.listing.state != "ready":
             return False
-        if not self.ration.window:
-            return True
-        for seen in (self.taken, self.ordered):
-            while seen and now - seen[0] >= self.ration.window:
-                seen.popleft()
-        most = self.ration.free + self.ration.share * len(self.taken)
+        while self.taken and now - self.taken[0] >= self.ration.window:
+            self.taken.popleft()
         while self.ordered and now - self.ordered[0] > self.ration.window:
             self.ordered.popleft()
-        return len(self.ordered) + 1 <= most * (1 - RATION_KEPT if renewal else 1.0)
-
-    def held(self, now: float) -> None:
-        if self.ration.window:
-            self.ordered.append(now)
+        most = self.ration.free + self.ration.share * len(self.taken)
+        return not self.ration.window or len(self.ordered) + 1 <= most * (1 - RATION_KEPT * renewal)
 
 
 # ---- FrontEnd ----
+FORGET = 3  # idle lives after its last call when a program is forgotten
 TICK = 50.0  # ms between looks at what waits and what is overdue
 PROBE_EVERY = 1000.0  # ms between probes of a worker, where reports come by probe alone
 
@@ -527,91 +456,66 @@
         self.waiting: list[RPC] = []
         self.orders: deque[tuple[Place, int, bool]] = deque()
         self.acts: deque[Decision] = deque()
-        self.allowance, self.directory = allowance, directory
+        self.allowance, self.directory, self.chance = allowance, directory, Chance(seed)
         self.latency = Latency(stock, seat)
         self.fill = Fill(self.latency, stock, seat)
-        self.dispatch = Dispatch(self.latency, Chance(seed))
-        self.health = Health(self.latency, self.notes.append)
-        self.repeats = Repeats(allowance)
-        self.guards = Guards(self.latency, warmup, ration)
-        self.next_fill = self.next_tick = now
+        self.health = Health(self.notes.append)
+        self.guards = Guards(warmup, ration)
+        self.next_fill = self.next_tick = self.wake_at = now
         self.followed = directory.pushed
-        self.wake_at: float | None = now + TICK
 
     # what happens: the books only
 
-    def listed(self, now: float, rows: list[Listing], whole: bool | None) -> None:
+    def listed(self, rows: list[Listing], whole: bool | None) -> None:
         """The worker list: whole (True), changes (False), or a failure to get it (None)."""
-        self.now = now
         if whole is None:
             self.followed = self.directory.pushed
             return
-        seen = set()
         for row in rows:
-            seen.add(row.ident)
-            worker = self.workers.get(row.ident)
-            if worker is None:
-                worker = self.workers[row.ident] = Worker(
-                    row, self.fill.budget(row), deque(maxlen=KEPT_RATIOS), deque(maxlen=KEPT // 2),
-                    deque(maxlen=KEPT // 2), deque())
-                worker.cold_from = row.born
-            elif row.born != worker.listing.born:  # the same id with nothing loaded
-                self.emptied(worker)
-                worker.cold_from = row.born
+            worker = self.workers.setdefault(row.ident, Worker(row))
+            if not worker.budget or row.born != worker.listing.born:  # new, or the same id and empty
+                empty(worker)
+                worker.budget, worker.cold_from = self.fill.budget(row), row.born
+                worker.ratios = deque(maxlen=KEPT_RATIOS)
+                worker.results, worker.reports = deque(maxlen=KEPT // 2), deque(maxlen=KEPT // 2)
                 worker.shuns, worker.shun_until = 0, 0.0
-                worker.ratios.clear()
-                worker.budget = self.fill.budget(row)
             worker.listing = row
+        named = {row.ident for row in rows}
         for ident, worker in list(self.workers.items()):
-            if whole and ident not in seen or worker.listing.state == "gone":
-                self.emptied(worker)
-                for place in list(worker.places.values()):
-                    forget(place)
-                worker.listing = Listing(ident, worker.listing.zone, worker.listing.kind, worker.listing.cell,
-                                         "gone", worker.listing.size, worker.listing.born)
+            if whole and ident not in named or worker.listing.state == "gone":
+                worker.listing = replace(worker.listing, state="gone")
+                forget(list(worker.places.values()))
                 del self.workers[ident]
 
-    def emptied(self, worker: Worker) -> None:
-        for place in worker.places.values():
-            place.standing, place.loading = 0, None
-
-    def took(self, now: float, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
+    def took(self, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
              load: float | None, work: float | None, repeat: bool) -> None:
         """An RPC came in; `left` is the time until its client gives up."""
-        self.now = now
-        program = self.programs.get(name)
-        if program is None:
-            program = self.programs[name] = Program(name, method, memory, lanes, load or 0.0,
-                                                    deque(maxlen=KEPT_CALLS), deque(maxlen=KEPT),
-                                                    deque(maxlen=KEPT // 4))
+        now = self.now
+        if name not in self.programs:
+            self.programs[name] = Program(name, method, memory, lanes, load or 0.0, deque(maxlen=KEPT_CALLS),
+                                          deque(maxlen=KEPT), deque(maxlen=KEPT))
+        program = self.programs[name]
         program.called = now
         program.calls.append(now)
-        soft = now + method.soft + method.soft_stretch * (work or 0.0)
-        rpc = RPC(ident, program, method, now, now + left, min(soft, now + left), work, repeat)
-        self.rpcs[ident] = rpc
+        soft = now + min(left, method.soft + method.soft_stretch * (work or 0.0))
+        self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
         self.guards.taken.append(now)
-        self.todo.append(rpc)
+        self.todo.append(self.rpcs[ident])
 
-    def began(self, now: float, ident: int, number: int) -> None:
+    def began(self, ident: int, number: int) -> None:
         """An answer has begun to stream: it is the client's now."""
-        self.now = now
-        rpc = self.rpcs.get(ident)
-        if rpc is not None:
-            rpc.closed = True
+        if ident in self.rpcs:
+            self.rpcs[ident].closed = True
 
-    def ended(self, now: float, ident: int, number: int, outcome: str, final: bool, standing: str | None,
+    def ended(self, ident: int, number: int, outcome: str, final: bool, standing: str | None,
               company: int, report: tuple[float, ...] | None) -> None:
         """A call-out came to its end."""
-        self.now = now
-        rpc = self.rpcs.get(ident)
+        now, rpc = self.now, self.rpcs.get(ident)
         if rpc is None or number >= len(rpc.call_outs):
             return
         call_out = rpc.call_outs[number]
         place, worker = call_out.place, call_out.place.worker
-        if call_out.outcome is None:
-            place.out -= 1
-            worker.out.remove(call_out)
-        call_out.outcome = outcome
+        end(call_out, outcome)
         rpc.closed = rpc.closed or final
         if outcome == "ok":
             self.latency.learn(call_out, standing, now)
@@ -623,10 +527,10 @@
             place.standing, place.loading = 0, None
         elif outcome == "full":
             place.full_until = now + FULL_WAIT
-            if self.latency.stands(place, now):  # lanes are short; were it memory, more places would add to it
-                place.program.crowded = now
+            if self.latency.stands(place, now):  # lanes are short; were it memory, more places would add to
+                place.program.crowded = now  # the crush
         elif outcome in ("unreached", "cut"):
-            self.emptied(worker)
+            empty(worker)
         if not (outcome == "timeout" and now >= rpc.ends - 1.0 and not call_out.warm):
             self.health.saw(worker, outcome, now)
         self.reported(worker, report)
@@ -638,20 +542,18 @@
             self.todo.append(rpc)
 
     def loaded(self, place: Place, ms: float) -> None:
-        place.program.loads.append(ms)
-        self.latency.loads.append(ms)
+        for loads in (place.program.loads, self.latency.loads):
+            loads.append(ms)
 
     def reported(self, worker: Worker, report: tuple[float, ...] | None) -> None:
         if report:
-            worker.reports.append((self.now, dict(zip(self.seat.report, report, strict=False)),
-                                   len(worker.out)))
+            named = dict(zip(self.seat.report, report, strict=False))
+            worker.reports.append((self.now, named, len(worker.out)))
 
-    def left(self, now: float, ident: int) -> None:
+    def left(self, ident: int) -> None:
         """The client has gone: nothing is owed any more."""
-        self.now = now
-        rpc = self.rpcs.get(ident)
-        if rpc is not None:
-            self.close(rpc)
+        if ident in self.rpcs:
+            self.close(self.rpcs[ident])
 
     def close(self, rpc: RPC) -> None:
         rpc.closed = True
@@ -660,45 +562,35 @@
         elif self.allowance.cancel:
             self.acts.extend(("cancel", co) for co in rpc.call_outs if co.outcome is None)
 
-    def held(self, now: float, worker_ident: str, name: str, outcome: str, copies: int, took: float) -> None:
+    def held(self, worker_ident: str, name: str, outcome: str, copies: int, took: float) -> None:
         """A hold came to its end."""
-        self.now = now
-        worker, program = self.workers.get(worker_ident), self.programs.get(name)
+        now, worker, program = self.now, self.workers.get(worker_ident), self.programs.get(name)
         place = worker.places.get(program) if worker and program else None
         if place is None:
             return
-        fresh = place.ordered is not None and place.standing == 0
-        place.ordered = None
+        place.ordered = place.loading = None
         if outcome == "ok":
-            worker.heard = now
-            if fresh and took > 50:
+            if not place.standing and took > LOAD_LEAST:
                 self.loaded(place, took)
-            place.standing, place.used, place.loading = copies, now, None
+            worker.heard, place.standing, place.used = now, copies, now
             worker.budget = min(worker.budget * GROWTH, self.fill.budget(worker.listing) * self.seat.of)
         elif outcome in ("full", "error"):
-            place.standing = copies
-            place.loading = None
-            place.full_until = now + self.stock.idle_life / 8
+            place.standing, place.full_until = copies, now + self.stock.idle_life / 8
             worker.budget = max(worker.budget * SHRINK, program.memory)
         else:
-            place.loading = None
             self.health.saw(worker, outcome, now)
 
-    def probed(self, now: float, ident: str, outcome: str, report: tuple[float, ...] | None) -> None:
+    def probed(self, ident: str, outcome: str, report: tuple[float, ...] | None) -> None:
         """A probe came back."""
-        self.now = now
         worker = self.workers.get(ident)
         if worker is not None:
             worker.probing = False
             self.reported(worker, report)
             if outcome == "unreached":
-                self.health.saw(worker, outcome, now)
-
-    def told(self, now: float, peer: int, data: bytes) -> None:
-        """A message from another front end; none is expected."""
-        self.now = now
+                self.health.saw(worker, outcome, self.now)
 
     def woke(self, now: float) -> None:
+        """The time; told before all else that happens then."""
         self.now = now
 
     # what to do
@@ -708,17 +600,14 @@
         now = self.now
         if now >= self.next_tick:
             self.tick(now)
-        while True:
-            if self.notes:
-                return "note", self.notes.popleft()
-            if self.acts:
-                return self.acts.popleft()
+        while not (self.notes or self.acts) and (self.todo or self.orders):
             if self.todo:
                 self.settle(self.todo.popleft(), now)
-            elif self.orders:
-                self.order(*self.orders.popleft(), now)
             else:
-                return None
+                self.order(*self.orders.popleft(), now)
+        if self.notes:
+            return "note", self.notes.popleft()
+        return self.acts.popleft() if self.acts else None
 
     def tick(self, now: float) -> None:
         self.next_tick = self.wake_at = now + TICK
@@ -741,7 +630,7 @@
             self.next_fill = now + PERIOD
             self.forget_old(now)
             programs = list(self.programs.values())
-            self.guards.survey(ready, now)
+            self.guards.survey(now)
             well = [w for w in ready if w.shun_until <= now] or ready
             if well:
                 self.fill.run(programs, ready, well, now)
@@ -750,41 +639,37 @@
 
     def recall(self, worker: Worker, now: float) -> None:
         """Takes back from a silent worker what may be sent elsewhere."""
-        for call_out in worker.out:
+        for call_out in worker.out if self.allowance.cancel else ():
             rpc = call_out.rpc
-            if self.allowance.cancel and not rpc.closed and not call_out.cancelled:
-                if rpc.method.effect == "idempotent" and self.repeats.may_call(rpc, None, now):
-                    call_out.cancelled = True
-                    self.acts.append(("cancel", call_out))
+            if (not rpc.closed and not call_out.cancelled and rpc.method.effect == "idempotent"
+                    and len(rpc.call_outs) < self.allowance.call_outs):
+                call_out.cancelled = True
+                self.acts.append(("cancel", call_out))
 
     def forget_old(self, now: float) -> None:
         """Programs wanted once must not stay in the books for ever."""
         for program in list(self.programs.values()):
-            if now - program.called > 3 * self.stock.idle_life:
-                if not any(p.out or p.ordered is not None for p in program.places):
-                    for place in list(program.places):
-                        forget(place)
-                    del self.programs[program.name]
+            if now - program.called > FORGET * self.stock.idle_life and not any(p.out for p in program.places):
+                forget(list(program.places))
+                del self.programs[program.name]
 
     def settle(self, rpc: RPC, now: float) -> None:
         """One RPC that waits for a decision: a call-out, an answer, or a while longer."""
         rpc.queued = False
         if rpc.closed or any(co.outcome is None for co in rpc.call_outs):
             return
-        if self.repeats.may_call(rpc, None, now) and now < rpc.ends - 2 * TICK:
-            ready = [w for w in self.workers.values()
-                     if self.guards.may_call(w, rpc, now) and self.repeats.may_call(rpc, w, now)]
-            usable = [w for w in ready if self.health.usable(w, now)]
-            place = self.dispatch.choose(rpc, usable, self.fill.opened, now) if usable else None
+        if now < rpc.ends - 2 * TICK:
+            usable = [w for w in self.workers.values()
+                      if self.guards.may_call(w, rpc, now) and self.health.usable(w, now)
+                      and may_repeat(rpc, w, self.allowance.call_outs, now)]
+            place = choose(rpc, usable, self.fill.opened, self.latency, self.chance, now) if usable else None
             if place is not None:
-                self.call(rpc, place, now)
-                return
-            if now < rpc.soft:
+                return self.call(rpc, place, now)
+            if now < rpc.soft and len(rpc.call_outs) < self.allowance.call_outs and (
+                    rpc.method.effect == "idempotent" or not may_have_run(rpc)):
                 rpc.queued = True
-                self.waiting.append(rpc)
-                return
-        verb = ("deny", rpc, None) if self.repeats.may_deny(rpc) else ("abort", rpc)
-        self.acts.append(verb)
+                return self.waiting.append(rpc)
+        self.acts.append(("deny", rpc, None) if may_deny(rpc) else ("abort", rpc))
         self.close(rpc)
 
     def call(self, rpc: RPC, place: Place, now: float) -> None:
@@ -793,19 +678,19 @@
         lanes = max(1, place.standing) * rpc.program.lanes
         call_out = CallOut(rpc, len(rpc.call_outs), place, now, latency.expect(place, rpc, now), warm,
                            max(0, place.out + 1 - lanes))
-        rpc.call_outs.append(call_out)
+        begin(call_out)
         self.guards.called(worker, rpc, now)
-        self.acts.append(("call", rpc, worker, self.repeats.patience(rpc, call_out, latency.stands, now)))
-        worker.out.append(call_out)
-        place.out += 1
-        place.used = now if warm else place.used
-        if not warm and place.loading is None:
+        wait = patience(rpc, call_out, latency, self.allowance.call_outs, now)
+        self.acts.append(("call", rpc, worker, wait))
+        if warm:
+            place.used = now
+        elif place.loading is None:
             place.loading = now
 
     def order(self, place: Place, copies: int, renewal: bool, now: float) -> None:
         if self.guards.may_hold(place.worker, renewal, now):
-            self.guards.held(now)
-            place.ordered, place.ordered_copies = now, copies
+            self.guards.ordered.append(now)
+            place.ordered = now
             if not renewal and place.standing == 0:
                 place.loading = now
             self.acts.append(("hold", place.worker, place.program, min(copies, 16)))
