--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -127,9 +127,7 @@
     shun_until: float = 0.0
     shuns: int = 0
     heard: float = 0.0
-    full_until: float = 0.0
     probe_sent: float = 0.0
-    probing: bool = False
     cold_from: float | None = None
 
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -12,12 +12,12 @@
 from math import ceil, log, sqrt
 
 from wickdyke.chance import Chance, draw
-from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place, Program
-from wickdyke.interface import Ration, Seat, Stock, Tariff, Warmup, Worker, begin, empty, end, forget, place_of
+from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place
+from wickdyke.interface import Program, Ration, Seat, Stock, Tariff, Warmup, Worker
+from wickdyke.interface import begin, empty, end, forget, place_of
 
 # ---- books ----
-KEPT = 16  # samples kept of each thing measured
-KEPT_CALLS = 64  # call times kept of each program
+KEPT, KEPT_CALLS, KEPT_RATIOS = 16, 64, 40  # samples kept of most things; calls; latencies of a worker
 NEVER_RAN = frozenset({"full", "unreached", "unsent", "miss"})  # outcomes that prove it
 
 
@@ -41,13 +41,9 @@
 SAMPLE_AGE = 15000.0  # ms after which a worker's samples no longer count
 PRIOR = 6.0  # samples' worth of the fleet's average that every worker starts from
 COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
-LOAD_LEAST = 50.0  # ms under which a hold found the copy standing
-LOAD_GUESS = 1000.0  # ms a load takes until one was seen
-WIDTH_GUESS = 4.0  # RPCs that a worker of mean size runs at once, until reports tell
-WIDTH_LOW = 0.3  # which of the sorted samples of the width is believed
-KEPT_RATIOS = 40  # latency samples kept of each worker
-OVERDUE = 5.0  # multiples of what was expected after which a silent call-out is evidence
-OVERDUE_LEAST = 400.0  # ms that are never overdue
+LOAD_GUESS, LOAD_LEAST = 1000.0, 50.0  # ms a load takes until one was seen; under which nothing was loaded
+WIDTH_GUESS, WIDTH_LOW = 4.0, 0.3  # RPCs at once until reports tell; which of the sorted samples is believed
+OVERDUE, OVERDUE_LEAST = 5.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
 
 def overdue(call_out: CallOut, now: float) -> bool:
@@ -75,7 +71,7 @@
     def pace(self, worker: Worker, now: float) -> float:
         """Time taken for each ms of cost; shrunk to its kind's, so an unheard worker counts as average."""
         fresh = [(ms, cost) for at, ms, cost in worker.ratios if now - at < SAMPLE_AGE]
-        took, cost = sum(ms for ms, _ in fresh), sum(cost for _, cost in fresh)
+        took, cost = (sum(sample) for sample in zip(*fresh, strict=True)) if fresh else (0.0, 0.0)
         prior = PRIOR * cost / len(fresh) if fresh else 1.0
         return (took + prior * self.usual_pace(worker)) / (cost + prior)
 
@@ -83,7 +79,6 @@
         return self.kinds.get(worker.listing.kind, self.average)
 
     def width(self, worker: Worker) -> float:
-        """RPCs the worker runs at once without slowing."""
         return max(1.0, self.width_each * worker.listing.size)
 
     def survey(self, workers: list[Worker], now: float) -> None:
@@ -104,11 +99,16 @@
         if cost:
             self.average = sum(pool[0] for pool in kinds.values()) / cost
             part = cost / KEPT  # a kind little heard of counts as average too
-            self.kinds = {kind: (ms + part * self.average) / (own + part) for kind, (ms, own) in kinds.items()}
+            self.kinds = {kind: (ms + part * self.average) / (own + part)
+                          for kind, (ms, own) in kinds.items()}
         size = mean([worker.listing.size for worker in workers], 1.0)
         widths.sort()  # waiting for lanes and loads holds RPCs but no core: the low samples tell the width
         self.width_each = widths[int(len(widths) * WIDTH_LOW)] if len(widths) > KEPT else WIDTH_GUESS / size
 
+    def loaded(self, place: Place, took: float) -> None:
+        for loads in (place.program.loads, self.loads):
+            loads.append(took)
+
     def load_time(self, program: Program) -> float:
         return mean(program.loads, program.load_hint or mean(self.loads, LOAD_GUESS))
 
@@ -116,7 +116,6 @@
         return place.standing > 0 and (place.out > 0 or now - place.used < self.idle_life)
 
     def load_left(self, place: Place, now: float) -> float:
-        """What is left of the load that an RPC sent now would wait for."""
         whole = 0.0 if self.stands(place, now) else self.load_time(place.program)
         return max(whole * 0.2, whole - (0.0 if place.loading is None else now - place.loading))
 
@@ -128,8 +127,7 @@
         ahead = max(0, place.out + 1 - lanes)
         return run * (1 + ahead / lanes) + self.load_left(place, now) + self.lag(worker, now)
 
-    def lag(self, worker: Worker, now: float) -> float:
-        """The age of the oldest overdue call-out of a silent worker, which must not keep a good latency."""
+    def lag(self, worker: Worker, now: float) -> float:  # a silent worker must not keep a good latency
         return next((now - call_out.sent for call_out in worker.out if overdue(call_out, now)), 0.0)
 
     def learn(self, call_out: CallOut, standing: str | None, now: float) -> None:
@@ -179,7 +177,7 @@
         span = now - recent[0] if len(recent) == KEPT_CALLS else CALLS_WINDOW
         return len(recent) / max(span, 1.0) * self.latency.usual(program) * self.latency.average
 
-    def open(self, workers: list[Worker], total: float, memory: float) -> list[Worker]:
+    def open(self, workers: list[Worker], total: float, memory: float) -> None:
         """The fewest lowest-latency workers that carry the fleet's load, alike for all front ends."""
         order = sorted(workers, key=lambda w: (self.grade(w), w.listing.ident))
         load = max(sum(busy_share(w) * self.carries(w) for w in order), total * self.front_ends * TARGET)
@@ -192,7 +190,6 @@
             self.count, self.calm = min(self.count, len(order)) - 1, 0
         self.count = max(least, self.count)
         self.opened = order[:self.count]
-        return self.opened
 
     def grade(self, worker: Worker) -> int:
         """Latency in steps wide enough that front ends agree: by kind, of which more is heard."""
@@ -202,12 +199,12 @@
         return self.latency.width(worker) / GRADE ** self.grade(worker)
 
     def run(self, programs: list[Program], workers: list[Worker], well: list[Worker], now: float) -> None:
+        self.latency.survey(workers, now)
         latency = self.latency
-        latency.survey(workers, now)
         demand = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
-        opened = self.open(workers, sum(demand.values()), sum(p.memory for p in demand))
+        self.open(workers, sum(demand.values()), sum(p.memory for p in demand))
         slow = {w for w in well if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w)}
-        opened = [w for w in opened if w in well and w not in slow] or well
+        opened = [w for w in self.opened if w in well and w not in slow] or well
         calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / len(opened)
         slack = SLACK + NOISE / sqrt(max(calls, 1.0))
         even = slack * sum(demand.values()) / sum(self.carries(w) for w in opened)
@@ -232,10 +229,8 @@
         """One program's workers: those it has first, then by lot among the low-latency workers with room."""
         unit = max(1e-9, mean([part[w] for w in opened], 1.0))
         need = max(1, ceil(load / unit))
-        if need < len(placed) and load > (len(placed) - 1) * unit * CLOSE:
-            need = len(placed)
-        if now - program.crowded < CROWDED:
-            need = max(need, min(len(placed) + (now - program.crowded < PERIOD), len(opened)))
+        if load > (len(placed) - 1) * unit * CLOSE or now - program.crowded < CROWDED:
+            need = max(need, len(placed) + (now - program.crowded < PERIOD))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
         order = sorted((w for w in opened if w not in chosen and w not in tired),
@@ -256,15 +251,14 @@
             for place in program.places:
                 if not place.placed or place.ordered is not None or place.full_until > now:
                     continue
-                stands = self.latency.stands(place, now)
-                if stands and place.standing >= place.wanted:
-                    if now - place.used > RENEW * self.idle_life and len(program.calls) > 1:
-                        orders.append((place, place.wanted, True))
-                elif new.get(place.worker, 0) < CAP and (
-                        stands or place.loading is None
-                        or now - place.loading > LOST * self.latency.load_time(program)):
-                    new[place.worker] = new.get(place.worker, 0) + 1
-                    orders.append((place, place.wanted, False))
+                stands, load = self.latency.stands(place, now), LOST * self.latency.load_time(program)
+                renewal = stands and place.standing >= place.wanted
+                if renewal and (now - place.used < RENEW * self.idle_life or len(program.calls) < 2):
+                    continue
+                if renewal or new.get(place.worker, 0) < CAP and (
+                        stands or place.loading is None or now - place.loading > load):
+                    new[place.worker] = new.get(place.worker, 0) + (not renewal)
+                    orders.append((place, place.wanted, renewal))
         return orders
 
 
@@ -275,7 +269,7 @@
 
 def choose(rpc: RPC, usable: list[Worker], opened: list[Worker], latency: Latency, chance: Chance,
            now: float) -> Place | None:
-    """The placed worker of lowest latency; for an unplaced program a random worker with room."""
+    """The placed worker of lowest latency; for an unplaced program a random one with room."""
     program, able = rpc.program, set(usable)
     tried = {call_out.place.worker for call_out in rpc.call_outs}
     known = [p for p in program.places if p.worker in able and p.full_until <= now]
@@ -296,8 +290,7 @@
 
 
 # ---- health ----
-SHUN = 1500.0  # ms for which a worker is first left alone, doubled each time
-SHUN_MOST = 8000.0
+SHUN, SHUN_MOST = 1500.0, 8000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
 SILENT_LEAST = 3  # overdue call-outs that make a silent worker
 
@@ -376,6 +369,7 @@
 
 # ---- guards ----
 COLD_MARGIN = 0.6  # of what a cold worker is reckoned to stand
+BUSY_LEAST = 0.3  # busy share below which a report says little of what a worker could carry
 CARRIED = 5000.0  # ms over which it is counted what the others carry
 RATION_KEPT = 0.34  # of the ration that renewals leave to new holds
 
@@ -385,10 +379,7 @@
 
     def __init__(self, warmup: Warmup, ration: Ration) -> None:
         self.warmup, self.ration = warmup, ration
-        self.taken: deque[float] = deque()
-        self.ordered: deque[float] = deque()
-        self.carried: deque[tuple[float, float, Worker]] = deque()
-        self.rate = 0.0
+        self.taken, self.ordered, self.carried, self.rate = deque(), deque(), deque(), 0.0
 
     def cold(self, worker: Worker, now: float) -> bool:
         return worker.cold_from is not None and now - worker.cold_from < self.warmup.ramp
@@ -397,18 +388,15 @@
         """What one unit of size carries for us: the guide to what a cold worker stands."""
         while self.carried and now - self.carried[0][0] > CARRIED:
             self.carried.popleft()
-        by: dict[Worker, float] = {}
-        for _, cost, worker in self.carried:
-            by[worker] = by.get(worker, 0.0) + cost
+        by = dict.fromkeys(worker for _, _, worker in self.carried)
         size = sum(w.listing.size for w in by)
         busy = mean([r.get("busy", 1.0) for w in by for _, r, _ in w.reports], 1.0)
-        self.rate = sum(by.values()) / CARRIED / max(size, 1e-6) / min(1.0, max(0.3, busy))
+        carried = sum(cost for _, cost, _ in self.carried) / max(size, 1e-6)
+        self.rate = carried / CARRIED / min(1.0, max(BUSY_LEAST, busy))
 
     def may_call(self, worker: Worker, rpc: RPC, now: float) -> bool:
-        if worker.listing.state != "ready":
-            return False
-        if not self.cold(worker, now):
-            return True
+        if worker.listing.state != "ready" or not self.cold(worker, now):
+            return worker.listing.state == "ready"
         warmup, sends = self.warmup, worker.sends
         while sends and now - sends[0][0] > warmup.window:
             sends.popleft()
@@ -419,10 +407,6 @@
     def weight(self, rpc: RPC) -> float:
         return mean(rpc.method.times, rpc.method.soft * COST_GUESS)
 
-    def called(self, worker: Worker, rpc: RPC, now: float) -> None:
-        if self.cold(worker, now):
-            worker.sends.append((now, self.weight(rpc)))
-
     def may_hold(self, worker: Worker, renewal: bool, now: float) -> bool:
         if worker.listing.state != "ready":
             return False
@@ -452,10 +436,7 @@
         self.workers: dict[str, Worker] = {}
         self.programs: dict[str, Program] = {}
         self.rpcs: dict[int, RPC] = {}
-        self.todo: deque[RPC] = deque()
-        self.waiting: list[RPC] = []
-        self.orders: deque[tuple[Place, int, bool]] = deque()
-        self.acts: deque[Decision] = deque()
+        self.todo, self.waiting, self.orders, self.acts = deque(), [], deque(), deque()
         self.allowance, self.directory, self.chance = allowance, directory, Chance(seed)
         self.latency = Latency(stock, seat)
         self.fill = Fill(self.latency, stock, seat)
@@ -468,17 +449,14 @@
 
     def listed(self, rows: list[Listing], whole: bool | None) -> None:
         """The worker list: whole (True), changes (False), or a failure to get it (None)."""
-        if whole is None:
-            self.followed = self.directory.pushed
-            return
+        self.followed = self.directory.pushed if whole is None else self.followed
         for row in rows:
             worker = self.workers.setdefault(row.ident, Worker(row))
             if not worker.budget or row.born != worker.listing.born:  # new, or the same id and empty
                 empty(worker)
                 worker.budget, worker.cold_from = self.fill.budget(row), row.born
-                worker.ratios = deque(maxlen=KEPT_RATIOS)
-                worker.results, worker.reports = deque(maxlen=KEPT // 2), deque(maxlen=KEPT // 2)
-                worker.shuns, worker.shun_until = 0, 0.0
+                worker.ratios, worker.results = deque(maxlen=KEPT_RATIOS), deque(maxlen=KEPT // 2)
+                worker.reports, worker.shuns, worker.shun_until = deque(maxlen=KEPT // 2), 0, 0.0
             worker.listing = row
         named = {row.ident for row in rows}
         for ident, worker in list(self.workers.items()):
@@ -509,7 +487,6 @@
 
     def ended(self, ident: int, number: int, outcome: str, final: bool, standing: str | None,
               company: int, report: tuple[float, ...] | None) -> None:
-        """A call-out came to its end."""
         now, rpc = self.now, self.rpcs.get(ident)
         if rpc is None or number >= len(rpc.call_outs):
             return
@@ -521,30 +498,25 @@
             self.latency.learn(call_out, standing, now)
             self.guards.carried.append((now, self.guards.weight(rpc), worker))
             if place.loading is not None and standing in ("began", None) and not call_out.warm:
-                self.loaded(place, max(1.0, now - place.loading - self.latency.cost(rpc)))
+                self.latency.loaded(place, max(1.0, now - place.loading - self.latency.cost(rpc)))
             place.standing, place.used, place.loading = max(1, place.standing), now, None
         elif outcome == "miss":
             place.standing, place.loading = 0, None
         elif outcome == "full":
             place.full_until = now + FULL_WAIT
-            if self.latency.stands(place, now):  # lanes are short; were it memory, more places would add to
-                place.program.crowded = now  # the crush
+            if self.latency.stands(place, now):  # no lane free; for want of memory it would crowd others
+                place.program.crowded = now
         elif outcome in ("unreached", "cut"):
             empty(worker)
         if not (outcome == "timeout" and now >= rpc.ends - 1.0 and not call_out.warm):
             self.health.saw(worker, outcome, now)
         self.reported(worker, report)
-        if rpc.closed:
-            if all(co.outcome for co in rpc.call_outs):
-                self.rpcs.pop(ident, None)
-        elif not rpc.queued:
+        if rpc.closed and all(co.outcome for co in rpc.call_outs):
+            self.rpcs.pop(ident, None)
+        elif not rpc.closed and not rpc.queued:
             rpc.queued = True
             self.todo.append(rpc)
 
-    def loaded(self, place: Place, ms: float) -> None:
-        for loads in (place.program.loads, self.latency.loads):
-            loads.append(ms)
-
     def reported(self, worker: Worker, report: tuple[float, ...] | None) -> None:
         if report:
             named = dict(zip(self.seat.report, report, strict=False))
@@ -563,15 +535,14 @@
             self.acts.extend(("cancel", co) for co in rpc.call_outs if co.outcome is None)
 
     def held(self, worker_ident: str, name: str, outcome: str, copies: int, took: float) -> None:
-        """A hold came to its end."""
         now, worker, program = self.now, self.workers.get(worker_ident), self.programs.get(name)
-        place = worker.places.get(program) if worker and program else None
-        if place is None:
+        if not worker or program not in worker.places:
             return
+        place = worker.places[program]
         place.ordered = place.loading = None
         if outcome == "ok":
             if not place.standing and took > LOAD_LEAST:
-                self.loaded(place, took)
+                self.latency.loaded(place, took)
             worker.heard, place.standing, place.used = now, copies, now
             worker.budget = min(worker.budget * GROWTH, self.fill.budget(worker.listing) * self.seat.of)
         elif outcome in ("full", "error"):
@@ -581,30 +552,23 @@
             self.health.saw(worker, outcome, now)
 
     def probed(self, ident: str, outcome: str, report: tuple[float, ...] | None) -> None:
-        """A probe came back."""
-        worker = self.workers.get(ident)
-        if worker is not None:
-            worker.probing = False
+        if ident in self.workers:
+            worker = self.workers[ident]
             self.reported(worker, report)
             if outcome == "unreached":
                 self.health.saw(worker, outcome, self.now)
 
     def woke(self, now: float) -> None:
-        """The time; told before all else that happens then."""
         self.now = now
 
     # what to do
 
     def decide(self) -> Decision | None:
-        """The next decision, or None when there is none for now."""
         now = self.now
         if now >= self.next_tick:
             self.tick(now)
         while not (self.notes or self.acts) and (self.todo or self.orders):
-            if self.todo:
-                self.settle(self.todo.popleft(), now)
-            else:
-                self.order(*self.orders.popleft(), now)
+            self.settle(self.todo.popleft(), now) if self.todo else self.order(*self.orders.popleft(), now)
         if self.notes:
             return "note", self.notes.popleft()
         return self.acts.popleft() if self.acts else None
@@ -612,30 +576,27 @@
     def tick(self, now: float) -> None:
         self.next_tick = self.wake_at = now + TICK
         if not self.followed:
-            self.followed = True
             self.acts.append(("follow_list", True))
+        self.followed = True
         ready = [w for w in self.workers.values() if w.listing.state == "ready"]
         for worker in ready:
             if worker.shun_until <= now and self.health.silent(worker, now):
                 self.health.shun(worker, now, f"silent with {len(worker.out)} out")
                 self.recall(worker, now)
-            if (self.allowance.probe and "busy" in self.seat.report and not worker.probing
-                    and now - worker.probe_sent >= PROBE_EVERY
-                    and (not worker.reports or now - worker.reports[-1][0] >= PROBE_EVERY)):
-                worker.probing, worker.probe_sent = True, now
+            said = worker.reports[-1][0] if worker.reports else 0.0
+            if self.allowance.probe and now - max(said, worker.probe_sent) >= PROBE_EVERY:
+                worker.probe_sent = now
                 self.acts.append(("probe", worker))
-        self.todo.extend(self.waiting)
-        self.waiting = []
+        self.todo, self.waiting = deque([*self.todo, *self.waiting]), []
         if now >= self.next_fill:
             self.next_fill = now + PERIOD
             self.forget_old(now)
             programs = list(self.programs.values())
             self.guards.survey(now)
-            well = [w for w in ready if w.shun_until <= now] or ready
-            if well:
-                self.fill.run(programs, ready, well, now)
-                if self.stock.may_hold:
-                    self.orders = deque(self.fill.holds(programs, now))
+            if ready:
+                self.fill.run(programs, ready, [w for w in ready if w.shun_until <= now] or ready, now)
+            if ready and self.stock.may_hold:
+                self.orders = deque(self.fill.holds(programs, now))
 
     def recall(self, worker: Worker, now: float) -> None:
         """Takes back from a silent worker what may be sent elsewhere."""
@@ -649,7 +610,8 @@
     def forget_old(self, now: float) -> None:
         """Programs wanted once must not stay in the books for ever."""
         for program in list(self.programs.values()):
-            if now - program.called > FORGET * self.stock.idle_life and not any(p.out for p in program.places):
+            called = now - program.called < FORGET * self.stock.idle_life
+            if not called and not any(p.out for p in program.places):
                 forget(list(program.places))
                 del self.programs[program.name]
 
@@ -679,7 +641,8 @@
         call_out = CallOut(rpc, len(rpc.call_outs), place, now, latency.expect(place, rpc, now), warm,
                            max(0, place.out + 1 - lanes))
         begin(call_out)
-        self.guards.called(worker, rpc, now)
+        if self.guards.cold(worker, now):
+            worker.sends.append((now, self.guards.weight(rpc)))
         wait = patience(rpc, call_out, latency, self.allowance.call_outs, now)
         self.acts.append(("call", rpc, worker, wait))
         if warm:
