--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -128,6 +128,7 @@
     shuns: int = 0
     heard: float = 0.0
     probe_sent: float = 0.0
+    limit: float = 0.0
     cold_from: float | None = None
 
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -65,8 +65,8 @@
         return self.usual(rpc.program) if rpc.work is None else max(1.0, rpc.work)
 
     def usual(self, program: Program) -> float:
-        times, method = program.times, program.method
-        return (sum(times) + mean(method.times, method.soft * COST_GUESS)) / (len(times) + 1)
+        usual = mean(program.method.times, program.method.soft * COST_GUESS)
+        return (sum(program.times) + usual) / (len(program.times) + 1)
 
     def pace(self, worker: Worker, now: float) -> float:
         """Time taken for each ms of cost; shrunk to its kind's, so an unheard worker counts as average."""
@@ -278,21 +278,32 @@
                    [p for p in standing if p.worker not in tried], standing,
                    [p for p in known if p.placed or p.loading is not None]):
         if places:
-            scores = [(latency.expect(p, rpc, now), p) for p in places]
-            best = min(score for score, _ in scores)
-            ties = [p for score, p in scores if score <= best * TIE]
+            scores = [latency.expect(p, rpc, now) for p in places]
+            ties = [p for p, score in zip(places, scores, strict=True) if score <= min(scores) * TIE]
             return ties[chance.below(len(ties))]
-    if any(p.full_until > now and latency.stands(p, now) for p in program.places):
+    if any(latency.stands(p, now) and p.worker.shun_until <= now for p in program.places):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
     free = [w for w in usable if w not in tried] or usable
     low = [w for w in free if w in opened and not latency.lag(w, now)] or free
-    return place_of(program, min(low, key=lambda w: lot(program, w)))
+    return place_of(program, min(low, key=lambda w: lot(program, w))) if low else None
 
 
 # ---- health ----
+EARLY, LESS, NEAR = 0.7, 0.9, 0.7  # of the soft deadline; times the limit; part of the limit in use
+LIMIT_START, LIMIT_LEAST = 8.0, 1.0  # call-outs out to one worker
 SHUN, SHUN_MOST = 1500.0, 8000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
-SILENT_LEAST = 3  # overdue call-outs that make a silent worker
+SILENT, SILENT_ONE, SILENT_LEAST = 10.0, 6.0, 80.0  # dues in all; of one call-out; ms of the least due
+
+
+def paced(call_out: CallOut, outcome: str, now: float) -> None:
+    # Danger: a full queue makes every answer late and retries keep it full. Should also catch a slowed
+    # machine. Could hurt where answers are late for another cause than the queue.
+    worker, soft = call_out.place.worker, call_out.rpc.method.soft
+    if outcome == "full" or outcome == "ok" and call_out.warm and now - call_out.sent > EARLY * soft:
+        worker.limit = max(LIMIT_LEAST, min(worker.limit, len(worker.out) + 1) * LESS)
+    elif outcome == "ok" and len(worker.out) + 1 >= worker.limit * NEAR:
+        worker.limit += 1 / worker.limit
 
 
 class Health:
@@ -303,7 +314,7 @@
 
     def usable(self, worker: Worker, now: float) -> bool:
         """After being shunned a worker is on trial: one call-out at a time until an ok."""
-        return worker.shun_until <= now and not (worker.shuns and worker.out)
+        return worker.shun_until <= now and len(worker.out) < (1 if worker.shuns else worker.limit)
 
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
         if outcome in ("ok", "error", "full", "miss"):
@@ -320,9 +331,10 @@
             self.shun(worker, now, f"{outcome}, {bad} of {len(recent)} bad")
 
     def silent(self, worker: Worker, now: float) -> bool:
-        """A worker that takes RPCs and answers nothing: several overdue and not a word since."""
-        late = sum(overdue(call_out, now) for call_out in worker.out)
-        return late >= SILENT_LEAST or late > 0 and worker.shuns > 0
+        """It takes RPCs and says nothing: what is out, in multiples of its due, is too much for chance."""
+        ages = [(now - co.sent) / max(co.expected, SILENT_LEAST) for co in worker.out
+                if co.warm and worker.heard <= co.sent]
+        return sum(min(age, SILENT_ONE) for age in ages) >= (SILENT / 2 if worker.shuns else SILENT)
 
     def shun(self, worker: Worker, now: float, why: str) -> None:
         worker.shun_until = now + min(SHUN_MOST, SHUN * 2**worker.shuns)
@@ -331,7 +343,6 @@
 
 
 # ---- further call-outs and denials ----
-PATIENCE = 10.0  # multiples of the expected latency that a warm call-out gets, and never less than to soft
 
 
 def may_have_run(rpc: RPC) -> list[CallOut]:
@@ -352,19 +363,8 @@
 
 
 def may_deny(rpc: RPC) -> bool:
-    method = rpc.method
-    return (method.effect == "idempotent" or not may_have_run(rpc)
-            or method.effect == "tokened" and method.scope == "all")
-
-
-def patience(rpc: RPC, call_out: CallOut, latency: Latency, most: int, now: float) -> float | None:
-    """How long to wait for a warm call-out that another may follow; a load is waited for."""
-    if not call_out.warm or len(rpc.call_outs) >= most or rpc.method.effect == "side-effecting":
-        return None
-    if not any(p is not call_out.place and latency.stands(p, now) for p in rpc.program.places):
-        return None  # a load elsewhere would take longer still
-    wait = max(PATIENCE * call_out.expected, rpc.soft - now, OVERDUE_LEAST)
-    return wait if now + wait < rpc.ends else None
+    effect = rpc.method.effect
+    return effect == "idempotent" or not may_have_run(rpc) or effect == "tokened" and rpc.method.scope == "all"
 
 
 # ---- guards ----
@@ -457,6 +457,7 @@
                 worker.budget, worker.cold_from = self.fill.budget(row), row.born
                 worker.ratios, worker.results = deque(maxlen=KEPT_RATIOS), deque(maxlen=KEPT // 2)
                 worker.reports, worker.shuns, worker.shun_until = deque(maxlen=KEPT // 2), 0, 0.0
+                worker.limit = LIMIT_START
             worker.listing = row
         named = {row.ident for row in rows}
         for ident, worker in list(self.workers.items()):
@@ -476,9 +477,9 @@
         program.called = now
         program.calls.append(now)
         soft = now + min(left, method.soft + method.soft_stretch * (work or 0.0))
-        self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
+        rpc = self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
         self.guards.taken.append(now)
-        self.todo.append(self.rpcs[ident])
+        self.todo.append(rpc)
 
     def began(self, ident: int, number: int) -> None:
         """An answer has begun to stream: it is the client's now."""
@@ -492,6 +493,7 @@
             return
         call_out = rpc.call_outs[number]
         place, worker = call_out.place, call_out.place.worker
+        paced(call_out, outcome, now)
         end(call_out, outcome)
         rpc.closed = rpc.closed or final
         if outcome == "ok":
@@ -524,8 +526,8 @@
 
     def left(self, ident: int) -> None:
         """The client has gone: nothing is owed any more."""
-        if ident in self.rpcs:
-            self.close(self.rpcs[ident])
+        if rpc := self.rpcs.get(ident):
+            self.close(rpc)
 
     def close(self, rpc: RPC) -> None:
         rpc.closed = True
@@ -587,6 +589,7 @@
             if self.allowance.probe and now - max(said, worker.probe_sent) >= PROBE_EVERY:
                 worker.probe_sent = now
                 self.acts.append(("probe", worker))
+        self.waiting.sort(key=lambda r: -r.method.gain / (1 if self.seat.by_work else self.latency.cost(r)))
         self.todo, self.waiting = deque([*self.todo, *self.waiting]), []
         if now >= self.next_fill:
             self.next_fill = now + PERIOD
@@ -624,10 +627,9 @@
             usable = [w for w in self.workers.values()
                       if self.guards.may_call(w, rpc, now) and self.health.usable(w, now)
                       and may_repeat(rpc, w, self.allowance.call_outs, now)]
-            place = choose(rpc, usable, self.fill.opened, self.latency, self.chance, now) if usable else None
-            if place is not None:
+            if place := choose(rpc, usable, self.fill.opened, self.latency, self.chance, now):
                 return self.call(rpc, place, now)
-            if now < rpc.soft and len(rpc.call_outs) < self.allowance.call_outs and (
+            if now + self.latency.cost(rpc) < rpc.soft and len(rpc.call_outs) < self.allowance.call_outs and (
                     rpc.method.effect == "idempotent" or not may_have_run(rpc)):
                 rpc.queued = True
                 return self.waiting.append(rpc)
@@ -643,8 +645,7 @@
         begin(call_out)
         if self.guards.cold(worker, now):
             worker.sends.append((now, self.guards.weight(rpc)))
-        wait = patience(rpc, call_out, latency, self.allowance.call_outs, now)
-        self.acts.append(("call", rpc, worker, wait))
+        self.acts.append(("call", rpc, worker, None))
         if warm:
             place.used = now
         elif place.loading is None:
