--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -129,6 +129,7 @@
     heard: float = 0.0
     probe_sent: float = 0.0
     limit: float = 0.0
+    lowered: float = 0.0
     cold_from: float | None = None
 
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -272,7 +272,8 @@
     """The placed worker of lowest latency; for an unplaced program a random one with room."""
     program, able = rpc.program, set(usable)
     tried = {call_out.place.worker for call_out in rpc.call_outs}
-    known = [p for p in program.places if p.worker in able and p.full_until <= now]
+    known = [p for p in program.places if p.worker in able and p.full_until <= now
+             and len(p.worker.out) < p.worker.limit]
     standing = [p for p in known if latency.stands(p, now)]
     for places in ([p for p in standing if p.placed and p.worker not in tried],
                    [p for p in standing if p.worker not in tried], standing,
@@ -281,9 +282,9 @@
             scores = [latency.expect(p, rpc, now) for p in places]
             ties = [p for p, score in zip(places, scores, strict=True) if score <= min(scores) * TIE]
             return ties[chance.below(len(ties))]
-    if any(latency.stands(p, now) and p.worker.shun_until <= now for p in program.places):
+    if any(latency.stands(p, now) for p in program.places if p.worker in able):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
-    free = [w for w in usable if w not in tried] or usable
+    free = [w for w in usable if w not in tried and len(w.out) < w.limit] or usable
     low = [w for w in free if w in opened and not latency.lag(w, now)] or free
     return place_of(program, min(low, key=lambda w: lot(program, w))) if low else None
 
@@ -300,8 +301,9 @@
     # Danger: a full queue makes every answer late and retries keep it full. Should also catch a slowed
     # machine. Could hurt where answers are late for another cause than the queue.
     worker, soft = call_out.place.worker, call_out.rpc.method.soft
-    if outcome == "full" or outcome == "ok" and call_out.warm and now - call_out.sent > EARLY * soft:
-        worker.limit = max(LIMIT_LEAST, min(worker.limit, len(worker.out) + 1) * LESS)
+    if call_out.warm and (outcome == "full" or outcome == "ok" and now - call_out.sent > EARLY * soft):
+        if call_out.sent >= worker.lowered:  # once for each queue
+            worker.limit, worker.lowered = max(LIMIT_LEAST, min(worker.limit, len(worker.out)) * LESS), now
     elif outcome == "ok" and len(worker.out) + 1 >= worker.limit * NEAR:
         worker.limit += 1 / worker.limit
 
@@ -314,7 +316,7 @@
 
     def usable(self, worker: Worker, now: float) -> bool:
         """After being shunned a worker is on trial: one call-out at a time until an ok."""
-        return worker.shun_until <= now and len(worker.out) < (1 if worker.shuns else worker.limit)
+        return worker.shun_until <= now and not (worker.shuns and worker.out)
 
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
         if outcome in ("ok", "error", "full", "miss"):
@@ -363,8 +365,8 @@
 
 
 def may_deny(rpc: RPC) -> bool:
-    effect = rpc.method.effect
-    return effect == "idempotent" or not may_have_run(rpc) or effect == "tokened" and rpc.method.scope == "all"
+    method, ran = rpc.method, may_have_run(rpc)
+    return not ran or method.effect == "idempotent" or method.effect == "tokened" and method.scope == "all"
 
 
 # ---- guards ----
