--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -508,8 +508,6 @@
             place.standing, place.loading = 0, None
         elif outcome == "full":
             place.full_until = now + FULL_WAIT
-            if self.latency.stands(place, now):  # no lane free; for want of memory it would crowd others
-                place.program.crowded = now
         elif outcome in ("unreached", "cut"):
             empty(worker)
         if not (outcome == "timeout" and now >= rpc.ends - 1.0 and not call_out.warm):
@@ -633,7 +631,7 @@
                 return self.call(rpc, place, now)
             if now + self.latency.cost(rpc) < rpc.soft and len(rpc.call_outs) < self.allowance.call_outs and (
                     rpc.method.effect == "idempotent" or not may_have_run(rpc)):
-                rpc.queued = True
+                rpc.queued, rpc.program.crowded = True, now
                 return self.waiting.append(rpc)
         self.acts.append(("deny", rpc, None) if may_deny(rpc) else ("abort", rpc))
         self.close(rpc)
