--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -147,7 +147,6 @@
     loads: deque
     places: list["Place"] = field(default_factory=list)
     called: float = 0.0
-    crowded: float = -1e9
     lots: dict[str, float] = field(default_factory=dict)
 
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -149,7 +149,6 @@
 SLACK, STAY = 1.1, 1.4  # times its even part that a worker is given, times that that it may keep
 NOISE = 1.5  # deviations of the calls counted for a worker that are added to the slack
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
-CROWDED = 3000.0  # ms after a full answer for which a program gets one more place than it needs
 CAP = 2  # new holds for each worker and period
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
 GRADE = 1.3  # latency steps by which kinds are told apart
@@ -229,8 +228,8 @@
         """One program's workers: those it has first, then by lot among the low-latency workers with room."""
         unit = max(1e-9, mean([part[w] for w in opened], 1.0))
         need = max(1, ceil(load / unit))
-        if load > (len(placed) - 1) * unit * CLOSE or now - program.crowded < CROWDED:
-            need = max(need, len(placed) + (now - program.crowded < PERIOD))
+        if load > (len(placed) - 1) * unit * CLOSE:
+            need = max(need, len(placed))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
         order = sorted((w for w in opened if w not in chosen and w not in tired),
@@ -631,7 +630,7 @@
                 return self.call(rpc, place, now)
             if now + self.latency.cost(rpc) < rpc.soft and len(rpc.call_outs) < self.allowance.call_outs and (
                     rpc.method.effect == "idempotent" or not may_have_run(rpc)):
-                rpc.queued, rpc.program.crowded = True, now
+                rpc.queued = True
                 return self.waiting.append(rpc)
         self.acts.append(("deny", rpc, None) if may_deny(rpc) else ("abort", rpc))
         self.close(rpc)
