--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -133,7 +133,7 @@
     def learn(self, call_out: CallOut, standing: str | None, now: float) -> None:
         """A sample from an ok; one that contains a load says nothing of the worker."""
         worker, rpc = call_out.place.worker, call_out.rpc
-        if standing in ("began", "awaited") or not call_out.warm and not self.tells:
+        if not call_out.warm and standing != "stood":
             return
         took = (now - call_out.sent) / (1 + call_out.crowd)  # a lane's queue is not the worker's slowness
         worker.ratios.append((now, took, self.cost(rpc)))
@@ -300,7 +300,7 @@
     # Danger: a full queue makes every answer late and retries keep it full. Should also catch a slowed
     # machine. Could hurt where answers are late for another cause than the queue.
     worker, soft = call_out.place.worker, call_out.rpc.method.soft
-    if call_out.warm and (outcome == "full" or outcome == "ok" and now - call_out.sent > EARLY * soft):
+    if outcome == "ok" and call_out.warm and now - call_out.sent > EARLY * soft:
         if call_out.sent >= worker.lowered:  # once for each queue
             worker.limit, worker.lowered = max(LIMIT_LEAST, min(worker.limit, len(worker.out)) * LESS), now
     elif outcome == "ok" and len(worker.out) + 1 >= worker.limit * NEAR:
@@ -494,6 +494,7 @@
             return
         call_out = rpc.call_outs[number]
         place, worker = call_out.place, call_out.place.worker
+        call_out.warm = call_out.warm and standing not in ("began", "awaited")
         paced(call_out, outcome, now)
         end(call_out, outcome)
         rpc.closed = rpc.closed or final
