--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -198,3 +198,41 @@
                                capture_output=True, text=True, check=True).stdout for seed in "012"]
         self.assertGreater(len(runs[0]), 1000)
         self.assertEqual(len(set(runs)), 1)
+
+
+class Load(unittest.TestCase):
+    def test_late_answers_lower_the_limit_once_a_queue(self):
+        """(how the answers of one queue came) -> what becomes of the limit; a load says nothing of it."""
+        at_least = self.assertGreaterEqual
+        for ms, standing, compare in ((700.0, "stood", self.assertLess), (100.0, "stood", at_least),
+                                      (700.0, "awaited", at_least)):
+            with self.subTest(ms=ms, standing=standing):
+                fleet = Fleet(workers=1)
+                fleet.serve(calls=2)
+                worker = fleet.fe.workers["a"]
+                before = worker.limit
+                rpcs = [d[1] for _ in range(7) for d in fleet.take() if d[0] == "call"]
+                fleet.clock += ms
+                for rpc in rpcs:
+                    fleet.end(rpc, standing=standing)
+                compare(worker.limit, before)
+                self.assertGreater(worker.limit, before * 0.75)
+
+    def test_waits_for_a_full_home_and_leaves_one_that_drains(self):
+        """(state of the home) -> whether a call goes elsewhere while the home is at its limit."""
+        for state, elsewhere in (("ready", False), ("draining", True)):
+            with self.subTest(state=state):
+                fleet = Fleet(workers=3)
+                home = called(fleet.serve(calls=200))[-1]
+                fleet.fe.workers[home].limit = 0.0
+                fleet.list([row(home, state=state)], whole=False)
+                self.assertEqual(bool(called(fleet.take())), elsewhere)
+
+    def test_homes_leave_a_closed_worker(self):
+        fleet = Fleet(workers=6)
+        for at in range(400):
+            fleet.serve(f"p{at % 5}", calls=1, ms=60.0)
+        opened = set(fleet.fe.fill.opened)
+        self.assertLess(len(opened), 6)
+        placed = {p.worker for program in fleet.fe.programs.values() for p in program.places if p.placed}
+        self.assertLessEqual(placed, opened)
