A site that answers misses gets a hold before the call

Found by reading: with no load on call, an unplaced program's RPC missed at one worker after another until its call-outs were spent. It now orders a hold of one and is sent after it.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -236,3 +236,10 @@
         self.assertLess(len(opened), 6)
         placed = {p.worker for program in fleet.fe.programs.values() for p in program.places if p.placed}
         self.assertLessEqual(placed, opened)
+
+    def test_a_miss_site_gets_a_hold_before_the_call(self):
+        fleet = Fleet(workers=3, loads_on_call=False, holds=None)
+        self.assertEqual(verbs(fleet.take()), ["hold"])
+        got = fleet.pass_time(100)
+        self.assertEqual(verbs(got).count("call"), 1)
+        self.assertEqual(verbs(got).count("hold"), 0)
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -446,8 +446,6 @@
         self.next_fill = self.next_tick = self.wake_at = now
         self.followed = directory.pushed
 
-    # what happens: the books only
-
     def listed(self, rows: list[Listing], whole: bool | None) -> None:
         """The worker list: whole (True), changes (False), or a failure to get it (None)."""
         self.followed = self.directory.pushed if whole is None else self.followed
@@ -483,7 +481,6 @@
         self.todo.append(rpc)
 
     def began(self, ident: int, number: int) -> None:
-        """An answer has begun to stream: it is the client's now."""
         if ident in self.rpcs:
             self.rpcs[ident].closed = True
 
@@ -525,7 +522,6 @@
             worker.reports.append((self.now, named, len(worker.out)))
 
     def left(self, ident: int) -> None:
-        """The client has gone: nothing is owed any more."""
         if rpc := self.rpcs.get(ident):
             self.close(rpc)
 
@@ -563,8 +559,6 @@
     def woke(self, now: float) -> None:
         self.now = now
 
-    # what to do
-
     def decide(self) -> Decision | None:
         now = self.now
         if now >= self.next_tick:
@@ -602,7 +596,6 @@
                 self.orders = deque(self.fill.holds(programs, now))
 
     def recall(self, worker: Worker, now: float) -> None:
-        """Takes back from a silent worker what may be sent elsewhere."""
         for call_out in worker.out if self.allowance.cancel else ():
             rpc = call_out.rpc
             if (not rpc.closed and not call_out.cancelled and rpc.method.effect == "idempotent"
@@ -628,7 +621,11 @@
                       if self.guards.may_call(w, rpc, now) and self.health.usable(w, now)
                       and may_repeat(rpc, w, self.allowance.call_outs, now)]
             if place := choose(rpc, usable, self.fill.opened, self.latency, self.chance, now):
-                return self.call(rpc, place, now)
+                if (self.stock.loads_on_call or self.latency.stands(place, now)
+                        or place.ordered is not None and place.ordered < now):
+                    return self.call(rpc, place, now)
+                if place.ordered is None:  # a call-out would miss, and might overtake the hold
+                    self.order(place, 1, False, now)
             if now + self.latency.cost(rpc) < rpc.soft and len(rpc.call_outs) < self.allowance.call_outs and (
                     rpc.method.effect == "idempotent" or not may_have_run(rpc)):
                 rpc.queued = True
