--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -293,7 +293,7 @@
 LIMIT_START, LIMIT_LEAST = 8.0, 1.0  # call-outs out to one worker
 SHUN, SHUN_MOST = 1500.0, 8000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
-SILENT, SILENT_ONE, SILENT_LEAST = 18.0, 6.0, 80.0  # dues in all; of one call-out; ms of the least due
+SILENT, SILENT_ONE, SILENT_LEAST = 26.0, 6.0, 80.0  # dues in all; of one call-out; ms of the least due
 
 
 def paced(call_out: CallOut, outcome: str, now: float) -> None:
