Round: a worker's room is our share of its capacity, not an even part of our load

Cause: homes came out 1.8 times what was needed, as a program's demand was held against an even part of our own load; front ends with little traffic opened second homes for noise.

--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -145,9 +145,10 @@
 PERIOD = 500.0  # ms between fills
 CALLS_WINDOW = 8000.0  # ms over which calls are counted
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
-TARGET, HOT = 0.55, 1.2  # busy share to plan for; times the mean, where nothing more is placed
-SLACK, STAY = 1.1, 1.4  # times its even part that a worker is given, times that that it may keep
-NOISE = 1.5  # deviations of the calls counted for a worker that are added to the slack
+TARGET, BOUND = 0.55, 0.7  # busy share to open workers for, and up to which one worker is filled
+HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
+STAY = 1.4  # times its room that a worker may keep
+NOISE = 1.5  # deviations of the calls counted for a worker that are added to its room
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 CAP = 2  # new holds for each worker and period
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
@@ -179,7 +180,7 @@
     def open(self, workers: list[Worker], total: float, memory: float) -> None:
         """The fewest lowest-latency workers that carry the fleet's load, alike for all front ends."""
         order = sorted(workers, key=lambda w: (self.grade(w), w.listing.ident))
-        load = max(sum(busy_share(w) * self.carries(w) for w in order), total * self.front_ends * TARGET)
+        load = max(sum(busy_share(w) * self.carries(w) for w in order), total)
         least, ample = (next((n for n in range(1, len(order))
                               if sum(self.carries(w) for w in order[:n]) * TARGET >= need
                               and sum(w.budget for w in order[:n]) >= memory), len(order))
@@ -197,6 +198,11 @@
     def carries(self, worker: Worker) -> float:
         return self.latency.width(worker) / GRADE ** self.grade(worker)
 
+    def share(self, workers: list[Worker], total: float) -> float:
+        """Our part of the fleet's load: others fill the same workers, so we plan for that part of each."""
+        load = sum(busy_share(w) * self.latency.width(w) for w in workers)
+        return min(1.0, max(total / load if load else 0.0, 1 / self.front_ends**2))
+
     def run(self, programs: list[Program], workers: list[Worker], well: list[Worker], now: float) -> None:
         self.latency.survey(workers, now)
         latency = self.latency
@@ -205,13 +211,12 @@
         slow = {w for w in well if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w)}
         opened = [w for w in self.opened if w in well and w not in slow] or well
         calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / len(opened)
-        slack = SLACK + NOISE / sqrt(max(calls, 1.0))
-        even = slack * sum(demand.values()) / sum(self.carries(w) for w in opened)
-        part = {w: even * self.carries(w) * (latency.average / latency.pace(w, now) if w in slow else 1.0)
+        own = self.share(workers, sum(demand.values())) * BOUND * (1 + NOISE / sqrt(max(calls, 1.0)))
+        part = {w: own * self.latency.width(w) * (latency.average / latency.pace(w, now) if w in slow else 1.0)
                 for w in well}
         room, budget = dict(part), {w: w.budget for w in well}
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened] for p in demand}
-        hot = max(TARGET, HOT * mean([busy_share(w) for w in opened], 0.0))
+        hot = max(TIRED, HOT * mean([busy_share(w) for w in opened], 0.0))
         tired = slow | {w for w in well if busy_share(w) > hot}  # all see it: newcomers go elsewhere
         for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
             chosen, copies = self.put(program, demand[program], placed[program], opened, part, room, budget,
