--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -147,6 +147,7 @@
     loads: deque
     places: list["Place"] = field(default_factory=list)
     called: float = 0.0
+    settled: float = float("-inf")
     lots: dict[str, float] = field(default_factory=dict)
 
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -149,6 +149,7 @@
 HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
 STAY = 1.4  # times its room that a worker may keep
 NOISE = 1.5  # deviations of the calls counted for a worker that are added to its room
+RETHINK = 5000.0  # ms after which a program's homes are chosen anew, so that front ends come to agree
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 CAP = 2  # new holds for each worker and period
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
@@ -215,12 +216,14 @@
         part = {w: own * self.latency.width(w) * (latency.average / latency.pace(w, now) if w in slow else 1.0)
                 for w in well}
         room, budget = dict(part), {w: w.budget for w in well}
-        placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened] for p in demand}
+        placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened]
+                  for p in demand if now - p.settled < RETHINK}
         hot = max(TIRED, HOT * mean([busy_share(w) for w in opened], 0.0))
         tired = slow | {w for w in well if busy_share(w) > hot}  # all see it: newcomers go elsewhere
-        for program in sorted(demand, key=lambda p: (not placed[p], -demand[p], p.name)):
-            chosen, copies = self.put(program, demand[program], placed[program], opened, part, room, budget,
-                                      tired, now)
+        for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
+            chosen, copies = self.put(program, demand[program], placed.get(program, []), opened, part, room,
+                                      budget, tired, now)
+            program.settled = program.settled if program in placed else now
             each = demand[program] / max(1, len(chosen))
             for worker in chosen:
                 room[worker] -= each
