--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -147,8 +147,8 @@
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
 TARGET, BOUND = 0.55, 0.7  # busy share to open workers for, and up to which one worker is filled
 HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
-STAY = 1.4  # times its room that a worker may keep
-NOISE = 1.5  # deviations of the calls counted for a worker that are added to its room
+SLACK, STAY = 1.1, 1.4  # times its even part that a worker is given, times that that it may keep
+NOISE = 1.5  # deviations of the calls counted for a worker that are added to the slack
 RETHINK = 5000.0  # ms after which a program's homes are chosen anew, so that front ends come to agree
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 CAP = 2  # new holds for each worker and period
@@ -167,7 +167,7 @@
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
         self.front_ends = seat.of
         self.opened: list[Worker] = []
-        self.count, self.calm = 10**6, 0
+        self.count, self.calm, self.unit = 10**6, 0, 1.0
 
     def budget(self, listing: Listing) -> float:
         return (self.memory[listing.kind:] or self.memory or (0.0,))[0] / self.front_ends
@@ -212,9 +212,12 @@
         slow = {w for w in well if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w)}
         opened = [w for w in self.opened if w in well and w not in slow] or well
         calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / len(opened)
-        own = self.share(workers, sum(demand.values())) * BOUND * (1 + NOISE / sqrt(max(calls, 1.0)))
-        part = {w: own * self.latency.width(w) * (latency.average / latency.pace(w, now) if w in slow else 1.0)
+        slack = SLACK + NOISE / sqrt(max(calls, 1.0))
+        even = slack * sum(demand.values()) / sum(self.carries(w) for w in opened)
+        part = {w: even * self.carries(w) * (latency.average / latency.pace(w, now) if w in slow else 1.0)
                 for w in well}
+        self.unit = max(BOUND * self.share(workers, sum(demand.values())) * mean(
+            [latency.width(w) for w in opened], 1.0), mean([part[w] for w in opened], 1.0), 1e-9)
         room, budget = dict(part), {w: w.budget for w in well}
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened]
                   for p in demand if now - p.settled < RETHINK}
@@ -234,9 +237,8 @@
     def put(self, program: Program, load: float, placed: list[Worker], opened: list[Worker], part: dict,
             room: dict, budget: dict, tired: set, now: float) -> tuple[list[Worker], int]:
         """One program's workers: those it has first, then by lot among the low-latency workers with room."""
-        unit = max(1e-9, mean([part[w] for w in opened], 1.0))
-        need = max(1, ceil(load / unit))
-        if load > (len(placed) - 1) * unit * CLOSE:
+        need = max(1, ceil(load / self.unit))
+        if load > (len(placed) - 1) * self.unit * CLOSE:
             need = max(need, len(placed))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
