--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -220,7 +220,7 @@
             [latency.width(w) for w in opened], 1.0), mean([part[w] for w in opened], 1.0), 1e-9)
         room, budget = dict(part), {w: w.budget for w in well}
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened]
-                  for p in demand if now - p.settled < RETHINK}
+                  for p in demand if self.front_ends == 1 or now - p.settled < RETHINK}
         hot = max(TIRED, HOT * mean([busy_share(w) for w in opened], 0.0))
         tired = slow | {w for w in well if busy_share(w) > hot}  # all see it: newcomers go elsewhere
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
