--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -299,7 +299,7 @@
 
 
 # ---- health ----
-EARLY, LESS, NEAR = 0.7, 0.7, 0.7  # of the soft deadline; times the limit; part of the limit in use
+EARLY, LESS, NEAR = 0.7, 0.9, 0.7  # of the soft deadline; times the limit; part of the limit in use
 LIMIT_START, LIMIT_LEAST = 8.0, 1.0  # call-outs out to one worker
 SHUN, SHUN_MOST = 1500.0, 8000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
