--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -130,6 +130,7 @@
     probe_sent: float = 0.0
     limit: float = 0.0
     lowered: float = 0.0
+    spent: deque = field(default_factory=deque)
     cold_from: float | None = None
 
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -299,7 +299,8 @@
 
 
 # ---- health ----
-EARLY, LESS, NEAR = 0.7, 0.9, 0.7  # of the soft deadline; times the limit; part of the limit in use
+EARLY, JUDGED = 0.45, 8  # of the soft deadline that answers should take on average; answers that tell it
+LESS, NEAR = 0.5, 0.7  # least that a cut leaves of the limit; part of the limit in use before it grows
 LIMIT_START, LIMIT_LEAST = 8.0, 1.0  # call-outs out to one worker
 SHUN, SHUN_MOST = 1500.0, 8000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
@@ -309,11 +310,17 @@
 def paced(call_out: CallOut, outcome: str, now: float) -> None:
     # Danger: a full queue makes every answer late and retries keep it full. Should also catch a slowed
     # machine. Could hurt where answers are late for another cause than the queue.
-    worker, soft = call_out.place.worker, call_out.rpc.method.soft
-    if outcome == "ok" and call_out.warm and now - call_out.sent > EARLY * soft:
-        if call_out.sent >= worker.lowered:  # once for each queue
-            worker.limit, worker.lowered = max(LIMIT_LEAST, min(worker.limit, len(worker.out)) * LESS), now
-    elif outcome == "ok" and len(worker.out) + 1 >= worker.limit * NEAR:
+    worker = call_out.place.worker
+    if outcome != "ok" or not call_out.warm:
+        return
+    if call_out.sent >= worker.lowered:  # what was sent before the last cut says nothing of it
+        worker.spent.append((now - call_out.sent) / call_out.rpc.method.soft)
+    spent = mean(worker.spent, 0.0)
+    if len(worker.spent) == JUDGED and spent > EARLY:
+        worker.limit = max(LIMIT_LEAST, min(worker.limit, len(worker.out)) * max(LESS, EARLY / spent))
+        worker.lowered = now
+        worker.spent.clear()
+    elif len(worker.out) >= worker.limit * NEAR and spent <= EARLY:
         worker.limit += 1 / worker.limit
 
 
@@ -466,7 +473,7 @@
                 worker.budget, worker.cold_from = self.fill.budget(row), row.born
                 worker.ratios, worker.results = deque(maxlen=KEPT_RATIOS), deque(maxlen=KEPT // 2)
                 worker.reports, worker.shuns, worker.shun_until = deque(maxlen=KEPT // 2), 0, 0.0
-                worker.limit = LIMIT_START
+                worker.limit, worker.spent = LIMIT_START, deque(maxlen=JUDGED)
             worker.listing = row
         named = {row.ident for row in rows}
         for ident, worker in list(self.workers.items()):
