--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -643,7 +643,7 @@
                     return self.call(rpc, place, now)
                 if place.ordered is None:  # a call-out would miss, and might overtake the hold
                     self.order(place, 1, False, now)
-            if now + self.latency.cost(rpc) < rpc.soft and len(rpc.call_outs) < self.allowance.call_outs and (
+            if now + self.latency.cost(rpc) * self.latency.average < rpc.soft and len(rpc.call_outs) < self.allowance.call_outs and (
                     rpc.method.effect == "idempotent" or not may_have_run(rpc)):
                 rpc.queued = True
                 return self.waiting.append(rpc)
