--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -299,7 +299,7 @@
 
 
 # ---- health ----
-EARLY, JUDGED = 0.45, 8  # of the soft deadline that answers should take on average; answers that tell it
+EARLY, JUDGED = 0.33, 8  # of the soft deadline that answers should take on average; answers that tell it
 LESS, NEAR = 0.5, 0.7  # least that a cut leaves of the limit; part of the limit in use before it grows
 LIMIT_START, LIMIT_LEAST = 8.0, 1.0  # call-outs out to one worker
 SHUN, SHUN_MOST = 1500.0, 8000.0  # ms for which a worker is left alone: at first, doubled each time up to
