--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -42,7 +42,7 @@
 PRIOR = 6.0  # samples' worth of the fleet's average that every worker starts from
 COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
 LOAD_GUESS, LOAD_LEAST = 1000.0, 50.0  # ms a load takes until one was seen; under which nothing was loaded
-WIDTH_GUESS, WIDTH_LOW = 4.0, 0.3  # RPCs at once until reports tell; which of the sorted samples is believed
+KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.2  # samples; RPCs at once until then; part to be under
 OVERDUE, OVERDUE_LEAST = 5.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
 
@@ -60,6 +60,7 @@
         self.report, self.front_ends = seat.report, seat.of
         self.average, self.width_each, self.loads = 1.0, 0.0, deque(maxlen=KEPT)
         self.kinds: dict[int, float] = {}
+        self.widths = deque(maxlen=KEPT_WIDTHS)
 
     def cost(self, rpc: RPC) -> float:
         return self.usual(rpc.program) if rpc.work is None else max(1.0, rpc.work)
@@ -84,17 +85,11 @@
     def survey(self, workers: list[Worker], now: float) -> None:
         """Once a period: the fleet's average pace, and how wide a worker is for each unit of its size."""
         kinds: dict[int, list[float]] = {}
-        widths = []
         for worker in workers:
             pool = kinds.setdefault(worker.listing.kind, [0.0, 0.0])
             for at, ms, expected in worker.ratios:
                 if now - at < SAMPLE_AGE:
                     pool[0], pool[1] = pool[0] + ms, pool[1] + expected
-            for _, report, own in worker.reports:
-                share = report.get("busy", 0.0)
-                if 0.15 < share < 0.85:  # outside, queues and noise say little of the cores
-                    held = report["held"] if "held" in report else own * self.front_ends
-                    widths.append(max(1.0, held) / (share * worker.listing.size))
         cost = sum(pool[1] for pool in kinds.values())
         if cost:
             self.average = sum(pool[0] for pool in kinds.values()) / cost
@@ -102,9 +97,15 @@
             self.kinds = {kind: (ms + part * self.average) / (own + part)
                           for kind, (ms, own) in kinds.items()}
         size = mean([worker.listing.size for worker in workers], 1.0)
-        widths.sort()  # waiting for lanes and loads holds RPCs but no core: the low samples tell the width
+        widths = sorted(self.widths)  # waiting for lanes and loads holds RPCs but no core: low samples tell
         self.width_each = widths[int(len(widths) * WIDTH_LOW)] if len(widths) > KEPT else WIDTH_GUESS / size
 
+    def reported(self, worker: Worker, report: dict, own: int) -> None:
+        share = report.get("busy", 0.0)
+        if 0.15 < share < 0.85:  # outside, queues and noise say little of the cores
+            held = report["held"] if "held" in report else own * self.front_ends
+            self.widths.append(max(1.0, held) / (share * worker.listing.size))
+
     def loaded(self, place: Place, took: float) -> None:
         for loads in (place.program.loads, self.loads):
             loads.append(took)
@@ -199,33 +200,40 @@
     def carries(self, worker: Worker) -> float:
         return self.latency.width(worker) / GRADE ** self.grade(worker)
 
-    def share(self, workers: list[Worker], total: float) -> float:
+    def share(self, workers: list[Worker]) -> float:
         """Our part of the fleet's load: others fill the same workers, so we plan for that part of each."""
-        load = sum(busy_share(w) * self.latency.width(w) for w in workers)
-        return min(1.0, max(total / load if load else 0.0, 1 / self.front_ends**2))
+        pairs = [(own, r["held"]) for w in workers for _, r, own in w.reports if "held" in r]
+        held = sum(held for _, held in pairs)
+        return min(1.0, max(sum(own for own, _ in pairs) / held if held else 0.0, 1 / self.front_ends**2)
+                   ) if pairs else 1 / self.front_ends
 
     def run(self, programs: list[Program], workers: list[Worker], well: list[Worker], now: float) -> None:
         self.latency.survey(workers, now)
         latency = self.latency
-        demand = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
-        self.open(workers, sum(demand.values()), sum(p.memory for p in demand))
+        lanes = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
+        share = self.share(workers)
+        busy = sum(busy_share(w) * latency.width(w) for w in workers) * share  # crowding swells lanes only
+        scale = busy / sum(lanes.values()) if busy and lanes else 1.0
+        demand = {p: load * scale for p, load in lanes.items()}
+        self.open(workers, sum(demand.values()) / share, sum(p.memory for p in demand))
         slow = {w for w in well if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w)}
         opened = [w for w in self.opened if w in well and w not in slow] or well
         calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / len(opened)
         slack = SLACK + NOISE / sqrt(max(calls, 1.0))
         even = slack * sum(demand.values()) / sum(self.carries(w) for w in opened)
-        part = {w: even * self.carries(w) * (latency.average / latency.pace(w, now) if w in slow else 1.0)
-                for w in well}
-        self.unit = max(BOUND * self.share(workers, sum(demand.values())) * mean(
-            [latency.width(w) for w in opened], 1.0), mean([part[w] for w in opened], 1.0), 1e-9)
+        part = {w: max(even * self.carries(w), BOUND * share * latency.width(w))
+                * (latency.average / latency.pace(w, now) if w in slow else 1.0) for w in well}
+        self.unit = max(1e-9, mean([part[w] for w in opened], 1.0))
         room, budget = dict(part), {w: w.budget for w in well}
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened]
                   for p in demand if self.front_ends == 1 or now - p.settled < RETHINK}
         hot = max(TIRED, HOT * mean([busy_share(w) for w in opened], 0.0))
         tired = slow | {w for w in well if busy_share(w) > hot}  # all see it: newcomers go elsewhere
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
-            chosen, copies = self.put(program, demand[program], placed.get(program, []), opened, part, room,
+            chosen = self.put(program, demand[program], placed.get(program, []), opened, part, room,
                                       budget, tired, now)
+            each = lanes[program] / max(1, len(chosen)) / share
+            copies = max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
             program.settled = program.settled if program in placed else now
             each = demand[program] / max(1, len(chosen))
             for worker in chosen:
@@ -235,7 +243,7 @@
                 place.placed, place.wanted = place.worker in chosen, copies
 
     def put(self, program: Program, load: float, placed: list[Worker], opened: list[Worker], part: dict,
-            room: dict, budget: dict, tired: set, now: float) -> tuple[list[Worker], int]:
+            room: dict, budget: dict, tired: set, now: float) -> list[Worker]:
         """One program's workers: those it has first, then by lot among the low-latency workers with room."""
         need = max(1, ceil(load / self.unit))
         if load > (len(placed) - 1) * self.unit * CLOSE:
@@ -249,8 +257,7 @@
         chosen += roomy[:need - len(chosen)]
         if not chosen:
             chosen = placed[:need] or sorted(order or opened, key=lambda w: (-room[w], lot(program, w)))[:1]
-        each = load / max(1, len(chosen))
-        return chosen, max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
+        return chosen
 
     def holds(self, programs: list[Program], now: float) -> list[tuple[Place, int, bool]]:
         """Loads to order ahead and copies to renew, most called first: place, copies, whether renewal."""
@@ -537,6 +544,7 @@
         if report:
             named = dict(zip(self.seat.report, report, strict=False))
             worker.reports.append((self.now, named, len(worker.out)))
+            self.latency.reported(worker, named, len(worker.out))
 
     def left(self, ident: int) -> None:
         if rpc := self.rpcs.get(ident):
@@ -643,8 +651,9 @@
                     return self.call(rpc, place, now)
                 if place.ordered is None:  # a call-out would miss, and might overtake the hold
                     self.order(place, 1, False, now)
-            if now + self.latency.cost(rpc) * self.latency.average < rpc.soft and len(rpc.call_outs) < self.allowance.call_outs and (
-                    rpc.method.effect == "idempotent" or not may_have_run(rpc)):
+            if (now + self.latency.cost(rpc) * self.latency.average < rpc.soft
+                    and len(rpc.call_outs) < self.allowance.call_outs
+                    and (rpc.method.effect == "idempotent" or not may_have_run(rpc))):
                 rpc.queued = True
                 return self.waiting.append(rpc)
         self.acts.append(("deny", rpc, None) if may_deny(rpc) else ("abort", rpc))
