--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -151,6 +151,7 @@
 SLACK, STAY = 1.1, 1.4  # times its even part that a worker is given, times that that it may keep
 NOISE = 1.5  # deviations of the calls counted for a worker that are added to the slack
 RETHINK = 5000.0  # ms after which a program's homes are chosen anew, so that front ends come to agree
+SMALL = 0.15  # of a worker's room: a program that needs less may go over it as a home may
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
 CAP = 2  # new holds for each worker and period
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
@@ -250,9 +251,11 @@
             need = max(need, len(placed))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
-        order = sorted((w for w in opened if w not in chosen and w not in tired),
+        homes = {place.worker for place in program.places if place.placed}
+        order = sorted((w for w in opened if w not in chosen and (w in homes or w not in tired)),
                        key=lambda w: lot(program, w))
-        roomy = [w for w in order if room[w] >= load / need]
+        leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
+        roomy = [w for w in order if room[w] + leeway * part[w] >= load / need]
         roomy.sort(key=lambda w: budget[w] < program.memory and w not in stands)  # within budget first
         chosen += roomy[:need - len(chosen)]
         if not chosen:
