--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -126,6 +126,7 @@
     places: dict["Program", "Place"] = field(default_factory=dict)
     shun_until: float = 0.0
     shuns: int = 0
+    slow: int = 0
     heard: float = 0.0
     probe_sent: float = 0.0
     limit: float = 0.0
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -156,7 +156,7 @@
 CAP = 2  # new holds for each worker and period
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
 GRADE = 1.3  # latency steps by which kinds are told apart
-LATENCY_WINDOW = 1.8  # workers within this factor of their kind count as low-latency
+LATENCY_WINDOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
 LOST = 4.0  # load times after which a load begun and never heard of counts as lost
 RENEW = 0.7  # of the idle life: when a copy that is still called is renewed
 GROWTH, SHRINK = 1.25, 0.7  # of a worker's budget, after a hold in full and after a refusal
@@ -217,7 +217,9 @@
         scale = busy / sum(lanes.values()) if busy and lanes else 1.0
         demand = {p: load * scale for p, load in lanes.items()}
         self.open(workers, sum(demand.values()) / share, sum(p.memory for p in demand))
-        slow = {w for w in well if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w)}
+        for w in workers:
+            w.slow = w.slow + 1 if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w) else 0
+        slow = {w for w in well if w.slow >= SLOW_AFTER}
         opened = [w for w in self.opened if w in well and w not in slow] or well
         calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / len(opened)
         slack = SLACK + NOISE / sqrt(max(calls, 1.0))
