--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -171,8 +171,11 @@
         self.opened: list[Worker] = []
         self.count, self.calm, self.unit = 10**6, 0, 1.0
 
+    def whole(self, listing: Listing) -> float:
+        return (self.memory[listing.kind:] or self.memory or (0.0,))[0]
+
     def budget(self, listing: Listing) -> float:
-        return (self.memory[listing.kind:] or self.memory or (0.0,))[0] / self.front_ends
+        return self.whole(listing) / self.front_ends
 
     def demand(self, program: Program, now: float) -> float:
         """Lanes busy on average: recent calls times what one takes."""
@@ -288,24 +291,34 @@
 FULL_WAIT = 250.0  # ms for which a place that answered full is passed over
 
 
+def has_room(worker: Worker, program: Program, memory: float, now: float) -> bool:
+    # Danger: with memory short every load pushes or turns away another, and each RPC asks in vain until its
+    # call-outs are spent. Should also catch a worker with too many loads waiting. Could hurt where full
+    # answers come for another cause than memory; a copy that stands or loads is used all the same.
+    pinned = worker.reports[-1][1].get("pinned", 0.0) if worker.reports else 0.0
+    return worker.crammed <= now and (not memory or pinned * memory + program.memory <= memory)
+
+
 def choose(rpc: RPC, usable: list[Worker], opened: list[Worker], latency: Latency, chance: Chance,
-           now: float) -> Place | None:
+           memory, now: float) -> Place | None:
     """The placed worker of lowest latency; for an unplaced program a random one with room."""
     program, able = rpc.program, set(usable)
     tried = {call_out.place.worker for call_out in rpc.call_outs}
+    roomy = {w for w in usable if has_room(w, program, memory(w.listing), now)}
     known = [p for p in program.places if p.worker in able and p.full_until <= now
              and len(p.worker.out) < p.worker.limit]
     standing = [p for p in known if latency.stands(p, now)]
     for places in ([p for p in standing if p.placed and p.worker not in tried],
                    [p for p in standing if p.worker not in tried], standing,
-                   [p for p in known if p.placed or p.loading is not None]):
+                   [p for p in known if p.placed and p.worker in roomy or p.loading is not None]):
         if places:
             scores = [latency.expect(p, rpc, now) for p in places]
             ties = [p for p, score in zip(places, scores, strict=True) if score <= min(scores) * TIE]
             return ties[chance.below(len(ties))]
     if any(latency.stands(p, now) for p in program.places if p.worker in able):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
-    free = [w for w in usable if w not in tried and len(w.out) < w.limit] or usable
+    free = [w for w in usable if w in roomy and len(w.out) < w.limit]
+    free = [w for w in free if w not in tried] or free
     low = [w for w in free if w in opened and not latency.lag(w, now)] or free
     return place_of(program, min(low, key=lambda w: lot(program, w))) if low else None
 
@@ -534,6 +547,8 @@
             place.standing, place.loading = 0, None
         elif outcome == "full":
             place.full_until = now + FULL_WAIT
+            if not company and self.stock.tells_company:  # nothing of it there: it was memory that lacked
+                worker.crammed = now + FULL_WAIT
         elif outcome in ("unreached", "cut"):
             empty(worker)
         if not (outcome == "timeout" and now >= rpc.ends - 1.0 and not call_out.warm):
@@ -572,7 +587,7 @@
             if not place.standing and took > LOAD_LEAST:
                 self.latency.loaded(place, took)
             worker.heard, place.standing, place.used = now, copies, now
-            worker.budget = min(worker.budget * GROWTH, self.fill.budget(worker.listing) * self.seat.of)
+            worker.budget = min(worker.budget * GROWTH, self.fill.whole(worker.listing))
         elif outcome in ("full", "error"):
             place.standing, place.full_until = copies, now + self.stock.idle_life / 8
             worker.budget = max(worker.budget * SHRINK, program.memory)
@@ -650,7 +665,8 @@
             usable = [w for w in self.workers.values()
                       if self.guards.may_call(w, rpc, now) and self.health.usable(w, now)
                       and may_repeat(rpc, w, self.allowance.call_outs, now)]
-            if place := choose(rpc, usable, self.fill.opened, self.latency, self.chance, now):
+            whole = self.fill.whole
+            if place := choose(rpc, usable, self.fill.opened, self.latency, self.chance, whole, now):
                 if (self.stock.loads_on_call or self.latency.stands(place, now)
                         or place.ordered is not None and place.ordered < now):
                     return self.call(rpc, place, now)
