--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -42,7 +42,7 @@
 PRIOR = 6.0  # samples' worth of the fleet's average that every worker starts from
 COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
 LOAD_GUESS, LOAD_LEAST = 1000.0, 50.0  # ms a load takes until one was seen; under which nothing was loaded
-KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.2  # samples; RPCs at once until then; part to be under
+KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
 OVERDUE, OVERDUE_LEAST = 5.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
 
@@ -325,6 +325,7 @@
 
 # ---- health ----
 EARLY, JUDGED = 0.33, 8  # of the soft deadline that answers should take on average; answers that tell it
+FULL_CORES = 0.85  # busy share from which late answers tell of the worker's own queue
 LESS, NEAR = 0.5, 0.7  # least that a cut leaves of the limit; part of the limit in use before it grows
 LIMIT_START, LIMIT_LEAST = 8.0, 1.0  # call-outs out to one worker
 SHUN, SHUN_MOST = 1500.0, 8000.0  # ms for which a worker is left alone: at first, doubled each time up to
@@ -341,7 +342,8 @@
     if call_out.sent >= worker.lowered:  # what was sent before the last cut says nothing of it
         worker.spent.append((now - call_out.sent) / call_out.rpc.method.soft)
     spent = mean(worker.spent, 0.0)
-    if len(worker.spent) == JUDGED and spent > EARLY:
+    full = not worker.reports or worker.reports[-1][1].get("busy", 1.0) >= FULL_CORES
+    if len(worker.spent) == JUDGED and spent > EARLY and full:  # else it was lanes or loads that kept them
         worker.limit = max(LIMIT_LEAST, min(worker.limit, len(worker.out)) * max(LESS, EARLY / spent))
         worker.lowered = now
         worker.spent.clear()
