--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -46,6 +46,11 @@
 OVERDUE, OVERDUE_LEAST = 5.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
 
+def working(worker: Worker, now: float) -> int:
+    """Our call-outs that take its cores: not those that wait for a load, known or by their age."""
+    return sum(co.warm and now - co.sent < max(OVERDUE_LEAST, OVERDUE * co.expected) for co in worker.out)
+
+
 def overdue(call_out: CallOut, now: float) -> bool:
     """A call-out to a standing copy, long out, at a worker that has not said a word since."""
     late = max(OVERDUE_LEAST, OVERDUE * call_out.expected)
@@ -306,7 +311,7 @@
     tried = {call_out.place.worker for call_out in rpc.call_outs}
     roomy = {w for w in usable if has_room(w, program, memory(w.listing), now)}
     known = [p for p in program.places if p.worker in able and p.full_until <= now
-             and len(p.worker.out) < p.worker.limit]
+             and working(p.worker, now) < p.worker.limit]
     standing = [p for p in known if latency.stands(p, now)]
     for places in ([p for p in standing if p.placed and p.worker not in tried],
                    [p for p in standing if p.worker not in tried], standing,
@@ -317,7 +322,7 @@
             return ties[chance.below(len(ties))]
     if any(latency.stands(p, now) for p in program.places if p.worker in able):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
-    free = [w for w in usable if w in roomy and len(w.out) < w.limit]
+    free = [w for w in usable if w in roomy and working(w, now) < w.limit]
     free = [w for w in free if w not in tried] or free
     low = [w for w in free if w in opened and not latency.lag(w, now)] or free
     return place_of(program, min(low, key=lambda w: lot(program, w))) if low else None
@@ -344,10 +349,10 @@
     spent = mean(worker.spent, 0.0)
     full = not worker.reports or worker.reports[-1][1].get("busy", 1.0) >= FULL_CORES
     if len(worker.spent) == JUDGED and spent > EARLY and full:  # else it was lanes or loads that kept them
-        worker.limit = max(LIMIT_LEAST, min(worker.limit, len(worker.out)) * max(LESS, EARLY / spent))
+        worker.limit = max(LIMIT_LEAST, min(worker.limit, working(worker, now)) * max(LESS, EARLY / spent))
         worker.lowered = now
         worker.spent.clear()
-    elif len(worker.out) >= worker.limit * NEAR and spent <= EARLY:
+    elif working(worker, now) >= worker.limit * NEAR and spent <= EARLY:
         worker.limit += 1 / worker.limit
 
 
