--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -152,9 +152,7 @@
 CALLS_WINDOW = 8000.0  # ms over which calls are counted
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
 TARGET, BOUND = 0.55, 0.7  # busy share to open workers for, and up to which one worker is filled
-HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
 SLACK, STAY = 1.1, 1.4  # times its even part that a worker is given, times that that it may keep
-NOISE = 1.5  # deviations of the calls counted for a worker that are added to the slack
 RETHINK = 5000.0  # ms after which a program's homes are chosen anew, so that front ends come to agree
 SMALL = 0.15  # of a worker's room: a program that needs less may go over it as a home may
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
@@ -229,20 +227,15 @@
             w.slow = w.slow + 1 if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w) else 0
         slow = {w for w in well if w.slow >= SLOW_AFTER}
         opened = [w for w in self.opened if w in well and w not in slow] or well
-        calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / len(opened)
-        slack = SLACK + NOISE / sqrt(max(calls, 1.0))
-        even = slack * sum(demand.values()) / sum(self.carries(w) for w in opened)
+        even = SLACK * sum(demand.values()) / sum(self.carries(w) for w in opened)
         part = {w: max(even * self.carries(w), BOUND * share * latency.width(w))
                 * (latency.average / latency.pace(w, now) if w in slow else 1.0) for w in well}
         self.unit = max(1e-9, mean([part[w] for w in opened], 1.0))
         room, budget = dict(part), {w: w.budget for w in well}
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened]
                   for p in demand if self.front_ends == 1 or now - p.settled < RETHINK}
-        hot = max(TIRED, HOT * mean([busy_share(w) for w in opened], 0.0))
-        tired = slow | {w for w in well if busy_share(w) > hot}  # all see it: newcomers go elsewhere
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
-            chosen = self.put(program, demand[program], placed.get(program, []), opened, part, room,
-                                      budget, tired, now)
+            chosen = self.put(program, demand[program], placed.get(program, []), opened, part, room, budget, now)
             each = lanes[program] / max(1, len(chosen)) / share
             copies = max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
             program.settled = program.settled if program in placed else now
@@ -254,16 +247,14 @@
                 place.placed, place.wanted = place.worker in chosen, copies
 
     def put(self, program: Program, load: float, placed: list[Worker], opened: list[Worker], part: dict,
-            room: dict, budget: dict, tired: set, now: float) -> list[Worker]:
+            room: dict, budget: dict, now: float) -> list[Worker]:
         """One program's workers: those it has first, then by lot among the low-latency workers with room."""
         need = max(1, ceil(load / self.unit))
         if load > (len(placed) - 1) * self.unit * CLOSE:
             need = max(need, len(placed))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
-        homes = {place.worker for place in program.places if place.placed}
-        order = sorted((w for w in opened if w not in chosen and (w in homes or w not in tired)),
-                       key=lambda w: lot(program, w))
+        order = sorted((w for w in opened if w not in chosen), key=lambda w: lot(program, w))
         leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
         roomy = [w for w in order if room[w] + leeway * part[w] >= load / need]
         roomy.sort(key=lambda w: budget[w] < program.memory and w not in stands)  # within budget first
