--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -198,6 +198,7 @@
     expected: float
     warm: bool
     crowd: int
+    beside: int
     outcome: str | None = None
     cancelled: bool = False
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -38,23 +38,20 @@
 
 
 # ---- latency ----
-SAMPLE_AGE = 15000.0  # ms after which a worker's samples no longer count
-PRIOR = 6.0  # samples' worth of the fleet's average that every worker starts from
+SAMPLE_AGE, PRIOR = 15000.0, 6.0  # ms for which samples count; samples' worth of its kind's in each pace
 COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
 LOAD_GUESS, LOAD_LEAST = 1000.0, 50.0  # ms a load takes until one was seen; under which nothing was loaded
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
 OVERDUE, OVERDUE_LEAST = 5.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
 
-def working(worker: Worker, now: float) -> int:
-    """Our call-outs that take its cores: not those that wait for a load, known or by their age."""
-    return sum(co.warm and now - co.sent < max(OVERDUE_LEAST, OVERDUE * co.expected) for co in worker.out)
+def overdue(call_out: CallOut, now: float) -> bool:
+    return now - call_out.sent > max(OVERDUE_LEAST, OVERDUE * call_out.expected)
 
 
-def overdue(call_out: CallOut, now: float) -> bool:
-    """A call-out to a standing copy, long out, at a worker that has not said a word since."""
-    late = max(OVERDUE_LEAST, OVERDUE * call_out.expected)
-    return call_out.warm and call_out.place.worker.heard <= call_out.sent < now - late
+def working(worker: Worker, now: float) -> int:
+    """Our call-outs that take its cores: not those that wait for a load, known or by their age."""
+    return sum(co.warm and not overdue(co, now) for co in worker.out)
 
 
 class Latency:
@@ -63,9 +60,8 @@
     def __init__(self, stock: Stock, seat: Seat) -> None:
         self.idle_life, self.tells = stock.idle_life, stock.tells_standing
         self.report, self.front_ends = seat.report, seat.of
-        self.average, self.width_each, self.loads = 1.0, 0.0, deque(maxlen=KEPT)
-        self.kinds: dict[int, float] = {}
-        self.widths = deque(maxlen=KEPT_WIDTHS)
+        self.average, self.width_each, self.kinds = 1.0, 0.0, {}
+        self.loads, self.widths = deque(maxlen=KEPT), deque(maxlen=KEPT_WIDTHS)
 
     def cost(self, rpc: RPC) -> float:
         return self.usual(rpc.program) if rpc.work is None else max(1.0, rpc.work)
@@ -89,31 +85,32 @@
 
     def survey(self, workers: list[Worker], now: float) -> None:
         """Once a period: the fleet's average pace, and how wide a worker is for each unit of its size."""
-        kinds: dict[int, list[float]] = {}
+        kinds = {}
         for worker in workers:
+            fresh = [(ms, cost) for at, ms, cost in worker.ratios if now - at < SAMPLE_AGE]
             pool = kinds.setdefault(worker.listing.kind, [0.0, 0.0])
-            for at, ms, expected in worker.ratios:
-                if now - at < SAMPLE_AGE:
-                    pool[0], pool[1] = pool[0] + ms, pool[1] + expected
+            pool[:] = pool[0] + sum(ms for ms, _ in fresh), pool[1] + sum(cost for _, cost in fresh)
         cost = sum(pool[1] for pool in kinds.values())
         if cost:
             self.average = sum(pool[0] for pool in kinds.values()) / cost
             part = cost / KEPT  # a kind little heard of counts as average too
-            self.kinds = {kind: (ms + part * self.average) / (own + part)
-                          for kind, (ms, own) in kinds.items()}
+            self.kinds = {k: (ms + part * self.average) / (own + part) for k, (ms, own) in kinds.items()}
         size = mean([worker.listing.size for worker in workers], 1.0)
         widths = sorted(self.widths)  # waiting for lanes and loads holds RPCs but no core: low samples tell
         self.width_each = widths[int(len(widths) * WIDTH_LOW)] if len(widths) > KEPT else WIDTH_GUESS / size
 
-    def reported(self, worker: Worker, report: dict, own: int) -> None:
+    def reported(self, worker: Worker, values: tuple[float, ...] | None, now: float) -> None:
+        report, own = dict(zip(self.report, values or (), strict=False)), len(worker.out)
+        if report:
+            worker.reports.append((now, report, own))
         share = report.get("busy", 0.0)
         if 0.15 < share < 0.85:  # outside, queues and noise say little of the cores
             held = report["held"] if "held" in report else own * self.front_ends
             self.widths.append(max(1.0, held) / (share * worker.listing.size))
 
-    def loaded(self, place: Place, took: float) -> None:
-        for loads in (place.program.loads, self.loads):
-            loads.append(took)
+    def loaded(self, program: Program, took: float) -> None:
+        program.loads.append(took)
+        self.loads.append(took)
 
     def load_time(self, program: Program) -> float:
         return mean(program.loads, program.load_hint or mean(self.loads, LOAD_GUESS))
@@ -134,7 +131,8 @@
         return run * (1 + ahead / lanes) + self.load_left(place, now) + self.lag(worker, now)
 
     def lag(self, worker: Worker, now: float) -> float:  # a silent worker must not keep a good latency
-        return next((now - call_out.sent for call_out in worker.out if overdue(call_out, now)), 0.0)
+        return next((now - co.sent for co in worker.out
+                     if co.warm and worker.heard <= co.sent and overdue(co, now)), 0.0)
 
     def learn(self, call_out: CallOut, standing: str | None, now: float) -> None:
         """A sample from an ok; one that contains a load says nothing of the worker."""
@@ -148,20 +146,19 @@
 
 
 # ---- fill ----
-PERIOD = 500.0  # ms between fills
-CALLS_WINDOW = 8000.0  # ms over which calls are counted
+PERIOD, CALLS_WINDOW = 500.0, 8000.0  # ms between fills; over which calls are counted
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
 TARGET, BOUND = 0.55, 0.7  # busy share to open workers for, and up to which one worker is filled
+HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
 SLACK, STAY = 1.1, 1.4  # times its even part that a worker is given, times that that it may keep
+NOISE = 1.5  # deviations of the calls counted for a worker that are added to the slack
 RETHINK = 5000.0  # ms after which a program's homes are chosen anew, so that front ends come to agree
 SMALL = 0.15  # of a worker's room: a program that needs less may go over it as a home may
 CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
-CAP = 2  # new holds for each worker and period
+CAP, GRADE = 2, 1.3  # new holds for each worker and period; latency steps by which kinds are told apart
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
-GRADE = 1.3  # latency steps by which kinds are told apart
 LATENCY_WINDOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
-LOST = 4.0  # load times after which a load begun and never heard of counts as lost
-RENEW = 0.7  # of the idle life: when a copy that is still called is renewed
+LOST, RENEW = 4.0, 0.7  # load times after which a load counts as lost; of the idle life: when to renew
 GROWTH, SHRINK = 1.25, 0.7  # of a worker's budget, after a hold in full and after a refusal
 
 
@@ -170,18 +167,13 @@
 
     def __init__(self, latency: Latency, stock: Stock, seat: Seat) -> None:
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
-        self.front_ends = seat.of
-        self.opened: list[Worker] = []
+        self.front_ends, self.opened = seat.of, []
         self.count, self.calm, self.unit = 10**6, 0, 1.0
 
     def whole(self, listing: Listing) -> float:
         return (self.memory[listing.kind:] or self.memory or (0.0,))[0]
 
-    def budget(self, listing: Listing) -> float:
-        return self.whole(listing) / self.front_ends
-
-    def demand(self, program: Program, now: float) -> float:
-        """Lanes busy on average: recent calls times what one takes."""
+    def demand(self, program: Program, now: float) -> float:  # lanes busy on average
         recent = [at for at in program.calls if now - at < CALLS_WINDOW]
         span = now - recent[0] if len(recent) == KEPT_CALLS else CALLS_WINDOW
         return len(recent) / max(span, 1.0) * self.latency.usual(program) * self.latency.average
@@ -211,8 +203,8 @@
         """Our part of the fleet's load: others fill the same workers, so we plan for that part of each."""
         pairs = [(own, r["held"]) for w in workers for _, r, own in w.reports if "held" in r]
         held = sum(held for _, held in pairs)
-        return min(1.0, max(sum(own for own, _ in pairs) / held if held else 0.0, 1 / self.front_ends**2)
-                   ) if pairs else 1 / self.front_ends
+        return min(1.0, max(sum(own for own, _ in pairs) / held, 1 / self.front_ends**2)) if held else (
+            1 / self.front_ends)
 
     def run(self, programs: list[Program], workers: list[Worker], well: list[Worker], now: float) -> None:
         self.latency.survey(workers, now)
@@ -227,41 +219,45 @@
             w.slow = w.slow + 1 if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w) else 0
         slow = {w for w in well if w.slow >= SLOW_AFTER}
         opened = [w for w in self.opened if w in well and w not in slow] or well
-        even = SLACK * sum(demand.values()) / sum(self.carries(w) for w in opened)
+        calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / len(opened)
+        slack = SLACK + NOISE / sqrt(max(calls, 1.0))
+        even = slack * sum(demand.values()) / sum(self.carries(w) for w in opened)
         part = {w: max(even * self.carries(w), BOUND * share * latency.width(w))
                 * (latency.average / latency.pace(w, now) if w in slow else 1.0) for w in well}
         self.unit = max(1e-9, mean([part[w] for w in opened], 1.0))
         room, budget = dict(part), {w: w.budget for w in well}
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened]
                   for p in demand if self.front_ends == 1 or now - p.settled < RETHINK}
+        hot = max(TIRED, HOT * mean([busy_share(w) for w in opened], 0.0))
+        tired = slow | {w for w in well if busy_share(w) > hot}  # all see it: newcomers go elsewhere
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
-            chosen = self.put(program, demand[program], placed.get(program, []), opened, part, room, budget, now)
-            each = lanes[program] / max(1, len(chosen)) / share
+            chosen = self.put(program, demand[program], placed.get(program, []), opened, part, room, budget,
+                              tired, now)
+            each = lanes[program] / len(chosen) / share
             copies = max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
             program.settled = program.settled if program in placed else now
-            each = demand[program] / max(1, len(chosen))
             for worker in chosen:
-                room[worker] -= each
+                room[worker] -= demand[program] / len(chosen)
                 budget[worker] -= program.memory * copies
             for place in [place_of(program, worker) for worker in chosen] and program.places:
                 place.placed, place.wanted = place.worker in chosen, copies
 
     def put(self, program: Program, load: float, placed: list[Worker], opened: list[Worker], part: dict,
-            room: dict, budget: dict, now: float) -> list[Worker]:
+            room: dict, budget: dict, tired: set, now: float) -> list[Worker]:
         """One program's workers: those it has first, then by lot among the low-latency workers with room."""
         need = max(1, ceil(load / self.unit))
         if load > (len(placed) - 1) * self.unit * CLOSE:
             need = max(need, len(placed))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
-        order = sorted((w for w in opened if w not in chosen), key=lambda w: lot(program, w))
+        homes = {place.worker for place in program.places if place.placed}
+        order = sorted((w for w in opened if w not in chosen and (w in homes or w not in tired)),
+                       key=lambda w: lot(program, w))
         leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
         roomy = [w for w in order if room[w] + leeway * part[w] >= load / need]
         roomy.sort(key=lambda w: budget[w] < program.memory and w not in stands)  # within budget first
         chosen += roomy[:need - len(chosen)]
-        if not chosen:
-            chosen = placed[:need] or sorted(order or opened, key=lambda w: (-room[w], lot(program, w)))[:1]
-        return chosen
+        return chosen or placed[:need] or [max(order or opened, key=lambda w: (room[w], -lot(program, w)))]
 
     def holds(self, programs: list[Program], now: float) -> list[tuple[Place, int, bool]]:
         """Loads to order ahead and copies to renew, most called first: place, copies, whether renewal."""
@@ -283,8 +279,7 @@
 
 
 # ---- dispatch ----
-TIE = 1.02  # latencies within this factor are a tie
-FULL_WAIT = 250.0  # ms for which a place that answered full is passed over
+TIE, FULL_WAIT = 1.02, 250.0  # latencies within this factor tie; ms a place that answered full is left
 
 
 def has_room(worker: Worker, program: Program, memory: float, now: float) -> bool:
@@ -336,12 +331,12 @@
     if outcome != "ok" or not call_out.warm:
         return
     if call_out.sent >= worker.lowered:  # what was sent before the last cut says nothing of it
-        worker.spent.append((now - call_out.sent) / call_out.rpc.method.soft)
-    spent = mean(worker.spent, 0.0)
+        worker.spent.append(((now - call_out.sent) / call_out.rpc.method.soft, call_out.beside))
+    spent = mean([share for share, _ in worker.spent], 0.0)
     full = not worker.reports or worker.reports[-1][1].get("busy", 1.0) >= FULL_CORES
     if len(worker.spent) == JUDGED and spent > EARLY and full:  # else it was lanes or loads that kept them
-        worker.limit = max(LIMIT_LEAST, min(worker.limit, working(worker, now)) * max(LESS, EARLY / spent))
-        worker.lowered = now
+        used = min(worker.limit, 1 + mean([beside for _, beside in worker.spent], 0.0))
+        worker.limit, worker.lowered = max(LIMIT_LEAST, used * max(LESS, EARLY / spent)), now
         worker.spent.clear()
     elif working(worker, now) >= worker.limit * NEAR and spent <= EARLY:
         worker.limit += 1 / worker.limit
@@ -397,9 +392,8 @@
         return False
     if not ran or method.effect == "idempotent":
         return True
-    rows = [call_out.place.worker.listing for call_out in ran]
-    same = (method.scope == "all" or method.scope == "zone" and all(r.zone == row.zone for r in rows)
-            or method.scope == "cell" and all(r.cell == row.cell for r in rows))
+    same = all(method.scope == "all" or getattr(co.place.worker.listing, method.scope)
+               == getattr(row, method.scope) for co in ran)
     return method.effect == "tokened" and same and now < ran[0].sent + method.window
 
 
@@ -409,8 +403,7 @@
 
 
 # ---- guards ----
-COLD_MARGIN = 0.6  # of what a cold worker is reckoned to stand
-BUSY_LEAST = 0.3  # busy share below which a report says little of what a worker could carry
+COLD_MARGIN, BUSY_LEAST = 0.6, 0.3  # of what a cold worker is reckoned to stand; least busy share believed
 CARRIED = 5000.0  # ms over which it is counted what the others carry
 RATION_KEPT = 0.34  # of the ration that renewals leave to new holds
 
@@ -461,8 +454,7 @@
 
 # ---- FrontEnd ----
 FORGET = 3  # idle lives after its last call when a program is forgotten
-TICK = 50.0  # ms between looks at what waits and what is overdue
-PROBE_EVERY = 1000.0  # ms between probes of a worker, where reports come by probe alone
+TICK, PROBE_EVERY = 50.0, 1000.0  # ms between looks at what waits; between probes of a silent worker
 
 
 class FrontEnd:
@@ -473,11 +465,9 @@
         self.now, self.methods, self.seat, self.stock = now, methods, seat, stock
         for method in methods:
             method.times = deque(maxlen=KEPT)
-        self.notes: deque[str] = deque()
-        self.workers: dict[str, Worker] = {}
-        self.programs: dict[str, Program] = {}
-        self.rpcs: dict[int, RPC] = {}
-        self.todo, self.waiting, self.orders, self.acts = deque(), [], deque(), deque()
+        self.workers, self.programs, self.rpcs = {}, {}, {}
+        self.notes, self.todo, self.waiting = deque(), deque(), []
+        self.orders, self.acts = deque(), deque()
         self.allowance, self.directory, self.chance = allowance, directory, Chance(seed)
         self.latency = Latency(stock, seat)
         self.fill = Fill(self.latency, stock, seat)
@@ -493,7 +483,7 @@
             worker = self.workers.setdefault(row.ident, Worker(row))
             if not worker.budget or row.born != worker.listing.born:  # new, or the same id and empty
                 empty(worker)
-                worker.budget, worker.cold_from = self.fill.budget(row), row.born
+                worker.budget, worker.cold_from = self.fill.whole(row) / self.seat.of, row.born
                 worker.ratios, worker.results = deque(maxlen=KEPT_RATIOS), deque(maxlen=KEPT // 2)
                 worker.reports, worker.shuns, worker.shun_until = deque(maxlen=KEPT // 2), 0, 0.0
                 worker.limit, worker.spent = LIMIT_START, deque(maxlen=JUDGED)
@@ -539,7 +529,7 @@
             self.latency.learn(call_out, standing, now)
             self.guards.carried.append((now, self.guards.weight(rpc), worker))
             if place.loading is not None and standing in ("began", None) and not call_out.warm:
-                self.latency.loaded(place, max(1.0, now - place.loading - self.latency.cost(rpc)))
+                self.latency.loaded(rpc.program, max(1.0, now - place.loading - self.latency.cost(rpc)))
             place.standing, place.used, place.loading = max(1, place.standing), now, None
         elif outcome == "miss":
             place.standing, place.loading = 0, None
@@ -551,19 +541,13 @@
             empty(worker)
         if not (outcome == "timeout" and now >= rpc.ends - 1.0 and not call_out.warm):
             self.health.saw(worker, outcome, now)
-        self.reported(worker, report)
+        self.latency.reported(worker, report, now)
         if rpc.closed and all(co.outcome for co in rpc.call_outs):
             self.rpcs.pop(ident, None)
         elif not rpc.closed and not rpc.queued:
             rpc.queued = True
             self.todo.append(rpc)
 
-    def reported(self, worker: Worker, report: tuple[float, ...] | None) -> None:
-        if report:
-            named = dict(zip(self.seat.report, report, strict=False))
-            worker.reports.append((self.now, named, len(worker.out)))
-            self.latency.reported(worker, named, len(worker.out))
-
     def left(self, ident: int) -> None:
         if rpc := self.rpcs.get(ident):
             self.close(rpc)
@@ -577,13 +561,13 @@
 
     def held(self, worker_ident: str, name: str, outcome: str, copies: int, took: float) -> None:
         now, worker, program = self.now, self.workers.get(worker_ident), self.programs.get(name)
-        if not worker or program not in worker.places:
+        place = worker and worker.places.get(program)
+        if place is None:
             return
-        place = worker.places[program]
         place.ordered = place.loading = None
         if outcome == "ok":
             if not place.standing and took > LOAD_LEAST:
-                self.latency.loaded(place, took)
+                self.latency.loaded(program, took)
             worker.heard, place.standing, place.used = now, copies, now
             worker.budget = min(worker.budget * GROWTH, self.fill.whole(worker.listing))
         elif outcome in ("full", "error"):
@@ -595,7 +579,7 @@
     def probed(self, ident: str, outcome: str, report: tuple[float, ...] | None) -> None:
         if ident in self.workers:
             worker = self.workers[ident]
-            self.reported(worker, report)
+            self.latency.reported(worker, report, self.now)
             if outcome == "unreached":
                 self.health.saw(worker, outcome, self.now)
 
@@ -608,9 +592,8 @@
             self.tick(now)
         while not (self.notes or self.acts) and (self.todo or self.orders):
             self.settle(self.todo.popleft(), now) if self.todo else self.order(*self.orders.popleft(), now)
-        if self.notes:
-            return "note", self.notes.popleft()
-        return self.acts.popleft() if self.acts else None
+        acts = self.acts
+        return ("note", self.notes.popleft()) if self.notes else acts.popleft() if acts else None
 
     def tick(self, now: float) -> None:
         self.next_tick = self.wake_at = now + TICK
@@ -648,9 +631,8 @@
 
     def forget_old(self, now: float) -> None:
         """Programs wanted once must not stay in the books for ever."""
-        for program in list(self.programs.values()):
-            called = now - program.called < FORGET * self.stock.idle_life
-            if not called and not any(p.out for p in program.places):
+        for program in [p for p in self.programs.values() if now - p.called > FORGET * self.stock.idle_life]:
+            if not any(place.out for place in program.places):
                 forget(list(program.places))
                 del self.programs[program.name]
 
@@ -683,7 +665,7 @@
         warm = latency.stands(place, now)
         lanes = max(1, place.standing) * rpc.program.lanes
         call_out = CallOut(rpc, len(rpc.call_outs), place, now, latency.expect(place, rpc, now), warm,
-                           max(0, place.out + 1 - lanes))
+                           max(0, place.out + 1 - lanes), working(worker, now))
         begin(call_out)
         if self.guards.cold(worker, now):
             worker.sends.append((now, self.guards.weight(rpc)))
