--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -42,11 +42,11 @@
 COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
 LOAD_GUESS, LOAD_LEAST = 1000.0, 50.0  # ms a load takes until one was seen; under which nothing was loaded
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
-OVERDUE, OVERDUE_LEAST = 5.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
+OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
 
 def overdue(call_out: CallOut, now: float) -> bool:
-    return now - call_out.sent > max(OVERDUE_LEAST, OVERDUE * call_out.expected)
+    return now - call_out.sent > max(OVERDUE_LEAST, (OVERDUE if call_out.warm else 1.0) * call_out.expected)
 
 
 def working(worker: Worker, now: float) -> int:
@@ -295,6 +295,7 @@
     """The placed worker of lowest latency; for an unplaced program a random one with room."""
     program, able = rpc.program, set(usable)
     tried = {call_out.place.worker for call_out in rpc.call_outs}
+    able -= {call_out.place.worker for call_out in rpc.call_outs if call_out.cancelled}
     roomy = {w for w in usable if has_room(w, program, memory(w.listing), now)}
     known = [p for p in program.places if p.worker in able and p.full_until <= now
              and working(p.worker, now) < p.worker.limit]
@@ -308,7 +309,7 @@
             return ties[chance.below(len(ties))]
     if any(latency.stands(p, now) for p in program.places if p.worker in able):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
-    free = [w for w in usable if w in roomy and working(w, now) < w.limit]
+    free = [w for w in usable if w in able and w in roomy and working(w, now) < w.limit]
     free = [w for w in free if w not in tried] or free
     low = [w for w in free if w in opened and not latency.lag(w, now)] or free
     return place_of(program, min(low, key=lambda w: lot(program, w))) if low else None
@@ -370,7 +371,7 @@
         """It takes RPCs and says nothing: what is out, in multiples of its due, is too much for chance."""
         ages = [(now - co.sent) / max(co.expected, SILENT_LEAST) for co in worker.out
                 if co.warm and worker.heard <= co.sent]
-        return sum(min(age, SILENT_ONE) for age in ages) >= (SILENT / 2 if worker.shuns else SILENT)
+        return sum(min(age, SILENT_ONE) for age in ages) >= (OVERDUE if worker.shuns else SILENT)
 
     def shun(self, worker: Worker, now: float, why: str) -> None:
         worker.shun_until = now + min(SHUN_MOST, SHUN * 2**worker.shuns)
@@ -600,11 +601,12 @@
         if not self.followed:
             self.acts.append(("follow_list", True))
         self.followed = True
+        for worker in self.workers.values():
+            self.rescue(worker, now)
         ready = [w for w in self.workers.values() if w.listing.state == "ready"]
         for worker in ready:
             if worker.shun_until <= now and self.health.silent(worker, now):
                 self.health.shun(worker, now, f"silent with {len(worker.out)} out")
-                self.recall(worker, now)
             said = worker.reports[-1][0] if worker.reports else 0.0
             if self.allowance.probe and now - max(said, worker.probe_sent) >= PROBE_EVERY:
                 worker.probe_sent = now
@@ -621,11 +623,16 @@
             if ready and self.stock.may_hold:
                 self.orders = deque(self.fill.holds(programs, now))
 
-    def recall(self, worker: Worker, now: float) -> None:
+    def rescue(self, worker: Worker, now: float) -> None:
+        # Danger: an RPC sits out its time at a worker that hangs, or waits for a load while a copy stands
+        # elsewhere. Should also catch lost answers. Could hurt where a worker is only slow: work is wasted.
         for call_out in worker.out if self.allowance.cancel else ():
-            rpc = call_out.rpc
+            rpc, silent = call_out.rpc, worker.heard <= call_out.sent
             if (not rpc.closed and not call_out.cancelled and rpc.method.effect == "idempotent"
-                    and len(rpc.call_outs) < self.allowance.call_outs):
+                    and len(rpc.call_outs) < self.allowance.call_outs
+                    and (silent and worker.shun_until > now or overdue(call_out, now))
+                    and (silent or any(p.worker is not worker and self.latency.stands(p, now)
+                                       and self.health.usable(p.worker, now) for p in rpc.program.places))):
                 call_out.cancelled = True
                 self.acts.append(("cancel", call_out))
 
