--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -630,8 +630,9 @@
             rpc, silent = call_out.rpc, worker.heard <= call_out.sent
             if (not rpc.closed and not call_out.cancelled and rpc.method.effect == "idempotent"
                     and len(rpc.call_outs) < self.allowance.call_outs
-                    and (silent and worker.shun_until > now or overdue(call_out, now))
-                    and (silent or any(p.worker is not worker and self.latency.stands(p, now)
+                    and (silent and (worker.shun_until > now  # or longer than a load would have taken
+                                     or now - call_out.sent > 2 * self.latency.load_time(rpc.program))
+                         or overdue(call_out, now) and any(p.worker is not worker and self.latency.stands(p, now)
                                        and self.health.usable(p.worker, now) for p in rpc.program.places))):
                 call_out.cancelled = True
                 self.acts.append(("cancel", call_out))
