--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -356,14 +356,15 @@
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
         if outcome in ("ok", "error", "full", "miss"):
             worker.heard = now
-        if outcome == "ok" and worker.shuns:
-            self.note(f"worker {worker.listing.ident} answers again after {worker.shuns} shuns")
-            worker.shuns, worker.shun_until = 0, 0.0
-        if outcome in ("ok", "error", "cut", "unreached"):
+        if outcome == "ok" and worker.shuns and worker.shun_until <= now:  # not one sent before
+            worker.shuns -= 1
+            if not worker.shuns:
+                self.note(f"worker {worker.listing.ident} answers again")
+        if outcome in ("ok", "error", "cut", "unreached", "silent"):
             worker.results.append((now, outcome == "ok"))
         recent = [good for at, good in worker.results if now - at < BAD_AGE]
         bad = recent.count(False)
-        if worker.shun_until <= now and (outcome == "unreached" or outcome != "ok" and (
+        if worker.shun_until <= now and (outcome == "unreached" or outcome not in ("ok", "late") and (
                 bad >= BAD_LEAST and bad > BAD_SHARE * len(recent) or bad and worker.shuns)):
             self.shun(worker, now, f"{outcome}, {bad} of {len(recent)} bad")
 
@@ -540,8 +541,9 @@
                 worker.crammed = now + FULL_WAIT
         elif outcome in ("unreached", "cut"):
             empty(worker)
-        if not (outcome == "timeout" and now >= rpc.ends - 1.0 and not call_out.warm):
-            self.health.saw(worker, outcome, now)
+        if outcome in ("timeout", "cancelled"):
+            outcome = "silent" if call_out.warm and worker.heard <= call_out.sent else "late"
+        self.health.saw(worker, outcome, now)
         self.latency.reported(worker, report, now)
         if rpc.closed and all(co.outcome for co in rpc.call_outs):
             self.rpcs.pop(ident, None)
@@ -628,12 +630,14 @@
         # elsewhere. Should also catch lost answers. Could hurt where a worker is only slow: work is wasted.
         for call_out in worker.out if self.allowance.cancel else ():
             rpc, silent = call_out.rpc, worker.heard <= call_out.sent
-            if (not rpc.closed and not call_out.cancelled and rpc.method.effect == "idempotent"
-                    and len(rpc.call_outs) < self.allowance.call_outs
-                    and (silent and (worker.shun_until > now  # or longer than a load would have taken
-                                     or now - call_out.sent > 2 * self.latency.load_time(rpc.program))
-                         or overdue(call_out, now) and any(p.worker is not worker and self.latency.stands(p, now)
-                                       and self.health.usable(p.worker, now) for p in rpc.program.places))):
+            if (rpc.closed or call_out.cancelled or rpc.method.effect != "idempotent"
+                    or len(rpc.call_outs) >= self.allowance.call_outs):
+                continue
+            elsewhere = overdue(call_out, now) and any(
+                p.worker is not worker and self.latency.stands(p, now) and self.health.usable(p.worker, now)
+                for p in rpc.program.places)
+            patience = 2 * self.latency.load_time(rpc.program)  # a copy pushed out would have loaded by then
+            if elsewhere or silent and (worker.shun_until > now or now - call_out.sent > patience):
                 call_out.cancelled = True
                 self.acts.append(("cancel", call_out))
 
