--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -123,6 +123,7 @@
     reports: deque = field(default_factory=deque)
     sends: deque = field(default_factory=deque)
     out: list["CallOut"] = field(default_factory=list)
+    fled: list["CallOut"] = field(default_factory=list)
     places: dict["Program", "Place"] = field(default_factory=dict)
     shun_until: float = 0.0
     shuns: int = 0
@@ -200,7 +201,7 @@
     crowd: int
     beside: int
     outcome: str | None = None
-    cancelled: bool = False
+    fled: float = 0.0
 
 
 def place_of(program: Program, worker: Worker) -> Place:
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -295,7 +295,7 @@
     """The placed worker of lowest latency; for an unplaced program a random one with room."""
     program, able = rpc.program, set(usable)
     tried = {call_out.place.worker for call_out in rpc.call_outs}
-    able -= {call_out.place.worker for call_out in rpc.call_outs if call_out.cancelled}
+    able -= {call_out.place.worker for call_out in rpc.call_outs if call_out.fled}
     roomy = {w for w in usable if has_room(w, program, memory(w.listing), now)}
     known = [p for p in program.places if p.worker in able and p.full_until <= now
              and working(p.worker, now) < p.worker.limit]
@@ -355,22 +355,22 @@
 
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
         if outcome in ("ok", "error", "full", "miss"):
-            worker.heard = now
+            worker.heard, worker.fled = now, []
         if outcome == "ok" and worker.shuns and worker.shun_until <= now:  # not one sent before
             worker.shuns -= 1
             if not worker.shuns:
                 self.note(f"worker {worker.listing.ident} answers again")
-        if outcome in ("ok", "error", "cut", "unreached", "silent"):
+        if outcome in ("ok", "error", "cut", "unreached"):
             worker.results.append((now, outcome == "ok"))
         recent = [good for at, good in worker.results if now - at < BAD_AGE]
         bad = recent.count(False)
-        if worker.shun_until <= now and (outcome == "unreached" or outcome not in ("ok", "late") and (
+        if worker.shun_until <= now and (outcome == "unreached" or outcome not in ("ok", "timeout", "cancelled") and (
                 bad >= BAD_LEAST and bad > BAD_SHARE * len(recent) or bad and worker.shuns)):
             self.shun(worker, now, f"{outcome}, {bad} of {len(recent)} bad")
 
     def silent(self, worker: Worker, now: float) -> bool:
         """It takes RPCs and says nothing: what is out, in multiples of its due, is too much for chance."""
-        ages = [(now - co.sent) / max(co.expected, SILENT_LEAST) for co in worker.out
+        ages = [((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST) for co in worker.fled + worker.out
                 if co.warm and worker.heard <= co.sent]
         return sum(min(age, SILENT_ONE) for age in ages) >= (OVERDUE if worker.shuns else SILENT)
 
@@ -541,8 +541,6 @@
                 worker.crammed = now + FULL_WAIT
         elif outcome in ("unreached", "cut"):
             empty(worker)
-        if outcome in ("timeout", "cancelled"):
-            outcome = "silent" if call_out.warm and worker.heard <= call_out.sent else "late"
         self.health.saw(worker, outcome, now)
         self.latency.reported(worker, report, now)
         if rpc.closed and all(co.outcome for co in rpc.call_outs):
@@ -630,7 +628,7 @@
         # elsewhere. Should also catch lost answers. Could hurt where a worker is only slow: work is wasted.
         for call_out in worker.out if self.allowance.cancel else ():
             rpc, silent = call_out.rpc, worker.heard <= call_out.sent
-            if (rpc.closed or call_out.cancelled or rpc.method.effect != "idempotent"
+            if (rpc.closed or call_out.fled or rpc.method.effect != "idempotent"
                     or len(rpc.call_outs) >= self.allowance.call_outs):
                 continue
             elsewhere = overdue(call_out, now) and any(
@@ -638,7 +636,8 @@
                 for p in rpc.program.places)
             patience = 2 * self.latency.load_time(rpc.program)  # a copy pushed out would have loaded by then
             if elsewhere or silent and (worker.shun_until > now or now - call_out.sent > patience):
-                call_out.cancelled = True
+                call_out.fled = now
+                worker.fled.append(call_out)
                 self.acts.append(("cancel", call_out))
 
     def forget_old(self, now: float) -> None:
