--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -364,19 +364,20 @@
             worker.results.append((now, outcome == "ok"))
         recent = [good for at, good in worker.results if now - at < BAD_AGE]
         bad = recent.count(False)
-        if worker.shun_until <= now and (outcome == "unreached" or outcome not in ("ok", "timeout", "cancelled") and (
+        told = outcome not in ("ok", "timeout", "cancelled")
+        if worker.shun_until <= now and (outcome == "unreached" or told and (
                 bad >= BAD_LEAST and bad > BAD_SHARE * len(recent) or bad and worker.shuns)):
             self.shun(worker, now, f"{outcome}, {bad} of {len(recent)} bad")
 
     def silent(self, worker: Worker, now: float) -> bool:
         """It takes RPCs and says nothing: what is out, in multiples of its due, is too much for chance."""
-        ages = [((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST) for co in worker.fled + worker.out
-                if co.warm and worker.heard <= co.sent]
+        ages = [((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST)
+                for co in worker.fled + worker.out if co.warm and worker.heard <= co.sent]
         return sum(min(age, SILENT_ONE) for age in ages) >= (OVERDUE if worker.shuns else SILENT)
 
     def shun(self, worker: Worker, now: float, why: str) -> None:
         worker.shun_until = now + min(SHUN_MOST, SHUN * 2**worker.shuns)
-        worker.shuns += 1
+        worker.shuns, worker.fled = worker.shuns + 1, []  # what they waited has been counted
         self.note(f"worker {worker.listing.ident} shunned for {worker.shun_until - now:.0f} ms: {why}")
 
 
