--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -320,7 +320,7 @@
 FULL_CORES = 0.85  # busy share from which late answers tell of the worker's own queue
 LESS, NEAR = 0.5, 0.7  # least that a cut leaves of the limit; part of the limit in use before it grows
 LIMIT_START, LIMIT_LEAST = 8.0, 1.0  # call-outs out to one worker
-SHUN, SHUN_MOST = 1500.0, 8000.0  # ms for which a worker is left alone: at first, doubled each time up to
+SHUN, SHUN_MOST = 1500.0, 4000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
 SILENT, SILENT_ONE, SILENT_LEAST = 26.0, 6.0, 80.0  # dues in all; of one call-out; ms of the least due
 
@@ -346,8 +346,8 @@
 class Health:
     """Whom not to send to. Judged by symptom, whatever the cause: unreachable, failing or silent."""
 
-    def __init__(self, note) -> None:
-        self.note = note
+    def __init__(self, note, latency: Latency) -> None:
+        self.note, self.latency = note, latency
 
     def usable(self, worker: Worker, now: float) -> bool:
         """After being shunned a worker is on trial: one call-out at a time until an ok."""
@@ -371,9 +371,16 @@
 
     def silent(self, worker: Worker, now: float) -> bool:
         """It takes RPCs and says nothing: what is out, in multiples of its due, is too much for chance."""
-        ages = [((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST)
-                for co in worker.fled + worker.out if co.warm and worker.heard <= co.sent]
-        return sum(min(age, SILENT_ONE) for age in ages) >= (OVERDUE if worker.shuns else SILENT)
+        out = [co for co in worker.fled + worker.out if worker.heard <= co.sent]
+        if worker.shuns:
+            return any(self.given_up(co, now) for co in out)
+        return SILENT <= sum(min(SILENT_ONE, ((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST))
+                             for co in out if co.warm)
+
+    def given_up(self, call_out: CallOut, now: float) -> bool:
+        """Silent for longer than a copy that was pushed out would have taken to load again."""
+        return (call_out.place.worker.heard <= call_out.sent
+                and now - call_out.sent > 2 * self.latency.load_time(call_out.rpc.program))
 
     def shun(self, worker: Worker, now: float, why: str) -> None:
         worker.shun_until = now + min(SHUN_MOST, SHUN * 2**worker.shuns)
@@ -474,7 +481,7 @@
         self.allowance, self.directory, self.chance = allowance, directory, Chance(seed)
         self.latency = Latency(stock, seat)
         self.fill = Fill(self.latency, stock, seat)
-        self.health = Health(self.notes.append)
+        self.health = Health(self.notes.append, self.latency)
         self.guards = Guards(warmup, ration)
         self.next_fill = self.next_tick = self.wake_at = now
         self.followed = directory.pushed
@@ -635,8 +642,7 @@
             elsewhere = overdue(call_out, now) and any(
                 p.worker is not worker and self.latency.stands(p, now) and self.health.usable(p.worker, now)
                 for p in rpc.program.places)
-            patience = 2 * self.latency.load_time(rpc.program)  # a copy pushed out would have loaded by then
-            if elsewhere or silent and (worker.shun_until > now or now - call_out.sent > patience):
+            if elsewhere or silent and worker.shun_until > now or self.health.given_up(call_out, now):
                 call_out.fled = now
                 worker.fled.append(call_out)
                 self.acts.append(("cancel", call_out))
