--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -297,6 +297,9 @@
     tried = {call_out.place.worker for call_out in rpc.call_outs}
     able -= {call_out.place.worker for call_out in rpc.call_outs if call_out.fled}
     roomy = {w for w in usable if has_room(w, program, memory(w.listing), now)}
+    trial = [w for w in usable if w.shuns and not rpc.call_outs and rpc.method.effect == "idempotent"]
+    if trial:  # homes come back only after an answer
+        return place_of(program, min(trial, key=lambda w: lot(program, w)))
     known = [p for p in program.places if p.worker in able and p.full_until <= now
              and working(p.worker, now) < p.worker.limit]
     standing = [p for p in known if latency.stands(p, now)]
@@ -627,7 +630,7 @@
             programs = list(self.programs.values())
             self.guards.survey(now)
             if ready:
-                self.fill.run(programs, ready, [w for w in ready if w.shun_until <= now] or ready, now)
+                self.fill.run(programs, ready, [w for w in ready if not w.shuns] or ready, now)
             if ready and self.stock.may_hold:
                 self.orders = deque(self.fill.holds(programs, now))
 
