--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -109,11 +109,11 @@
             self.widths.append(max(1.0, held) / (share * worker.listing.size))
 
     def loaded(self, program: Program, took: float) -> None:
-        program.loads.append(took)
-        self.loads.append(took)
+        for loads in (program.loads, self.loads) if took > LOAD_LEAST else ():  # else a copy stood, unknown
+            loads.append(took)
 
     def load_time(self, program: Program) -> float:
-        return mean(program.loads, program.load_hint or mean(self.loads, LOAD_GUESS))
+        return max(program.load_hint, mean(program.loads, program.load_hint or mean(self.loads, LOAD_GUESS)))
 
     def stands(self, place: Place, now: float) -> bool:
         return place.standing > 0 and (place.out > 0 or now - place.used < self.idle_life)
@@ -542,7 +542,7 @@
             self.latency.learn(call_out, standing, now)
             self.guards.carried.append((now, self.guards.weight(rpc), worker))
             if place.loading is not None and standing in ("began", None) and not call_out.warm:
-                self.latency.loaded(rpc.program, max(1.0, now - place.loading - self.latency.cost(rpc)))
+                self.latency.loaded(rpc.program, now - place.loading - self.latency.cost(rpc))
             place.standing, place.used, place.loading = max(1, place.standing), now, None
         elif outcome == "miss":
             place.standing, place.loading = 0, None
@@ -578,7 +578,7 @@
             return
         place.ordered = place.loading = None
         if outcome == "ok":
-            if not place.standing and took > LOAD_LEAST:
+            if not place.standing:
                 self.latency.loaded(program, took)
             worker.heard, place.standing, place.used = now, copies, now
             worker.budget = min(worker.budget * GROWTH, self.fill.whole(worker.listing))
