--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -642,7 +642,10 @@
             if (rpc.closed or call_out.fled or rpc.method.effect != "idempotent"
                     or len(rpc.call_outs) >= self.allowance.call_outs):
                 continue
-            if silent and worker.shun_until > now or self.health.given_up(call_out, now):
+            elsewhere = silent and overdue(call_out, now) and any(
+                p.worker is not worker and self.latency.stands(p, now) and self.health.usable(p.worker, now)
+                for p in rpc.program.places)
+            if elsewhere or silent and worker.shun_until > now or self.health.given_up(call_out, now):
                 call_out.fled = now
                 worker.fled.append(call_out)
                 self.acts.append(("cancel", call_out))
