--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -128,6 +128,7 @@
     shun_until: float = 0.0
     shuns: int = 0
     slow: int = 0
+    mute: int = 0
     crammed: float = 0.0
     heard: float = 0.0
     probe_sent: float = 0.0
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -326,6 +326,7 @@
 SHUN, SHUN_MOST = 1500.0, 4000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
 SILENT, SILENT_ONE, SILENT_LEAST = 26.0, 6.0, 80.0  # dues in all; of one call-out; ms of the least due
+MUTE = 9.0  # dues that a probe without an answer counts for
 
 
 def paced(call_out: CallOut, outcome: str, now: float) -> None:
@@ -354,11 +355,11 @@
 
     def usable(self, worker: Worker, now: float) -> bool:
         """After being shunned a worker is on trial: one call-out at a time until an ok."""
-        return worker.shun_until <= now and not (worker.shuns and worker.out)
+        return worker.shun_until <= now and not (worker.shuns and (worker.out or worker.mute))
 
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
         if outcome in ("ok", "error", "full", "miss"):
-            worker.heard, worker.fled = now, []
+            worker.heard, worker.fled, worker.mute = now, [], 0
         if outcome == "ok" and worker.shuns and worker.shun_until <= now:  # not one sent before
             worker.shuns -= 1
             if not worker.shuns:
@@ -377,8 +378,8 @@
         out = [co for co in worker.fled + worker.out if worker.heard <= co.sent]
         if worker.shuns:
             return any(self.given_up(co, now) for co in out)
-        return SILENT <= sum(min(SILENT_ONE, ((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST))
-                             for co in out if co.warm)
+        return SILENT <= MUTE * worker.mute + sum(min(SILENT_ONE, ((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST))
+                                                  for co in out if co.warm)
 
     def given_up(self, call_out: CallOut, now: float) -> bool:
         """Silent for longer than a copy that was pushed out would have taken to load again."""
@@ -592,6 +593,7 @@
         if ident in self.workers:
             worker = self.workers[ident]
             self.latency.reported(worker, report, self.now)
+            worker.mute = worker.mute + 1 if outcome == "timeout" else 0
             if outcome == "unreached":
                 self.health.saw(worker, outcome, self.now)
 
@@ -642,12 +644,9 @@
             if (rpc.closed or call_out.fled or rpc.method.effect != "idempotent"
                     or len(rpc.call_outs) >= self.allowance.call_outs):
                 continue
-            elsewhere = silent and overdue(call_out, now) and any(
-                p.worker is not worker and self.latency.stands(p, now) and self.health.usable(p.worker, now)
-                for p in rpc.program.places)
-            if elsewhere or silent and worker.shun_until > now or self.health.given_up(call_out, now):
+            if silent and worker.shun_until > now or self.health.given_up(call_out, now):
                 call_out.fled = now
-                worker.fled.append(call_out)
+                worker.fled += [call_out] if worker.shun_until <= now else []
                 self.acts.append(("cancel", call_out))
 
     def forget_old(self, now: float) -> None:
