--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -335,8 +335,9 @@
     worker = call_out.place.worker
     if outcome != "ok" or not call_out.warm:
         return
-    if call_out.sent >= worker.lowered:  # what was sent before the last cut says nothing of it
-        worker.spent.append(((now - call_out.sent) / call_out.rpc.method.soft, call_out.beside))
+    if call_out.sent < worker.lowered:  # what was sent before the last cut says nothing of it
+        return
+    worker.spent.append(((now - call_out.sent) / call_out.rpc.method.soft, call_out.beside))
     spent = mean([share for share, _ in worker.spent], 0.0)
     full = not worker.reports or worker.reports[-1][1].get("busy", 1.0) >= FULL_CORES
     if len(worker.spent) == JUDGED and spent > EARLY and full:  # else it was lanes or loads that kept them
@@ -378,8 +379,8 @@
         out = [co for co in worker.fled + worker.out if worker.heard <= co.sent]
         if worker.shuns:
             return any(self.given_up(co, now) for co in out)
-        return SILENT <= MUTE * worker.mute + sum(min(SILENT_ONE, ((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST))
-                                                  for co in out if co.warm)
+        dues = [((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST) for co in out if co.warm]
+        return SILENT <= MUTE * worker.mute + sum(min(SILENT_ONE, due) for due in dues)
 
     def given_up(self, call_out: CallOut, now: float) -> bool:
         """Silent for longer than a copy that was pushed out would have taken to load again."""
