--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -594,6 +594,8 @@
         if ident in self.workers:
             worker = self.workers[ident]
             self.latency.reported(worker, report, self.now)
+            if outcome == "ok" and worker.mute:  # it speaks again: try it now
+                worker.shun_until = min(worker.shun_until, self.now)
             worker.mute = worker.mute + 1 if outcome == "timeout" else 0
             if outcome == "unreached":
                 self.health.saw(worker, outcome, self.now)
