--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -1,10 +1,9 @@
 """Every decision of a wickdyke front end, with its tables and tuned values.
 
-A host makes one FrontEnd at start and tells it the time (woke) and what happens: listed, took, ended, held,
-probed, left. These only update the books. The host then calls decide() until it returns None; a decision is a
-plain tuple of a verb (call, cancel, deny, abort, hold, probe, follow_list, note) and objects of
-wickdyke/interface.py, where the shared plain types stand. wake_at is the next time to call woke. Times are
-float ms on the host's clock; ids are used only at this door.
+A host makes a FrontEnd, tells it the time (woke) and what happens (listed, took, ended, held, probed, left):
+these only update the books. Then it calls decide() until that returns None: plain tuples of a verb (call,
+cancel, deny, abort, hold, probe, follow_list, note) and objects of wickdyke/interface.py, where the shared
+types stand. wake_at is when to call woke next. Times are float ms of the host; ids stay at this door.
 """
 
 from collections import deque
@@ -33,6 +32,10 @@
     return sum(samples) / len(samples) if samples else absent
 
 
+def lanes(place: Place) -> int:
+    return max(1, place.standing) * place.program.lanes
+
+
 def busy_share(worker: Worker) -> float:
     return mean([report.get("busy", 0.0) for _, report, _ in worker.reports], 0.0)
 
@@ -40,7 +43,7 @@
 # ---- latency ----
 SAMPLE_AGE, PRIOR = 15000.0, 6.0  # ms for which samples count; samples' worth of its kind's in each pace
 COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
-LOAD_GUESS, LOAD_LEAST = 1000.0, 50.0  # ms a load takes until one was seen; under which nothing was loaded
+LOAD_GUESS, LOAD_LEAST = 1000.0, 50.0  # ms a load takes until one was seen; under which none was
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
 OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
@@ -71,10 +74,9 @@
         return (sum(program.times) + usual) / (len(program.times) + 1)
 
     def pace(self, worker: Worker, now: float) -> float:
-        """Time taken for each ms of cost; shrunk to its kind's, so an unheard worker counts as average."""
-        fresh = [(ms, cost) for at, ms, cost in worker.ratios if now - at < SAMPLE_AGE]
-        took, cost = (sum(sample) for sample in zip(*fresh, strict=True)) if fresh else (0.0, 0.0)
-        prior = PRIOR * cost / len(fresh) if fresh else 1.0
+        fresh = [(ms, cost) for at, ms, cost in worker.ratios if now - at < SAMPLE_AGE] or [(0.0, 0.0)]
+        took, cost = (sum(sample) for sample in zip(*fresh, strict=True))
+        prior = PRIOR * cost / len(fresh) or 1.0  # so an unheard worker counts as average
         return (took + prior * self.usual_pace(worker)) / (cost + prior)
 
     def usual_pace(self, worker: Worker) -> float:
@@ -84,7 +86,6 @@
         return max(1.0, self.width_each * worker.listing.size)
 
     def survey(self, workers: list[Worker], now: float) -> None:
-        """Once a period: the fleet's average pace, and how wide a worker is for each unit of its size."""
         kinds = {}
         for worker in workers:
             fresh = [(ms, cost) for at, ms, cost in worker.ratios if now - at < SAMPLE_AGE]
@@ -123,19 +124,14 @@
         return max(whole * 0.2, whole - (0.0 if place.loading is None else now - place.loading))
 
     def expect(self, place: Place, rpc: RPC, now: float) -> float:
-        """The RPC's latency at that place, counting our own call-outs in flight."""
         worker = place.worker
         run = self.cost(rpc) * self.pace(worker, now) * (1 + len(worker.out) / self.width(worker))
-        lanes = max(1, place.standing) * place.program.lanes
-        ahead = max(0, place.out + 1 - lanes)
-        return run * (1 + ahead / lanes) + self.load_left(place, now) + self.lag(worker, now)
-
-    def lag(self, worker: Worker, now: float) -> float:  # a silent worker must not keep a good latency
-        return next((now - co.sent for co in worker.out
-                     if co.warm and worker.heard <= co.sent and overdue(co, now)), 0.0)
+        ahead = max(0, place.out + 1 - lanes(place))
+        lag = max((now - co.sent for co in worker.out  # a silent worker must not keep a good latency
+                   if co.warm and worker.heard <= co.sent and overdue(co, now)), default=0.0)
+        return run * (1 + ahead / lanes(place)) + self.load_left(place, now) + lag
 
     def learn(self, call_out: CallOut, standing: str | None, now: float) -> None:
-        """A sample from an ok; one that contains a load says nothing of the worker."""
         worker, rpc = call_out.place.worker, call_out.rpc
         if not call_out.warm and standing != "stood":
             return
@@ -150,11 +146,9 @@
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
 TARGET, BOUND = 0.55, 0.7  # busy share to open workers for, and up to which one worker is filled
 HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
-SLACK, STAY = 1.1, 1.4  # times its even part that a worker is given, times that that it may keep
-NOISE = 1.5  # deviations of the calls counted for a worker that are added to the slack
+SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
 RETHINK = 5000.0  # ms after which a program's homes are chosen anew, so that front ends come to agree
-SMALL = 0.15  # of a worker's room: a program that needs less may go over it as a home may
-CLOSE = 0.75  # of what they stand: below this load the last open worker, or place, is given up
+SMALL, CLOSE = 0.15, 0.75  # of a worker's room: less may go over it; below so much of it one is given up
 CAP, GRADE = 2, 1.3  # new holds for each worker and period; latency steps by which kinds are told apart
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
 LATENCY_WINDOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
@@ -193,7 +187,6 @@
         self.opened = order[:self.count]
 
     def grade(self, worker: Worker) -> int:
-        """Latency in steps wide enough that front ends agree: by kind, of which more is heard."""
         return round(log(self.latency.usual_pace(worker) / self.latency.average) / log(GRADE))
 
     def carries(self, worker: Worker) -> float:
@@ -203,25 +196,23 @@
         """Our part of the fleet's load: others fill the same workers, so we plan for that part of each."""
         pairs = [(own, r["held"]) for w in workers for _, r, own in w.reports if "held" in r]
         held = sum(held for _, held in pairs)
-        return min(1.0, max(sum(own for own, _ in pairs) / held, 1 / self.front_ends**2)) if held else (
-            1 / self.front_ends)
+        own = sum(own for own, _ in pairs) / held if held else 1 / self.front_ends
+        return min(1.0, max(own, 1 / self.front_ends**2))
 
     def run(self, programs: list[Program], workers: list[Worker], well: list[Worker], now: float) -> None:
         self.latency.survey(workers, now)
         latency = self.latency
-        lanes = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
+        taken = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
         share = self.share(workers)
         busy = sum(busy_share(w) * latency.width(w) for w in workers) * share  # crowding swells lanes only
-        scale = busy / sum(lanes.values()) if busy and lanes else 1.0
-        demand = {p: load * scale for p, load in lanes.items()}
+        scale = busy / sum(taken.values()) if busy and taken else 1.0
+        demand = {p: load * scale for p, load in taken.items()}
         self.open(workers, sum(demand.values()) / share, sum(p.memory for p in demand))
         for w in workers:
             w.slow = w.slow + 1 if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w) else 0
         slow = {w for w in well if w.slow >= SLOW_AFTER}
         opened = [w for w in self.opened if w in well and w not in slow] or well
-        calls = sum(now - at < CALLS_WINDOW for p in demand for at in p.calls) / len(opened)
-        slack = SLACK + NOISE / sqrt(max(calls, 1.0))
-        even = slack * sum(demand.values()) / sum(self.carries(w) for w in opened)
+        even = SLACK * sum(demand.values()) / sum(self.carries(w) for w in opened)
         part = {w: max(even * self.carries(w), BOUND * share * latency.width(w))
                 * (latency.average / latency.pace(w, now) if w in slow else 1.0) for w in well}
         self.unit = max(1e-9, mean([part[w] for w in opened], 1.0))
@@ -233,7 +224,7 @@
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
             chosen = self.put(program, demand[program], placed.get(program, []), opened, part, room, budget,
                               tired, now)
-            each = lanes[program] / len(chosen) / share
+            each = taken[program] / len(chosen) / share
             copies = max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
             program.settled = program.settled if program in placed else now
             for worker in chosen:
@@ -262,9 +253,8 @@
     def holds(self, programs: list[Program], now: float) -> list[tuple[Place, int, bool]]:
         """Loads to order ahead and copies to renew, most called first: place, copies, whether renewal."""
         orders, new = [], {}
-        called = [p for p in programs if now - p.called < self.idle_life]
-        for program in sorted(called, key=lambda p: (-len(p.calls), p.name)):
-            for place in program.places:
+        for program in sorted(programs, key=lambda p: (-len(p.calls), p.name)):
+            for place in program.places if now - program.called < self.idle_life else ():
                 if not place.placed or place.ordered is not None or place.full_until > now:
                     continue
                 stands, load = self.latency.stands(place, now), LOST * self.latency.load_time(program)
@@ -278,25 +268,22 @@
         return orders
 
 
-# ---- dispatch ----
-TIE, FULL_WAIT = 1.02, 250.0  # latencies within this factor tie; ms a place that answered full is left
+# ---- dispatch: the placed worker of lowest latency; for an unplaced program a random one with room ----
+TIE, FULL_WAIT = 0.02, 250.0  # part by which latencies tie; ms for which a place that answered full is left
 
 
 def has_room(worker: Worker, program: Program, memory: float, now: float) -> bool:
-    # Danger: with memory short every load pushes or turns away another, and each RPC asks in vain until its
-    # call-outs are spent. Should also catch a worker with too many loads waiting. Could hurt where full
-    # answers come for another cause than memory; a copy that stands or loads is used all the same.
+    # Danger: with memory short each load pushes out another and RPCs ask in vain. Should also catch too many
+    # loads waiting. Could hurt where full answers have another cause; copies that stand are used anyway.
     pinned = worker.reports[-1][1].get("pinned", 0.0) if worker.reports else 0.0
     return worker.crammed <= now and (not memory or pinned * memory + program.memory <= memory)
 
 
-def choose(rpc: RPC, usable: list[Worker], opened: list[Worker], latency: Latency, chance: Chance,
-           memory, now: float) -> Place | None:
-    """The placed worker of lowest latency; for an unplaced program a random one with room."""
+def choose(rpc: RPC, usable: list, fill: Fill, latency: Latency, chance: Chance, now: float) -> Place | None:
     program, able = rpc.program, set(usable)
     tried = {call_out.place.worker for call_out in rpc.call_outs}
     able -= {call_out.place.worker for call_out in rpc.call_outs if call_out.fled}
-    roomy = {w for w in usable if has_room(w, program, memory(w.listing), now)}
+    roomy = {w for w in usable if has_room(w, program, fill.whole(w.listing), now)}
     trial = [w for w in usable if w.shuns and not rpc.call_outs and rpc.method.effect == "idempotent"]
     if trial:  # homes come back only after an answer
         return place_of(program, min(trial, key=lambda w: lot(program, w)))
@@ -307,35 +294,29 @@
                    [p for p in standing if p.worker not in tried], standing,
                    [p for p in known if p.placed and p.worker in roomy or p.loading is not None]):
         if places:
-            scores = [latency.expect(p, rpc, now) for p in places]
-            ties = [p for p, score in zip(places, scores, strict=True) if score <= min(scores) * TIE]
-            return ties[chance.below(len(ties))]
+            return min(places, key=lambda p: latency.expect(p, rpc, now) * (1 + TIE * chance.below(99) / 99))
     if any(latency.stands(p, now) for p in program.places if p.worker in able):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
     free = [w for w in usable if w in able and w in roomy and working(w, now) < w.limit]
     free = [w for w in free if w not in tried] or free
-    low = [w for w in free if w in opened and not latency.lag(w, now)] or free
+    low = [w for w in free if w in fill.opened] or free
     return place_of(program, min(low, key=lambda w: lot(program, w))) if low else None
 
 
 # ---- health ----
 EARLY, JUDGED = 0.33, 8  # of the soft deadline that answers should take on average; answers that tell it
-FULL_CORES = 0.85  # busy share from which late answers tell of the worker's own queue
-LESS, NEAR = 0.5, 0.7  # least that a cut leaves of the limit; part of the limit in use before it grows
-LIMIT_START, LIMIT_LEAST = 8.0, 1.0  # call-outs out to one worker
+FULL_CORES, LIMIT_LEAST = 0.85, 1.0  # busy share from which late answers tell of the worker's own queue
+LIMIT_START, LESS, NEAR = 8.0, 0.5, 0.7  # call-outs out to a worker; least a cut leaves; part used to grow
 SHUN, SHUN_MOST = 1500.0, 4000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
-SILENT, SILENT_ONE, SILENT_LEAST = 26.0, 6.0, 80.0  # dues in all; of one call-out; ms of the least due
-MUTE = 9.0  # dues that a probe without an answer counts for
+SILENT, SILENT_ONE, MUTE, SILENT_LEAST = 26.0, 6.0, 9.0, 80.0  # dues: in all, one RPC, one probe; ms of one
 
 
 def paced(call_out: CallOut, outcome: str, now: float) -> None:
     # Danger: a full queue makes every answer late and retries keep it full. Should also catch a slowed
     # machine. Could hurt where answers are late for another cause than the queue.
     worker = call_out.place.worker
-    if outcome != "ok" or not call_out.warm:
-        return
-    if call_out.sent < worker.lowered:  # what was sent before the last cut says nothing of it
+    if outcome != "ok" or not call_out.warm or call_out.sent < worker.lowered:  # sent before the last cut
         return
     worker.spent.append(((now - call_out.sent) / call_out.rpc.method.soft, call_out.beside))
     spent = mean([share for share, _ in worker.spent], 0.0)
@@ -355,7 +336,6 @@
         self.note, self.latency = note, latency
 
     def usable(self, worker: Worker, now: float) -> bool:
-        """After being shunned a worker is on trial: one call-out at a time until an ok."""
         return worker.shun_until <= now and not (worker.shuns and (worker.out or worker.mute))
 
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
@@ -369,21 +349,19 @@
             worker.results.append((now, outcome == "ok"))
         recent = [good for at, good in worker.results if now - at < BAD_AGE]
         bad = recent.count(False)
-        told = outcome not in ("ok", "timeout", "cancelled")
-        if worker.shun_until <= now and (outcome == "unreached" or told and (
+        if worker.shun_until <= now and (outcome == "unreached" or outcome in ("error", "cut") and (
                 bad >= BAD_LEAST and bad > BAD_SHARE * len(recent) or bad and worker.shuns)):
             self.shun(worker, now, f"{outcome}, {bad} of {len(recent)} bad")
 
     def silent(self, worker: Worker, now: float) -> bool:
         """It takes RPCs and says nothing: what is out, in multiples of its due, is too much for chance."""
-        out = [co for co in worker.fled + worker.out if worker.heard <= co.sent]
         if worker.shuns:
-            return any(self.given_up(co, now) for co in out)
+            return any(self.given_up(co, now) for co in worker.out)
+        out = [co for co in worker.fled + worker.out if worker.heard <= co.sent]
         dues = [((co.fled or now) - co.sent) / max(co.expected, SILENT_LEAST) for co in out if co.warm]
         return SILENT <= MUTE * worker.mute + sum(min(SILENT_ONE, due) for due in dues)
 
-    def given_up(self, call_out: CallOut, now: float) -> bool:
-        """Silent for longer than a copy that was pushed out would have taken to load again."""
+    def given_up(self, call_out: CallOut, now: float) -> bool:  # a copy pushed out would have loaded again
         return (call_out.place.worker.heard <= call_out.sent
                 and now - call_out.sent > 2 * self.latency.load_time(call_out.rpc.program))
 
@@ -419,8 +397,7 @@
 
 # ---- guards ----
 COLD_MARGIN, BUSY_LEAST = 0.6, 0.3  # of what a cold worker is reckoned to stand; least busy share believed
-CARRIED = 5000.0  # ms over which it is counted what the others carry
-RATION_KEPT = 0.34  # of the ration that renewals leave to new holds
+CARRIED, RATION_KEPT = 5000.0, 0.34  # ms over which others' load is counted; of the ration for new holds
 
 
 class Guards:
@@ -434,13 +411,11 @@
         return worker.cold_from is not None and now - worker.cold_from < self.warmup.ramp
 
     def survey(self, now: float) -> None:
-        """What one unit of size carries for us: the guide to what a cold worker stands."""
         while self.carried and now - self.carried[0][0] > CARRIED:
             self.carried.popleft()
         by = dict.fromkeys(worker for _, _, worker in self.carried)
-        size = sum(w.listing.size for w in by)
         busy = mean([r.get("busy", 1.0) for w in by for _, r, _ in w.reports], 1.0)
-        carried = sum(cost for _, cost, _ in self.carried) / max(size, 1e-6)
+        carried = sum(cost for _, cost, _ in self.carried) / max(sum(w.listing.size for w in by), 1e-6)
         self.rate = carried / CARRIED / min(1.0, max(BUSY_LEAST, busy))
 
     def may_call(self, worker: Worker, rpc: RPC, now: float) -> bool:
@@ -473,8 +448,6 @@
 
 
 class FrontEnd:
-    """One front end: the door through which events come in and decisions go out."""
-
     def __init__(self, now: float, seed: int, methods: list[Method], seat: Seat, allowance: Allowance,
                  stock: Stock, warmup: Warmup, ration: Ration, directory: Directory, tariff: Tariff) -> None:
         self.now, self.methods, self.seat, self.stock = now, methods, seat, stock
@@ -484,10 +457,8 @@
         self.notes, self.todo, self.waiting = deque(), deque(), []
         self.orders, self.acts = deque(), deque()
         self.allowance, self.directory, self.chance = allowance, directory, Chance(seed)
-        self.latency = Latency(stock, seat)
-        self.fill = Fill(self.latency, stock, seat)
-        self.health = Health(self.notes.append, self.latency)
-        self.guards = Guards(warmup, ration)
+        self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration)
+        self.fill, self.health = Fill(self.latency, stock, seat), Health(self.notes.append, self.latency)
         self.next_fill = self.next_tick = self.wake_at = now
         self.followed = directory.pushed
 
@@ -512,18 +483,14 @@
 
     def took(self, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
              load: float | None, work: float | None, repeat: bool) -> None:
-        """An RPC came in; `left` is the time until its client gives up."""
-        now = self.now
-        if name not in self.programs:
-            self.programs[name] = Program(name, method, memory, lanes, load or 0.0, deque(maxlen=KEPT_CALLS),
-                                          deque(maxlen=KEPT), deque(maxlen=KEPT))
-        program = self.programs[name]
-        program.called = now
+        now, kept = self.now, (deque(maxlen=many) for many in (KEPT_CALLS, KEPT, KEPT))
+        program = self.programs.get(name) or Program(name, method, memory, lanes, load or 0.0, *kept)
+        self.programs[name], program.called = program, now
         program.calls.append(now)
         soft = now + min(left, method.soft + method.soft_stretch * (work or 0.0))
-        rpc = self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
+        self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
         self.guards.taken.append(now)
-        self.todo.append(rpc)
+        self.todo.append(self.rpcs[ident])
 
     def began(self, ident: int, number: int) -> None:
         if ident in self.rpcs:
@@ -591,8 +558,7 @@
             self.health.saw(worker, outcome, now)
 
     def probed(self, ident: str, outcome: str, report: tuple[float, ...] | None) -> None:
-        if ident in self.workers:
-            worker = self.workers[ident]
+        if worker := self.workers.get(ident):
             self.latency.reported(worker, report, self.now)
             if outcome == "ok" and worker.mute:  # it speaks again: try it now
                 worker.shun_until = min(worker.shun_until, self.now)
@@ -614,8 +580,7 @@
 
     def tick(self, now: float) -> None:
         self.next_tick = self.wake_at = now + TICK
-        if not self.followed:
-            self.acts.append(("follow_list", True))
+        self.acts.extend([] if self.followed else [("follow_list", True)])
         self.followed = True
         for worker in self.workers.values():
             self.rescue(worker, now)
@@ -636,8 +601,7 @@
             self.guards.survey(now)
             if ready:
                 self.fill.run(programs, ready, [w for w in ready if not w.shuns] or ready, now)
-            if ready and self.stock.may_hold:
-                self.orders = deque(self.fill.holds(programs, now))
+                self.orders = deque(self.fill.holds(programs, now) if self.stock.may_hold else ())
 
     def rescue(self, worker: Worker, now: float) -> None:
         # Danger: an RPC sits out its time at a worker that hangs, or waits for a load while a copy stands
@@ -652,15 +616,13 @@
                 worker.fled += [call_out] if worker.shun_until <= now else []
                 self.acts.append(("cancel", call_out))
 
-    def forget_old(self, now: float) -> None:
-        """Programs wanted once must not stay in the books for ever."""
+    def forget_old(self, now: float) -> None:  # programs wanted once must not stay in the books for ever
         for program in [p for p in self.programs.values() if now - p.called > FORGET * self.stock.idle_life]:
             if not any(place.out for place in program.places):
                 forget(list(program.places))
                 del self.programs[program.name]
 
     def settle(self, rpc: RPC, now: float) -> None:
-        """One RPC that waits for a decision: a call-out, an answer, or a while longer."""
         rpc.queued = False
         if rpc.closed or any(co.outcome is None for co in rpc.call_outs):
             return
@@ -668,8 +630,7 @@
             usable = [w for w in self.workers.values()
                       if self.guards.may_call(w, rpc, now) and self.health.usable(w, now)
                       and may_repeat(rpc, w, self.allowance.call_outs, now)]
-            whole = self.fill.whole
-            if place := choose(rpc, usable, self.fill.opened, self.latency, self.chance, whole, now):
+            if place := choose(rpc, usable, self.fill, self.latency, self.chance, now):
                 if (self.stock.loads_on_call or self.latency.stands(place, now)
                         or place.ordered is not None and place.ordered < now):
                     return self.call(rpc, place, now)
@@ -684,24 +645,19 @@
         self.close(rpc)
 
     def call(self, rpc: RPC, place: Place, now: float) -> None:
-        worker, latency = place.worker, self.latency
-        warm = latency.stands(place, now)
-        lanes = max(1, place.standing) * rpc.program.lanes
-        call_out = CallOut(rpc, len(rpc.call_outs), place, now, latency.expect(place, rpc, now), warm,
-                           max(0, place.out + 1 - lanes), working(worker, now))
+        worker, warm = place.worker, self.latency.stands(place, now)
+        call_out = CallOut(rpc, len(rpc.call_outs), place, now, self.latency.expect(place, rpc, now), warm,
+                           max(0, place.out + 1 - lanes(place)), working(worker, now))
         begin(call_out)
         if self.guards.cold(worker, now):
             worker.sends.append((now, self.guards.weight(rpc)))
         self.acts.append(("call", rpc, worker, None))
-        if warm:
-            place.used = now
-        elif place.loading is None:
-            place.loading = now
+        place.used = now if warm else place.used
+        place.loading = now if not warm and place.loading is None else place.loading
 
     def order(self, place: Place, copies: int, renewal: bool, now: float) -> None:
         if self.guards.may_hold(place.worker, renewal, now):
             self.guards.ordered.append(now)
             place.ordered = now
-            if not renewal and place.standing == 0:
-                place.loading = now
+            place.loading = place.loading if renewal or place.standing else now
             self.acts.append(("hold", place.worker, place.program, min(copies, 16)))
