--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -345,11 +345,11 @@
             worker.shuns -= 1
             if not worker.shuns:
                 self.note(f"worker {worker.listing.ident} answers again")
-        if outcome in ("ok", "error", "cut", "unreached"):
+        if outcome in ("ok", "error", "cut", "unreached", "lost"):
             worker.results.append((now, outcome == "ok"))
         recent = [good for at, good in worker.results if now - at < BAD_AGE]
         bad = recent.count(False)
-        if worker.shun_until <= now and (outcome == "unreached" or outcome in ("error", "cut") and (
+        if worker.shun_until <= now and (outcome == "unreached" or outcome in ("error", "cut", "lost") and (
                 bad >= BAD_LEAST and bad > BAD_SHARE * len(recent) or bad and worker.shuns)):
             self.shun(worker, now, f"{outcome}, {bad} of {len(recent)} bad")
 
@@ -362,8 +362,8 @@
         return SILENT <= MUTE * worker.mute + sum(min(SILENT_ONE, due) for due in dues)
 
     def given_up(self, call_out: CallOut, now: float) -> bool:  # a copy pushed out would have loaded again
-        return (call_out.place.worker.heard <= call_out.sent
-                and now - call_out.sent > 2 * self.latency.load_time(call_out.rpc.program))
+        late = 0.0 if call_out.place.worker.heard <= call_out.sent else OVERDUE * call_out.expected
+        return now - call_out.sent > late + 2 * self.latency.load_time(call_out.rpc.program)
 
     def shun(self, worker: Worker, now: float, why: str) -> None:
         worker.shun_until = now + min(SHUN_MOST, SHUN * 2**worker.shuns)
@@ -611,7 +611,10 @@
             if (rpc.closed or call_out.fled or rpc.method.effect != "idempotent"
                     or len(rpc.call_outs) >= self.allowance.call_outs):
                 continue
-            if silent and worker.shun_until > now or self.health.given_up(call_out, now):
+            lost = self.health.given_up(call_out, now)
+            if lost and not silent:  # Danger: a worker that answers some and loses others
+                self.health.saw(worker, "lost", now)
+            if silent and worker.shun_until > now or lost:
                 call_out.fled = now
                 worker.fled += [call_out] if worker.shun_until <= now else []
                 self.acts.append(("cancel", call_out))
