Round: copies by the cores a program needs, not by the lanes that crowding fills

Cause: with crowding every RPC takes longer, so more copies were held, which fills memory and helps no core.

--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -86,10 +86,10 @@
         return max(1.0, self.width_each * worker.listing.size)
 
     def survey(self, workers: list[Worker], now: float) -> None:
-        kinds = {}
+        kinds = {worker.listing.kind: [0.0, 0.0] for worker in workers}
         for worker in workers:
             fresh = [(ms, cost) for at, ms, cost in worker.ratios if now - at < SAMPLE_AGE]
-            pool = kinds.setdefault(worker.listing.kind, [0.0, 0.0])
+            pool = kinds[worker.listing.kind]
             pool[:] = pool[0] + sum(ms for ms, _ in fresh), pool[1] + sum(cost for _, cost in fresh)
         cost = sum(pool[1] for pool in kinds.values())
         if cost:
@@ -142,12 +142,12 @@
 
 
 # ---- fill ----
-PERIOD, CALLS_WINDOW = 500.0, 8000.0  # ms between fills; over which calls are counted
+PERIOD, CALLS_WINDOW, RETHINK = 500.0, 8000.0, 5000.0  # ms between fills; of calls counted; and until a
+# program's homes are chosen anew, so that front ends come to agree
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
 TARGET, BOUND = 0.55, 0.7  # busy share to open workers for, and up to which one worker is filled
 HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
 SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
-RETHINK = 5000.0  # ms after which a program's homes are chosen anew, so that front ends come to agree
 SMALL, CLOSE = 0.15, 0.75  # of a worker's room: less may go over it; below so much of it one is given up
 CAP, GRADE = 2, 1.3  # new holds for each worker and period; latency steps by which kinds are told apart
 CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
@@ -224,7 +224,7 @@
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
             chosen = self.put(program, demand[program], placed.get(program, []), opened, part, room, budget,
                               tired, now)
-            each = taken[program] / len(chosen) / share
+            each = demand[program] / len(chosen) / share
             copies = max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
             program.settled = program.settled if program in placed else now
             for worker in chosen:
@@ -443,8 +443,7 @@
 
 
 # ---- FrontEnd ----
-FORGET = 3  # idle lives after its last call when a program is forgotten
-TICK, PROBE_EVERY = 50.0, 1000.0  # ms between looks at what waits; between probes of a silent worker
+FORGET, TICK, PROBE_EVERY = 3, 50.0, 1000.0  # idle lives a program is kept; ms between looks, probes of one
 
 
 class FrontEnd:
@@ -614,7 +613,7 @@
             lost = self.health.given_up(call_out, now)
             if lost and not silent:  # Danger: a worker that answers some and loses others
                 self.health.saw(worker, "lost", now)
-            if silent and worker.shun_until > now or lost:
+            if lost or silent and worker.shun_until > now:
                 call_out.fled = now
                 worker.fled += [call_out] if worker.shun_until <= now else []
                 self.acts.append(("cancel", call_out))
