--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -269,7 +269,7 @@
 
 
 # ---- dispatch: the placed worker of lowest latency; for an unplaced program a random one with room ----
-TIE, FULL_WAIT = 0.02, 250.0  # part by which latencies tie; ms for which a place that answered full is left
+TIE, FULL_WAIT, CRAMMED = 0.02, 250.0, 1000.0  # part by which latencies tie; ms a full place, worker is left
 
 
 def has_room(worker: Worker, program: Program, memory: float, now: float) -> bool:
@@ -516,8 +516,9 @@
             place.standing, place.loading = 0, None
         elif outcome == "full":
             place.full_until = now + FULL_WAIT
-            if not company and self.stock.tells_company:  # nothing of it there: it was memory that lacked
-                worker.crammed = now + FULL_WAIT
+            if not company and self.stock.tells_company and not place.out:  # no copy, no memory for one
+                worker.budget *= SHRINK if worker.crammed <= now else 1.0
+                worker.crammed, place.standing = now + CRAMMED, 0
         elif outcome in ("unreached", "cut"):
             empty(worker)
         self.health.saw(worker, outcome, now)
