--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -288,7 +288,7 @@
     if trial:  # homes come back only after an answer
         return place_of(program, min(trial, key=lambda w: lot(program, w)))
     known = [p for p in program.places if p.worker in able and p.full_until <= now
-             and working(p.worker, now) < p.worker.limit]
+             and working(p.worker, now) < p.worker.limit and p.out < lanes(p)]
     standing = [p for p in known if latency.stands(p, now)]
     for places in ([p for p in standing if p.placed and p.worker not in tried],
                    [p for p in standing if p.worker not in tried], standing,
