--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -239,11 +239,11 @@
         need = max(1, ceil(load / self.unit))
         if load > (len(placed) - 1) * self.unit * CLOSE:
             need = max(need, len(placed))
-        chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
+        chosen = [w for w in placed if (w in stands or w.crammed <= now) and room[w] + (STAY - 1) * part[w] >= load / need][:need]
         homes = {place.worker for place in program.places if place.placed}
-        order = sorted((w for w in opened if w not in chosen and (w in homes or w not in tired)),
-                       key=lambda w: lot(program, w))
+        order = sorted((w for w in opened if w not in chosen and (w in homes or w not in tired)
+                        and (w in stands or w.crammed <= now)), key=lambda w: lot(program, w))
         leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
         roomy = [w for w in order if room[w] + leeway * part[w] >= load / need]
         roomy.sort(key=lambda w: budget[w] < program.memory and w not in stands)  # within budget first
@@ -269,7 +269,7 @@
 
 
 # ---- dispatch: the placed worker of lowest latency; for an unplaced program a random one with room ----
-TIE, FULL_WAIT, CRAMMED = 0.02, 250.0, 1000.0  # part by which latencies tie; ms a full place, worker is left
+TIE, FULL_WAIT, CRAMMED = 0.02, 250.0, 500.0  # part by which latencies tie; ms a full place, worker is left
 
 
 def has_room(worker: Worker, program: Program, memory: float, now: float) -> bool:
@@ -517,8 +517,10 @@
         elif outcome == "full":
             place.full_until = now + FULL_WAIT
             if not company and self.stock.tells_company and not place.out:  # no copy, no memory for one
-                worker.budget *= SHRINK if worker.crammed <= now else 1.0
-                worker.crammed, place.standing = now + CRAMMED, 0
+                if worker.crammed <= now:
+                    worker.budget = max(worker.budget * SHRINK, rpc.program.memory)
+                    worker.crammed = now + CRAMMED * self.fill.whole(worker.listing) / worker.budget
+                place.standing = 0
         elif outcome in ("unreached", "cut"):
             empty(worker)
         self.health.saw(worker, outcome, now)
