--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -208,6 +208,7 @@
                                       (700.0, "awaited", at_least)):
             with self.subTest(ms=ms, standing=standing):
                 fleet = Fleet(workers=1)
+                fleet.lanes = 8
                 fleet.serve(calls=2)
                 worker = fleet.fe.workers["a"]
                 before = worker.limit
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -142,8 +142,7 @@
 
 
 # ---- fill ----
-PERIOD, CALLS_WINDOW, RETHINK = 500.0, 8000.0, 5000.0  # ms between fills; of calls counted; and until a
-# program's homes are chosen anew, so that front ends come to agree
+PERIOD, CALLS_WINDOW, RETHINK = 500.0, 8000.0, 5000.0  # ms: between fills, of calls counted, homes are kept
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
 TARGET, BOUND = 0.55, 0.7  # busy share to open workers for, and up to which one worker is filled
 HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
@@ -239,11 +238,11 @@
         need = max(1, ceil(load / self.unit))
         if load > (len(placed) - 1) * self.unit * CLOSE:
             need = max(need, len(placed))
+        chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
-        chosen = [w for w in placed if (w in stands or w.crammed <= now) and room[w] + (STAY - 1) * part[w] >= load / need][:need]
         homes = {place.worker for place in program.places if place.placed}
-        order = sorted((w for w in opened if w not in chosen and (w in homes or w not in tired)
-                        and (w in stands or w.crammed <= now)), key=lambda w: lot(program, w))
+        order = sorted((w for w in opened if w not in chosen and (w in homes or w not in tired)),
+                       key=lambda w: lot(program, w))
         leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
         roomy = [w for w in order if room[w] + leeway * part[w] >= load / need]
         roomy.sort(key=lambda w: budget[w] < program.memory and w not in stands)  # within budget first
@@ -269,7 +268,7 @@
 
 
 # ---- dispatch: the placed worker of lowest latency; for an unplaced program a random one with room ----
-TIE, FULL_WAIT, CRAMMED = 0.02, 250.0, 500.0  # part by which latencies tie; ms a full place, worker is left
+TIE, FULL_WAIT, CRAMMED = 0.02, 250.0, 1000.0  # part by which latencies tie; ms a full place, worker is left
 
 
 def has_room(worker: Worker, program: Program, memory: float, now: float) -> bool:
@@ -454,8 +453,8 @@
             method.times = deque(maxlen=KEPT)
         self.workers, self.programs, self.rpcs = {}, {}, {}
         self.notes, self.todo, self.waiting = deque(), deque(), []
-        self.orders, self.acts = deque(), deque()
-        self.allowance, self.directory, self.chance = allowance, directory, Chance(seed)
+        self.orders, self.acts, self.chance = deque(), deque(), Chance(seed)
+        self.allowance, self.directory = allowance, directory
         self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration)
         self.fill, self.health = Fill(self.latency, stock, seat), Health(self.notes.append, self.latency)
         self.next_fill = self.next_tick = self.wake_at = now
@@ -473,9 +472,8 @@
                 worker.reports, worker.shuns, worker.shun_until = deque(maxlen=KEPT // 2), 0, 0.0
                 worker.limit, worker.spent = LIMIT_START, deque(maxlen=JUDGED)
             worker.listing = row
-        named = {row.ident for row in rows}
         for ident, worker in list(self.workers.items()):
-            if whole and ident not in named or worker.listing.state == "gone":
+            if whole and ident not in {row.ident for row in rows} or worker.listing.state == "gone":
                 worker.listing = replace(worker.listing, state="gone")
                 forget(list(worker.places.values()))
                 del self.workers[ident]
@@ -517,10 +515,8 @@
         elif outcome == "full":
             place.full_until = now + FULL_WAIT
             if not company and self.stock.tells_company and not place.out:  # no copy, no memory for one
-                if worker.crammed <= now:
-                    worker.budget = max(worker.budget * SHRINK, rpc.program.memory)
-                    worker.crammed = now + CRAMMED * self.fill.whole(worker.listing) / worker.budget
-                place.standing = 0
+                worker.budget *= SHRINK if worker.crammed <= now else 1.0
+                worker.crammed, place.standing = now + CRAMMED, 0
         elif outcome in ("unreached", "cut"):
             empty(worker)
         self.health.saw(worker, outcome, now)
