--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -144,7 +144,7 @@
 # ---- fill ----
 PERIOD, CALLS_WINDOW, RETHINK = 500.0, 8000.0, 5000.0  # ms: between fills, of calls counted, homes are kept
 HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
-TARGET, BOUND = 0.65, 0.7  # busy share to open workers for, and up to which one worker is filled
+TARGET, BOUND = 0.6, 0.7  # busy share to open workers for, and up to which one worker is filled
 HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
 SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
 SMALL, CLOSE = 0.15, 0.75  # of a worker's room: less may go over it; below so much of it one is given up
