--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -244,3 +244,103 @@
         got = fleet.pass_time(100)
         self.assertEqual(verbs(got).count("call"), 1)
         self.assertEqual(verbs(got).count("hold"), 0)
+
+
+class Symptoms(unittest.TestCase):
+    """Each failure found in a round, as what a front end sees of it."""
+
+    def test_takes_rpcs_back_from_a_worker_silent_for_two_loads(self):
+        """(effect, ms waited, whether others were answered since) -> whether the RPC is taken back."""
+        for effect, ms, heard, back in (("idempotent", 1000, False, False), ("idempotent", 2200, False, True),
+                                        ("idempotent", 2200, True, False), ("idempotent", 3600, True, True),
+                                        ("side-effecting", 3600, False, False)):
+            with self.subTest(effect=effect, ms=ms, heard=heard):
+                fleet = Fleet(workers=1, effect=effect)
+                fleet.serve(calls=20)
+                rpc = fleet.take()[0][1]
+                got = fleet.pass_time(100)
+                if heard:
+                    fleet.end(next(d[1] for d in fleet.take() if d[0] == "call"))
+                got += fleet.pass_time(ms - 100)
+                self.assertEqual(("cancel", rpc.call_outs[0]) in got, back)
+
+    def test_unanswered_probes_shun_and_an_answer_brings_the_trial(self):
+        fleet = Fleet(workers=3, probe=True)
+        home = called(fleet.serve(calls=150))[-1]
+        for _ in range(3):
+            fleet.fe.probed(home, "timeout", None)
+        fleet.pass_time(100)
+        self.assertNotIn(home, called(fleet.serve(calls=10, ms=10.0)))
+        fleet.fe.probed(home, "ok", None)
+        got = [d for _ in range(3) for d in fleet.take()]
+        self.assertEqual(called(got).count(home), 1)
+
+    def test_an_answer_from_before_the_shun_does_not_end_it(self):
+        """(ms after the shun that an ok comes) -> shuns left of two."""
+        for ms, left in ((100, 2), (6000, 1)):
+            with self.subTest(ms=ms):
+                fleet = Fleet(workers=1)
+                rpc = fleet.take()[0][1]
+                worker = rpc.call_outs[0].place.worker
+                for _ in range(2):
+                    fleet.fe.health.shun(worker, fleet.clock, "test")
+                fleet.clock += ms
+                fleet.end(rpc)
+                self.assertEqual(worker.shuns, left)
+
+    def test_a_copy_that_stood_unknown_is_no_load(self):
+        """(ms that an answer took which does not tell) -> samples of a load's time."""
+        for ms, samples in ((230.0, 0), (1500.0, 1)):
+            with self.subTest(ms=ms):
+                fleet = Fleet(workers=1, holds=None)
+                rpc = next(d[1] for d in fleet.take() if d[0] == "call")
+                fleet.clock += ms
+                fleet.end(rpc, standing=None)
+                self.assertEqual(len(rpc.program.loads), samples)
+
+    def test_full_without_company_tells_of_memory(self):
+        """(RPCs of the program held there) -> whether the copy still counts and others may load there."""
+        for company, room in ((0, False), (3, True)):
+            with self.subTest(company=company):
+                fleet = Fleet(workers=2)
+                home = called(fleet.serve(calls=100))[-1]
+                rpc = fleet.take()[0][1]
+                place = rpc.call_outs[0].place
+                fleet.fe.ended(rpc.ident, 0, "full", False, None, company, None)
+                self.assertEqual(place.standing > 0, room)
+                self.assertEqual(home in called(fleet.take("new")) + called(fleet.take("newer")), room)
+
+    def test_no_more_call_outs_than_lanes(self):
+        fleet = Fleet(workers=3)
+        fleet.serve(calls=200)
+        place = next(p for p in fleet.fe.programs["p"].places if p.standing)
+        got = called([d for _ in range(9) for d in fleet.take()])
+        self.assertLessEqual(got.count(place.worker.listing.ident), place.standing * fleet.lanes)
+
+    def test_denied_once_its_usual_latency_no_longer_fits(self):
+        """(times that all RPCs take of their due) -> ms after which one that finds no room is denied."""
+        for slow, least, most in ((1.0, 500, 800), (5.0, 0, 400)):
+            with self.subTest(slow=slow):
+                fleet = Fleet(workers=1)
+                fleet.serve(calls=40)
+                fleet.fe.next_fill = float("inf")
+                fleet.fe.latency.average = slow
+                fleet.fe.workers["a"].limit = 0.0
+                start, got = fleet.clock, fleet.take()
+                while "deny" not in verbs(got):
+                    got = fleet.pass_time(50)
+                self.assertTrue(least <= fleet.clock - start <= most, fleet.clock - start)
+
+    def test_little_used_programs_stay_at_home(self):
+        """(load, of a room of 1 what is left at the first by lot) -> whether it is chosen anew."""
+        for load, left, first in ((0.02, -0.1, True), (0.02, -0.5, False), (0.4, -0.1, False), (0.4, 0.5, True)):
+            with self.subTest(load=load, left=left):
+                fleet = Fleet(workers=3, front_ends=3)
+                fleet.take()
+                program, workers = fleet.fe.programs["p"], list(fleet.fe.workers.values())
+                home = min(workers, key=lambda w: lot(program, w))
+                fleet.fe.fill.unit = 1.0
+                room = {w: left if w is home else 1.0 for w in workers}
+                budget, part = dict.fromkeys(workers, 9e9), dict.fromkeys(workers, 1.0)
+                got = fleet.fe.fill.put(program, load, [], workers, part, room, budget, set(), fleet.clock)
+                self.assertEqual(got == [home], first)
