--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -333,7 +333,8 @@
 
     def test_little_used_programs_stay_at_home(self):
         """(load, of a room of 1 what is left at the first by lot) -> whether it is chosen anew."""
-        for load, left, first in ((0.02, -0.1, True), (0.02, -0.5, False), (0.4, -0.1, False), (0.4, 0.5, True)):
+        for load, left, first in ((0.02, -0.1, True), (0.02, -0.5, False), (0.4, -0.1, False),
+                                  (0.4, 0.5, True)):
             with self.subTest(load=load, left=left):
                 fleet = Fleet(workers=3, front_ends=3)
                 fleet.take()
