--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -642,7 +642,8 @@
                     and (rpc.method.effect == "idempotent" or not may_have_run(rpc))):
                 rpc.queued = True
                 return self.waiting.append(rpc)
-        self.acts.append(("deny", rpc, None) if may_deny(rpc) else ("abort", rpc))
+        back = min(self.allowance.retry_after, rpc.ends - now) or None  # with room short, as late as is heeded
+        self.acts.append(("deny", rpc, back) if may_deny(rpc) else ("abort", rpc))
         self.close(rpc)
 
     def call(self, rpc: RPC, place: Place, now: float) -> None:
