--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import unittest
+from dataclasses import replace
 
 from tests.helpers import Fleet, called, row, verbs
 from wickdyke.interface import Ration
@@ -326,10 +327,12 @@
                 fleet.fe.next_fill = float("inf")
                 fleet.fe.latency.average = slow
                 fleet.fe.workers["a"].limit = 0.0
+                fleet.fe.allowance = replace(fleet.fe.allowance, retry_after=300.0)
                 start, got = fleet.clock, fleet.take()
                 while "deny" not in verbs(got):
                     got = fleet.pass_time(50)
                 self.assertTrue(least <= fleet.clock - start <= most, fleet.clock - start)
+                self.assertTrue(0.0 < next(d[2] for d in got if d[0] == "deny") <= 300.0)
 
     def test_little_used_programs_stay_at_home(self):
         """(load, of a room of 1 what is left at the first by lot) -> whether it is chosen anew."""
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -148,8 +148,7 @@
 HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
 SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
 SMALL, CLOSE = 0.15, 0.75  # of a worker's room: less may go over it; below so much of it one is given up
-CAP, GRADE = 2, 1.3  # new holds for each worker and period; latency steps by which kinds are told apart
-CLOSE_AFTER = 4  # periods in a row that must show too many open workers before one is closed
+CAP, GRADE, CLOSE_AFTER = 2, 1.3, 4  # new holds a worker and period; latency steps of kinds; periods to close
 LATENCY_WINDOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
 LOST, RENEW = 4.0, 0.7  # load times after which a load counts as lost; of the idle life: when to renew
 GROWTH, SHRINK = 1.25, 0.7  # of a worker's budget, after a hold in full and after a refusal
@@ -642,7 +641,7 @@
                     and (rpc.method.effect == "idempotent" or not may_have_run(rpc))):
                 rpc.queued = True
                 return self.waiting.append(rpc)
-        back = min(self.allowance.retry_after, rpc.ends - now) or None  # with room short, as late as is heeded
+        back = min(self.allowance.retry_after, self.latency.cost(rpc) * self.latency.average) or None
         self.acts.append(("deny", rpc, back) if may_deny(rpc) else ("abort", rpc))
         self.close(rpc)
 
