--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -441,7 +441,7 @@
 
 
 # ---- FrontEnd ----
-FORGET, TICK, PROBE_EVERY = 3, 20.0, 1000.0  # idle lives a program is kept; ms between looks, probes of one
+FORGET, TICK, PROBE_EVERY = 3, 50.0, 1000.0  # idle lives a program is kept; ms between looks, probes of one
 
 
 class FrontEnd:
