--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -302,7 +302,7 @@
 
 
 # ---- health ----
-EARLY, JUDGED = 0.27, 8  # of the soft deadline that answers should take on average; answers that tell it
+EARLY, JUDGED = 0.33, 8  # of the soft deadline that answers should take on average; answers that tell it
 FULL_CORES, LIMIT_LEAST = 0.85, 1.0  # busy share from which late answers tell of the worker's own queue
 LIMIT_START, LESS, NEAR = 8.0, 0.5, 0.7  # call-outs out to a worker; least a cut leaves; part used to grow
 SHUN, SHUN_MOST = 1500.0, 4000.0  # ms for which a worker is left alone: at first, doubled each time up to
