Fleet of many front ends: only due workers looked at, homes agree, cold workers by turns

Cause of the cut-offs: each settled RPC, tick and fill ranked the whole fleet (up to 292 us an event). Now an RPC looks at its program's places and at most 8 of its ring, a tick at workers with something out, probes go by own traffic (half a probe an RPC), a front end with nothing out sleeps to its next fill, fills fall out of step by chance. Cold workers (rule 4): one RPC of each of 200 front ends is too much; where our part is less than one RPC, it waits for its turn, as rare as the part is small. A connection cut or refused counts as a cold start. Homes: the fleet's demand for a program from our calls and from the company that answers tell. A fill between a program's last call and its end no longer divides by zero. Out: hot limit on newcomers, age term of silent workers, waiting periods before closing.

--- a/wickdyke/chance.py
+++ b/wickdyke/chance.py
@@ -11,11 +11,24 @@
         self.state = (self.state * 6364136223846793005 + 1442695040888963407) % 2**64
         return (self.state >> 33) % bound
 
+    def part(self) -> float:
+        """A number of at least 0 and below 1."""
+        return self.below(2**31) / 2**31
 
-def draw(text: str) -> float:
-    """A number above 0 and at most 1 that hangs on the text alone."""
+
+def mark(text: str) -> int:
+    """A number that hangs on the text alone."""
     chance = Chance(0)
     for byte in text.encode():
         chance.state ^= byte
         chance.below(1)
-    return (chance.below(2**31) + 1) / 2**31
+    return chance.state
+
+
+def draw(*marks: int) -> float:
+    """A number above 0 and at most 1 that hangs on the marks alone."""
+    chance = Chance(0)
+    for each in marks:
+        chance.state ^= each ^ chance.state >> 33
+        chance.below(1)
+    return 1 - chance.part()
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -117,10 +117,14 @@
     """A worker as this front end knows it."""
 
     listing: Listing
-    budget: float = 0.0
-    ratios: deque = field(default_factory=deque)
-    results: deque = field(default_factory=deque)
-    reports: deque = field(default_factory=deque)
+    ratios: deque
+    results: deque
+    reports: deque
+    spent: deque
+    budget: float
+    limit: float
+    cold_from: float | None
+    mark: int
     sends: deque = field(default_factory=deque)
     out: list["CallOut"] = field(default_factory=list)
     fled: list["CallOut"] = field(default_factory=list)
@@ -132,10 +136,10 @@
     crammed: float = 0.0
     heard: float = 0.0
     probe_sent: float = 0.0
-    limit: float = 0.0
     lowered: float = 0.0
-    spent: deque = field(default_factory=deque)
-    cold_from: float | None = None
+    busy: float = 0.0
+    took: float = 0.0
+    work: float = 0.0
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -150,10 +154,14 @@
     calls: deque
     times: deque
     loads: deque
+    company: deque
+    mark: int = 0
     places: list["Place"] = field(default_factory=list)
     called: float = 0.0
     settled: float = float("-inf")
-    lots: dict[str, float] = field(default_factory=dict)
+    lots: dict[Worker, float] = field(default_factory=dict)
+    ring: list[Worker] = field(default_factory=list)
+    ringed: list[Worker] | None = None
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -8,42 +8,39 @@
 
 from collections import deque
 from dataclasses import replace
+from itertools import accumulate, islice
 from math import ceil, log, sqrt
 
-from wickdyke.chance import Chance, draw
+from wickdyke.chance import Chance, draw, mark
 from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place
 from wickdyke.interface import Program, Ration, Seat, Stock, Tariff, Warmup, Worker
 from wickdyke.interface import begin, empty, end, forget, place_of
 
-# ---- books ----
 KEPT, KEPT_CALLS, KEPT_RATIOS = 16, 64, 40  # samples kept of most things; calls; latencies of a worker
 NEVER_RAN = frozenset({"full", "unreached", "unsent", "miss"})  # outcomes that prove it
 
 
-def lot(program: Program, worker: Worker) -> float:
-    """A draw that hangs on the two names alone, so that front ends that share nothing draw alike."""
-    ident = worker.listing.ident
-    if ident not in program.lots:  # larger workers win more often
-        program.lots[ident] = -log(draw(f"{program.name}/{ident}")) / max(worker.listing.size, 1e-6)
-    return program.lots[ident]
+def lot(program: Program, worker: Worker) -> float:  # hangs on the names alone: all front ends draw alike
+    if worker not in program.lots:  # larger workers win more often
+        program.lots[worker] = -log(draw(program.mark, worker.mark)) / max(worker.listing.size, 1e-6)
+    return program.lots[worker]
 
 
 def mean(samples, absent: float) -> float:
     return sum(samples) / len(samples) if samples else absent
 
 
-def lanes(place: Place) -> int:
-    return max(1, place.standing) * place.program.lanes
+def trim(samples: deque, before: float) -> None:
+    while samples and samples[0][0] <= before:
+        samples.popleft()
 
 
-def busy_share(worker: Worker) -> float:
-    return mean([report.get("busy", 0.0) for _, report, _ in worker.reports], 0.0)
+def lanes(place: Place) -> int:
+    return max(1, place.standing) * place.program.lanes
 
 
-# ---- latency ----
 SAMPLE_AGE, PRIOR = 15000.0, 6.0  # ms for which samples count; samples' worth of its kind's in each pace
-COST_GUESS = 0.25  # of the soft deadline: the work of an RPC of a method never heard of
-LOAD_GUESS, LOAD_LEAST = 1000.0, 50.0  # ms a load takes until one was seen; under which none was
+LOAD_GUESS, LOAD_LEAST, COST_GUESS = 1000.0, 50.0, 0.25  # ms of a load unseen; least; work, of soft deadline
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
 OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
@@ -52,17 +49,13 @@
     return now - call_out.sent > max(OVERDUE_LEAST, (OVERDUE if call_out.warm else 1.0) * call_out.expected)
 
 
-def working(worker: Worker, now: float) -> int:
-    """Our call-outs that take its cores: not those that wait for a load, known or by their age."""
+def working(worker: Worker, now: float) -> int:  # our call-outs that take its cores, not waiting for loads
     return sum(co.warm and not overdue(co, now) for co in worker.out)
 
 
-class Latency:
-    """Round trip plus run time as measured, against what the same RPC takes on the average worker."""
-
+class Latency:  # round trip plus run time as measured, against what the RPC takes on the average worker
     def __init__(self, stock: Stock, seat: Seat) -> None:
-        self.idle_life, self.tells = stock.idle_life, stock.tells_standing
-        self.report, self.front_ends = seat.report, seat.of
+        self.idle_life, self.report, self.front_ends = stock.idle_life, seat.report, seat.of
         self.average, self.width_each, self.kinds = 1.0, 0.0, {}
         self.loads, self.widths = deque(maxlen=KEPT), deque(maxlen=KEPT_WIDTHS)
 
@@ -73,11 +66,13 @@
         usual = mean(program.method.times, program.method.soft * COST_GUESS)
         return (sum(program.times) + usual) / (len(program.times) + 1)
 
-    def pace(self, worker: Worker, now: float) -> float:
-        fresh = [(ms, cost) for at, ms, cost in worker.ratios if now - at < SAMPLE_AGE] or [(0.0, 0.0)]
-        took, cost = (sum(sample) for sample in zip(*fresh, strict=True))
-        prior = PRIOR * cost / len(fresh) or 1.0  # so an unheard worker counts as average
-        return (took + prior * self.usual_pace(worker)) / (cost + prior)
+    def weigh(self, worker: Worker, now: float) -> None:
+        trim(worker.ratios, now - SAMPLE_AGE)
+        worker.took, worker.work = (sum(sample[at] for sample in worker.ratios) for at in (1, 2))
+
+    def pace(self, worker: Worker) -> float:
+        prior = PRIOR * worker.work / (len(worker.ratios) or 1) or 1.0  # an unheard worker counts as average
+        return (worker.took + prior * self.usual_pace(worker)) / (worker.work + prior)
 
     def usual_pace(self, worker: Worker) -> float:
         return self.kinds.get(worker.listing.kind, self.average)
@@ -87,12 +82,11 @@
 
     def survey(self, workers: list[Worker], now: float) -> None:
         kinds = {worker.listing.kind: [0.0, 0.0] for worker in workers}
-        for worker in workers:
-            fresh = [(ms, cost) for at, ms, cost in worker.ratios if now - at < SAMPLE_AGE]
+        for worker in (worker for worker in workers if worker.ratios):
+            self.weigh(worker, now)
             pool = kinds[worker.listing.kind]
-            pool[:] = pool[0] + sum(ms for ms, _ in fresh), pool[1] + sum(cost for _, cost in fresh)
-        cost = sum(pool[1] for pool in kinds.values())
-        if cost:
+            pool[:] = pool[0] + worker.took, pool[1] + worker.work
+        if cost := sum(pool[1] for pool in kinds.values()):
             self.average = sum(pool[0] for pool in kinds.values()) / cost
             part = cost / KEPT  # a kind little heard of counts as average too
             self.kinds = {k: (ms + part * self.average) / (own + part) for k, (ms, own) in kinds.items()}
@@ -104,6 +98,7 @@
         report, own = dict(zip(self.report, values or (), strict=False)), len(worker.out)
         if report:
             worker.reports.append((now, report, own))
+            worker.busy = mean([r.get("busy", 0.0) for _, r, _ in worker.reports], 0.0)
         share = report.get("busy", 0.0)
         if 0.15 < share < 0.85:  # outside, queues and noise say little of the cores
             held = report["held"] if "held" in report else own * self.front_ends
@@ -124,12 +119,9 @@
         return max(whole * 0.2, whole - (0.0 if place.loading is None else now - place.loading))
 
     def expect(self, place: Place, rpc: RPC, now: float) -> float:
-        worker = place.worker
-        run = self.cost(rpc) * self.pace(worker, now) * (1 + len(worker.out) / self.width(worker))
-        ahead = max(0, place.out + 1 - lanes(place))
-        lag = max((now - co.sent for co in worker.out  # a silent worker must not keep a good latency
-                   if co.warm and worker.heard <= co.sent and overdue(co, now)), default=0.0)
-        return run * (1 + ahead / lanes(place)) + self.load_left(place, now) + lag
+        worker, ahead = place.worker, max(0, place.out + 1 - lanes(place))
+        run = self.cost(rpc) * self.pace(worker) * (1 + len(worker.out) / self.width(worker))
+        return run * (1 + ahead / lanes(place)) + self.load_left(place, now)
 
     def learn(self, call_out: CallOut, standing: str | None, now: float) -> None:
         worker, rpc = call_out.place.worker, call_out.rpc
@@ -137,132 +129,135 @@
             return
         took = (now - call_out.sent) / (1 + call_out.crowd)  # a lane's queue is not the worker's slowness
         worker.ratios.append((now, took, self.cost(rpc)))
+        self.weigh(worker, now)
         for times in (rpc.program.times, rpc.method.times):
-            times.append(took / self.pace(worker, now) if rpc.work is None else rpc.work)
+            times.append(took / self.pace(worker) if rpc.work is None else rpc.work)
 
 
-# ---- fill ----
-PERIOD, CALLS_WINDOW, RETHINK = 500.0, 8000.0, 5000.0  # ms: between fills, of calls counted, homes are kept
-HEADROOM = 1.5  # standard deviations of a Poisson load kept free in lanes
-TARGET, BOUND = 0.6, 0.7  # busy share to open workers for, and up to which one worker is filled
-HOT, TIRED = 1.2, 0.8  # times the mean busy share, and at least this, where nothing more is placed
+PERIOD, RETHINK, LOOKS = 500.0, 5000.0, 8  # ms: between fills, homes are kept; workers looked at for one RPC
+TARGET, BOUND, HEADROOM = 0.6, 0.7, 1.5  # busy share to open workers, to fill one for; deviations kept free
 SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
 SMALL, CLOSE = 0.15, 0.75  # of a worker's room: less may go over it; below so much of it one is given up
-CAP, GRADE, CLOSE_AFTER = 2, 1.3, 4  # new holds a worker and period; latency steps of kinds; periods to close
-LATENCY_WINDOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
+CAP, GRADE = 2, 1.3  # new holds a worker and period; latency steps of kinds
+SLOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
 LOST, RENEW = 4.0, 0.7  # load times after which a load counts as lost; of the idle life: when to renew
 GROWTH, SHRINK = 1.25, 0.7  # of a worker's budget, after a hold in full and after a refusal
 
 
-class Fill:
-    """Places each program on the fewest lowest-latency workers its demand needs, within budgets."""
-
+class Fill:  # places each program on the fewest lowest-latency workers its demand needs, within budgets
     def __init__(self, latency: Latency, stock: Stock, seat: Seat) -> None:
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
-        self.front_ends, self.opened = seat.of, []
-        self.count, self.calm, self.unit = 10**6, 0, 1.0
+        self.opened, self.known, self.carries, self.unit = {}, [], {}, 1.0
+        self.front_ends, self.count = seat.of, 10**6
 
     def whole(self, listing: Listing) -> float:
         return (self.memory[listing.kind:] or self.memory or (0.0,))[0]
 
     def demand(self, program: Program, now: float) -> float:  # lanes busy on average
-        recent = [at for at in program.calls if now - at < CALLS_WINDOW]
-        span = now - recent[0] if len(recent) == KEPT_CALLS else CALLS_WINDOW
-        return len(recent) / max(span, 1.0) * self.latency.usual(program) * self.latency.average
-
-    def open(self, workers: list[Worker], total: float, memory: float) -> None:
-        """The fewest lowest-latency workers that carry the fleet's load, alike for all front ends."""
-        order = sorted(workers, key=lambda w: (self.grade(w), w.listing.ident))
-        load = max(sum(busy_share(w) * self.carries(w) for w in order), total)
-        least, ample = (next((n for n in range(1, len(order))
-                              if sum(self.carries(w) for w in order[:n]) * TARGET >= need
-                              and sum(w.budget for w in order[:n]) >= memory), len(order))
-                        for need in (load, load / CLOSE))
-        self.calm = self.calm + 1 if ample < self.count else 0
-        if self.calm >= CLOSE_AFTER:
-            self.count, self.calm = min(self.count, len(order)) - 1, 0
-        self.count = max(least, self.count)
-        self.opened = order[:self.count]
-
-    def grade(self, worker: Worker) -> int:
-        return round(log(self.latency.usual_pace(worker) / self.latency.average) / log(GRADE))
-
-    def carries(self, worker: Worker) -> float:
-        return self.latency.width(worker) / GRADE ** self.grade(worker)
-
-    def share(self, workers: list[Worker]) -> float:
-        """Our part of the fleet's load: others fill the same workers, so we plan for that part of each."""
+        recent = [at for at in program.calls if now - at < self.idle_life]
+        span = now - recent[0] if len(recent) == KEPT_CALLS else self.idle_life
+        return len(recent) / max(span, 1.0) * max(self.latency.usual(program) * self.latency.average, 1e-9)
+
+    def wide(self, program: Program, own: float, share: float) -> float:  # the fleet's lanes busy with it
+        # Danger: of many front ends each believes what it is asked for to be wanted everywhere, and loads it
+        # on many workers. Should also catch uneven traffic. Could hurt where the company lags behind a rise.
+        ours, seen = own / share, len(program.company)
+        homes, near = max(1, sum(place.placed for place in program.places)), mean(program.company, 0.0)
+        if not seen:
+            return ours
+        doubt, other = ours**2 * (1 - share) / len(program.calls), homes**2 * (near + 1 / seen) / seen
+        return (ours * other + homes * near * doubt) / (doubt + other)
+
+    def open(self, workers: list[Worker], total: float, memory: float) -> list[Worker]:  # alike for all
+        paces = {w.listing.kind: self.latency.usual_pace(w) / self.latency.average for w in workers}
+        grades = {kind: round(log(pace) / log(GRADE)) for kind, pace in paces.items()}
+        order = sorted(workers, key=lambda w: (grades[w.listing.kind], w.listing.ident))
+        carries = self.carries = {w: self.latency.width(w) / GRADE ** grades[w.listing.kind] for w in order}
+        busy = mean([w.busy for w in order if w.reports], 0.0)  # of those that said nothing
+        load = max(sum((w.busy if w.reports else busy) * carries[w] for w in order), total)
+
+        power, room = accumulate(carries[w] * TARGET for w in order), accumulate(w.budget for w in order)
+        sums = list(zip(power, room, strict=True))
+
+        def enough(need: float) -> int:
+            return next((n for n, (p, m) in enumerate(sums, 1) if p >= need and m >= memory), len(sums))
+
+        self.count -= enough(load / CLOSE) < self.count  # one a period, and only with room to spare
+        self.count = max(enough(load), min(self.count, len(order)))
+        return order[:self.count]
+
+    def share(self, workers: list[Worker]) -> float:  # our part of the fleet's load; few reports: even parts
         pairs = [(own, r["held"]) for w in workers for _, r, own in w.reports if "held" in r]
-        held = sum(held for _, held in pairs)
-        own = sum(own for own, _ in pairs) / held if held else 1 / self.front_ends
-        return min(1.0, max(own, 1 / self.front_ends**2))
+        return min(1.0, sum([1, *(own for own, _ in pairs)]) / sum([self.front_ends, *(h for _, h in pairs)]))
 
-    def run(self, programs: list[Program], workers: list[Worker], well: list[Worker], now: float) -> None:
+    def ring(self, program: Program) -> list[Worker]:
+        if program.ringed is not self.known:
+            program.ring, program.ringed = sorted(self.known, key=lambda w: lot(program, w)), self.known
+        return program.ring
+
+    def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
         self.latency.survey(workers, now)
-        latency = self.latency
         taken = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
-        share = self.share(workers)
-        busy = sum(busy_share(w) * latency.width(w) for w in workers) * share  # crowding swells lanes only
-        scale = busy / sum(taken.values()) if busy and taken else 1.0
-        demand = {p: load * scale for p, load in taken.items()}
-        self.open(workers, sum(demand.values()) / share, sum(p.memory for p in demand))
+        latency, share = self.latency, self.share(workers)
+        busy = mean([w.busy for w in workers if w.reports], 0.0) * sum(map(latency.width, workers)) * share
+        scale = busy / sum(taken.values()) if busy and taken else 1.0  # crowding swells lanes only
+        wide = {p: max(self.wide(p, load, share), load) for p, load in taken.items()}
+        demand = {p: load * scale * share for p, load in wide.items()}
+        memory = {p: p.memory * load / wide[p] for p, load in taken.items()}  # our part of what all use
+        opened = self.open(workers, sum(taken.values()) * scale / share, sum(memory.values()))
         for w in workers:
-            w.slow = w.slow + 1 if latency.pace(w, now) > LATENCY_WINDOW * latency.usual_pace(w) else 0
+            w.slow = (w.slow + 1) * bool(w.ratios and latency.pace(w) > SLOW * latency.usual_pace(w))
+        well = [w for w in workers if not w.shuns] or workers
         slow = {w for w in well if w.slow >= SLOW_AFTER}
-        opened = [w for w in self.opened if w in well and w not in slow] or well
-        even = SLACK * sum(demand.values()) / sum(self.carries(w) for w in opened)
-        part = {w: max(even * self.carries(w), BOUND * share * latency.width(w))
-                * (latency.average / latency.pace(w, now) if w in slow else 1.0) for w in well}
+        opened = [w for w in opened if not w.shuns and w not in slow] or well
+        self.opened = dict.fromkeys(opened)
+        even = SLACK * sum(demand.values()) / sum(self.carries[w] for w in opened)
+        part = {w: max(even * self.carries[w], BOUND * share * latency.width(w))
+                * (latency.average / latency.pace(w) if w in slow else 1.0) for w in well}
         self.unit = max(1e-9, mean([part[w] for w in opened], 1.0))
         room, budget = dict(part), {w: w.budget for w in well}
-        placed = {p: [q.worker for q in p.places if q.placed and q.worker in opened]
+        placed = {p: [q.worker for q in p.places if q.placed and q.worker in self.opened]
                   for p in demand if self.front_ends == 1 or now - p.settled < RETHINK}
-        hot = max(TIRED, HOT * mean([busy_share(w) for w in opened], 0.0))
-        tired = slow | {w for w in well if busy_share(w) > hot}  # all see it: newcomers go elsewhere
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
-            chosen = self.put(program, demand[program], placed.get(program, []), opened, part, room, budget,
-                              tired, now)
+            chosen = self.put(program, demand[program], memory[program], placed.get(program, []), part, room,
+                              budget, now)
             each = demand[program] / len(chosen) / share
             copies = max(1, ceil((each + HEADROOM * sqrt(each)) / program.lanes))
             program.settled = program.settled if program in placed else now
             for worker in chosen:
                 room[worker] -= demand[program] / len(chosen)
-                budget[worker] -= program.memory * copies
+                budget[worker] -= memory[program] * copies
             for place in [place_of(program, worker) for worker in chosen] and program.places:
                 place.placed, place.wanted = place.worker in chosen, copies
 
-    def put(self, program: Program, load: float, placed: list[Worker], opened: list[Worker], part: dict,
-            room: dict, budget: dict, tired: set, now: float) -> list[Worker]:
-        """One program's workers: those it has first, then by lot among the low-latency workers with room."""
+    def put(self, program: Program, load: float, memory: float, placed: list[Worker], part: dict, room: dict,
+            budget: dict, now: float) -> list[Worker]:
         need = max(1, ceil(load / self.unit))
         if load > (len(placed) - 1) * self.unit * CLOSE:
             need = max(need, len(placed))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         stands = {place.worker for place in program.places if self.latency.stands(place, now)}
-        homes = {place.worker for place in program.places if place.placed}
-        order = sorted((w for w in opened if w not in chosen and (w in homes or w not in tired)),
-                       key=lambda w: lot(program, w))
         leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
-        roomy = [w for w in order if room[w] + leeway * part[w] >= load / need]
-        roomy.sort(key=lambda w: budget[w] < program.memory and w not in stands)  # within budget first
-        chosen += roomy[:need - len(chosen)]
-        return chosen or placed[:need] or [max(order or opened, key=lambda w: (room[w], -lot(program, w)))]
+        ring, spare = [w for w in self.ring(program) if w in self.opened], []
+        for w in ring if len(chosen) < need else ():
+            if w not in chosen and room[w] + leeway * part[w] >= load / need:  # within budget first
+                (spare if budget[w] < memory and w not in stands else chosen).append(w)
+                if len(chosen) == need:
+                    break
+        chosen += spare[:need - len(chosen)]
+        return chosen or placed[:need] or [max(ring[:LOOKS], key=lambda w: room[w])]
 
     def holds(self, programs: list[Program], now: float) -> list[tuple[Place, int, bool]]:
-        """Loads to order ahead and copies to renew, most called first: place, copies, whether renewal."""
-        orders, new = [], {}
+        orders, new, latency = [], {}, self.latency
         for program in sorted(programs, key=lambda p: (-len(p.calls), p.name)):
             for place in program.places if now - program.called < self.idle_life else ():
-                if not place.placed or place.ordered is not None or place.full_until > now:
-                    continue
-                stands, load = self.latency.stands(place, now), LOST * self.latency.load_time(program)
-                renewal = stands and place.standing >= place.wanted
-                if renewal and (now - place.used < RENEW * self.idle_life or len(program.calls) < 2):
-                    continue
-                if renewal or new.get(place.worker, 0) < CAP and (
-                        stands or place.loading is None or now - place.loading > load):
-                    new[place.worker] = new.get(place.worker, 0) + (not renewal)
-                    orders.append((place, place.wanted, renewal))
+                if place.placed and place.ordered is None and place.full_until <= now:
+                    renewal = (stands := latency.stands(place, now)) and place.standing >= place.wanted
+                    lost = place.loading is None or now - place.loading > LOST * latency.load_time(program)
+                    if (now - place.used >= RENEW * self.idle_life and len(program.calls) > 1 if renewal
+                            else new.get(place.worker, 0) < CAP and (stands or lost)):
+                        new[place.worker] = new.get(place.worker, 0) + (not renewal)
+                        orders.append((place, place.wanted, renewal))
         return orders
 
 
@@ -270,38 +265,40 @@
 TIE, FULL_WAIT, CRAMMED = 0.02, 250.0, 1000.0  # part by which latencies tie; ms a full place, worker is left
 
 
-def has_room(worker: Worker, program: Program, memory: float, now: float) -> bool:
+def has_room(worker: Worker, program: Program, fill: Fill, now: float) -> bool:
     # Danger: with memory short each load pushes out another and RPCs ask in vain. Should also catch too many
     # loads waiting. Could hurt where full answers have another cause; copies that stand are used anyway.
-    pinned = worker.reports[-1][1].get("pinned", 0.0) if worker.reports else 0.0
+    memory, pinned = fill.whole(worker.listing), worker.reports and worker.reports[-1][1].get("pinned") or 0.0
     return worker.crammed <= now and (not memory or pinned * memory + program.memory <= memory)
 
 
-def choose(rpc: RPC, usable: list, fill: Fill, latency: Latency, chance: Chance, now: float) -> Place | None:
-    program, able = rpc.program, set(usable)
-    tried = {call_out.place.worker for call_out in rpc.call_outs}
-    able -= {call_out.place.worker for call_out in rpc.call_outs if call_out.fled}
-    roomy = {w for w in usable if has_room(w, program, fill.whole(w.listing), now)}
-    trial = [w for w in usable if w.shuns and not rpc.call_outs and rpc.method.effect == "idempotent"]
-    if trial:  # homes come back only after an answer
+def choose(rpc: RPC, able, health: "Health", fill: Fill, chance: Chance, now: float) -> Place | None:
+    program, latency, tried = rpc.program, fill.latency, {call_out.place.worker for call_out in rpc.call_outs}
+    fled = {call_out.place.worker for call_out in rpc.call_outs if call_out.fled}
+    first = not rpc.call_outs and rpc.method.effect == "idempotent"
+    if trial := [w for w in health.shunned if first and able(w)]:  # homes return after an answer
         return place_of(program, min(trial, key=lambda w: lot(program, w)))
-    known = [p for p in program.places if p.worker in able and p.full_until <= now
-             and working(p.worker, now) < p.worker.limit and p.out < lanes(p)]
+    usable = [p for p in program.places if p.worker not in fled and able(p.worker)]
+    known = [p for p in usable if p.full_until <= now and working(p.worker, now) < p.worker.limit
+             and p.out < lanes(p)]
     standing = [p for p in known if latency.stands(p, now)]
     for places in ([p for p in standing if p.placed and p.worker not in tried],
                    [p for p in standing if p.worker not in tried], standing,
-                   [p for p in known if p.placed and p.worker in roomy or p.loading is not None]):
+                   [p for p in known if p.loading is not None
+                    or p.placed and has_room(p.worker, program, fill, now)]):
         if places:
             return min(places, key=lambda p: latency.expect(p, rpc, now) * (1 + TIE * chance.below(99) / 99))
-    if any(latency.stands(p, now) for p in program.places if p.worker in able):
+    if any(latency.stands(p, now) for p in usable):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
-    free = [w for w in usable if w in able and w in roomy and working(w, now) < w.limit]
-    free = [w for w in free if w not in tried] or free
-    low = [w for w in free if w in fill.opened] or free
-    return place_of(program, min(low, key=lambda w: lot(program, w))) if low else None
+    ring = fill.ring(program)
+    for pool in ((w for w in ring if w in fill.opened), ring):
+        free = [w for w in islice(pool, LOOKS) if w not in fled and able(w) and working(w, now) < w.limit
+                and has_room(w, program, fill, now)]
+        if free:
+            return place_of(program, next((w for w in free if w not in tried), free[0]))
+    return None
 
 
-# ---- health ----
 EARLY, JUDGED = 0.33, 8  # of the soft deadline that answers should take on average; answers that tell it
 FULL_CORES, LIMIT_LEAST = 0.85, 1.0  # busy share from which late answers tell of the worker's own queue
 LIMIT_START, LESS, NEAR = 8.0, 0.5, 0.7  # call-outs out to a worker; least a cut leaves; part used to grow
@@ -310,12 +307,10 @@
 SILENT, SILENT_ONE, MUTE, SILENT_LEAST = 26.0, 6.0, 9.0, 80.0  # dues: in all, one RPC, one probe; ms of one
 
 
-def paced(call_out: CallOut, outcome: str, now: float) -> None:
+def paced(call_out: CallOut, now: float) -> None:
     # Danger: a full queue makes every answer late and retries keep it full. Should also catch a slowed
     # machine. Could hurt where answers are late for another cause than the queue.
     worker = call_out.place.worker
-    if outcome != "ok" or not call_out.warm or call_out.sent < worker.lowered:  # sent before the last cut
-        return
     worker.spent.append(((now - call_out.sent) / call_out.rpc.method.soft, call_out.beside))
     spent = mean([share for share, _ in worker.spent], 0.0)
     full = not worker.reports or worker.reports[-1][1].get("busy", 1.0) >= FULL_CORES
@@ -327,21 +322,20 @@
         worker.limit += 1 / worker.limit
 
 
-class Health:
-    """Whom not to send to. Judged by symptom, whatever the cause: unreachable, failing or silent."""
-
+class Health:  # whom not to send to, by symptom, whatever the cause: unreachable, failing or silent
     def __init__(self, note, latency: Latency) -> None:
-        self.note, self.latency = note, latency
-
-    def usable(self, worker: Worker, now: float) -> bool:
-        return worker.shun_until <= now and not (worker.shuns and (worker.out or worker.mute))
+        self.note, self.latency, self.shunned = note, latency, {}
 
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
+        if outcome in ("unreached", "cut"):  # Danger: the list tells late that it starts anew, cold, empty.
+            empty(worker)  # Should also catch a list that lags. Could hurt after a break of the network.
+            worker.cold_from = now
         if outcome in ("ok", "error", "full", "miss"):
             worker.heard, worker.fled, worker.mute = now, [], 0
         if outcome == "ok" and worker.shuns and worker.shun_until <= now:  # not one sent before
             worker.shuns -= 1
             if not worker.shuns:
+                self.shunned.pop(worker, None)
                 self.note(f"worker {worker.listing.ident} answers again")
         if outcome in ("ok", "error", "cut", "unreached", "lost"):
             worker.results.append((now, outcome == "ok"))
@@ -352,7 +346,6 @@
             self.shun(worker, now, f"{outcome}, {bad} of {len(recent)} bad")
 
     def silent(self, worker: Worker, now: float) -> bool:
-        """It takes RPCs and says nothing: what is out, in multiples of its due, is too much for chance."""
         if worker.shuns:
             return any(self.given_up(co, now) for co in worker.out)
         out = [co for co in worker.fled + worker.out if worker.heard <= co.sent]
@@ -366,10 +359,10 @@
     def shun(self, worker: Worker, now: float, why: str) -> None:
         worker.shun_until = now + min(SHUN_MOST, SHUN * 2**worker.shuns)
         worker.shuns, worker.fled = worker.shuns + 1, []  # what they waited has been counted
+        self.shunned[worker] = None
         self.note(f"worker {worker.listing.ident} shunned for {worker.shun_until - now:.0f} ms: {why}")
 
 
-# ---- further call-outs and denials ----
 
 
 def may_have_run(rpc: RPC) -> list[CallOut]:
@@ -377,7 +370,6 @@
 
 
 def may_repeat(rpc: RPC, worker: Worker, most: int, now: float) -> bool:
-    """Whether a further call-out may go there, by the method's effect and what the others came to."""
     ran, method, row = may_have_run(rpc), rpc.method, worker.listing
     if rpc.closed or len(rpc.call_outs) >= most or now >= rpc.ends:
         return False
@@ -388,60 +380,61 @@
     return method.effect == "tokened" and same and now < ran[0].sent + method.window
 
 
-def may_deny(rpc: RPC) -> bool:
-    method, ran = rpc.method, may_have_run(rpc)
-    return not ran or method.effect == "idempotent" or method.effect == "tokened" and method.scope == "all"
+def may_wait(rpc: RPC) -> bool:
+    return rpc.method.effect == "idempotent" or not may_have_run(rpc)
 
 
-# ---- guards ----
-COLD_MARGIN, BUSY_LEAST = 0.6, 0.3  # of what a cold worker is reckoned to stand; least busy share believed
-CARRIED, RATION_KEPT = 5000.0, 0.34  # ms over which others' load is counted; of the ration for new holds
+def may_deny(rpc: RPC) -> bool:
+    return may_wait(rpc) or rpc.method.effect == "tokened" and rpc.method.scope == "all"
 
 
-class Guards:
-    """The rules. Every call-out and every hold passes here, and there is no way round."""
+COLD_MARGIN, BUSY_LEAST, RATION_KEPT = 0.6, 0.3, 0.34  # of what the cold stand; least busy share; of holds
+CARRIED, FADE = 5000.0, 0.9  # ms over which what we carry is counted; of a fleet's size left a survey later
 
-    def __init__(self, warmup: Warmup, ration: Ration) -> None:
-        self.warmup, self.ration = warmup, ration
-        self.taken, self.ordered, self.carried, self.rate = deque(), deque(), deque(), 0.0
+
+class Guards:  # the rules: every call-out and every hold passes here, and there is no way round
+    def __init__(self, warmup: Warmup, ration: Ration, seed: int, front_ends: int) -> None:
+        self.warmup, self.ration, self.mark, self.even = warmup, ration, seed, 1 / front_ends
+        self.taken, self.ordered, self.carried, self.rate, self.size = deque(), deque(), deque(), 0.0, 0.0
 
     def cold(self, worker: Worker, now: float) -> bool:
         return worker.cold_from is not None and now - worker.cold_from < self.warmup.ramp
 
-    def survey(self, now: float) -> None:
-        while self.carried and now - self.carried[0][0] > CARRIED:
-            self.carried.popleft()
-        by = dict.fromkeys(worker for _, _, worker in self.carried)
-        busy = mean([r.get("busy", 1.0) for w in by for _, r, _ in w.reports], 1.0)
-        carried = sum(cost for _, cost, _ in self.carried) / max(sum(w.listing.size for w in by), 1e-6)
-        self.rate = carried / CARRIED / min(1.0, max(BUSY_LEAST, busy))
+    def survey(self, workers: list[Worker], now: float) -> None:
+        trim(self.carried, now - CARRIED)
+        busy = mean([w.busy for w in workers if w.reports], 1.0)
+        self.size = max(sum(w.listing.size for w in workers), self.size * FADE, 1e-6)  # of all that carried
+        carried = sum(cost for _, cost in self.carried)
+        self.rate = carried / self.size / CARRIED / min(1.0, max(BUSY_LEAST, busy))
 
     def may_call(self, worker: Worker, rpc: RPC, now: float) -> bool:
         if worker.listing.state != "ready" or not self.cold(worker, now):
             return worker.listing.state == "ready"
-        warmup, sends = self.warmup, worker.sends
-        while sends and now - sends[0][0] > warmup.window:
-            sends.popleft()
-        share = warmup.start_share + (1 - warmup.start_share) * (now - worker.cold_from) / warmup.ramp
-        stands = COLD_MARGIN * warmup.multiple * share * self.rate * worker.listing.size * warmup.window
-        return not sends or sum(cost for _, cost in sends) + self.weight(rpc) <= stands
+        warmup, sends, weight, age = self.warmup, worker.sends, self.weight(rpc), now - worker.cold_from
+        trim(sends, now - warmup.window)
+        share = warmup.start_share + (1 - warmup.start_share) * age / warmup.ramp
+        part = COLD_MARGIN * warmup.multiple * share * self.rate * worker.listing.size * warmup.window
+        if part >= weight:
+            return sum(cost for _, cost in sends) + weight <= part
+        # Danger: one RPC of each of many front ends is too much; each waits for its turn, rare as its part is
+        # small. Should also catch a third of the fleet cold at once. Could hurt where all copies stand there.
+        turn = int(age / warmup.window + draw(self.mark, worker.mark))
+        return not sends and draw(self.mark, worker.mark, turn) <= max(part / weight, self.even)
 
     def weight(self, rpc: RPC) -> float:
-        return mean(rpc.method.times, rpc.method.soft * COST_GUESS)
+        return max(1.0, mean(rpc.method.times, rpc.method.soft * COST_GUESS))
 
     def may_hold(self, worker: Worker, renewal: bool, now: float) -> bool:
         if worker.listing.state != "ready":
             return False
-        while self.taken and now - self.taken[0] >= self.ration.window:
-            self.taken.popleft()
-        while self.ordered and now - self.ordered[0] > self.ration.window:
-            self.ordered.popleft()
+        trim(self.taken, now - self.ration.window)
+        trim(self.ordered, now - self.ration.window - 1e-3)  # to the safe side at the very edge
         most = self.ration.free + self.ration.share * len(self.taken)
         return not self.ration.window or len(self.ordered) + 1 <= most * (1 - RATION_KEPT * renewal)
 
 
-# ---- FrontEnd ----
-FORGET, TICK, PROBE_EVERY = 3, 50.0, 1000.0  # idle lives a program is kept; ms between looks, probes of one
+FORGET, TICK, PROBE_PART, PROBES = 3, 50.0, 0.5, 8.0  # idle lives; ms between looks; probes an RPC, saved up
+PROBE_EVERY, PROBE_SOON = 1000.0, 300.0  # ms between probes of a worker, of one that is silent
 
 
 class FrontEnd:
@@ -453,40 +446,42 @@
         self.workers, self.programs, self.rpcs = {}, {}, {}
         self.notes, self.todo, self.waiting = deque(), deque(), []
         self.orders, self.acts, self.chance = deque(), deque(), Chance(seed)
-        self.allowance, self.directory = allowance, directory
-        self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration)
+        self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
+        self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration, seed, seat.of)
+        self.ready, self.rota, self.muted, self.probes = [], deque(), [], PROBES
         self.fill, self.health = Fill(self.latency, stock, seat), Health(self.notes.append, self.latency)
-        self.next_fill = self.next_tick = self.wake_at = now
-        self.followed = directory.pushed
+        self.next_fill = self.wake_at = now
 
     def listed(self, rows: list[Listing], whole: bool | None) -> None:
-        """The worker list: whole (True), changes (False), or a failure to get it (None)."""
         self.followed = self.directory.pushed if whole is None else self.followed
-        for row in rows:
-            worker = self.workers.setdefault(row.ident, Worker(row))
-            if not worker.budget or row.born != worker.listing.born:  # new, or the same id and empty
-                empty(worker)
-                worker.budget, worker.cold_from = self.fill.whole(row) / self.seat.of, row.born
-                worker.ratios, worker.results = deque(maxlen=KEPT_RATIOS), deque(maxlen=KEPT // 2)
-                worker.reports, worker.shuns, worker.shun_until = deque(maxlen=KEPT // 2), 0, 0.0
-                worker.limit, worker.spent = LIMIT_START, deque(maxlen=JUDGED)
-            worker.listing = row
+        named = {row.ident: row for row in rows}
         for ident, worker in list(self.workers.items()):
-            if whole and ident not in {row.ident for row in rows} or worker.listing.state == "gone":
-                worker.listing = replace(worker.listing, state="gone")
+            row = named.get(ident) or (None if whole else worker.listing)
+            if row is None or row.state == "gone" or row.born != worker.listing.born:  # or the same id, empty
+                worker.listing, worker.mute = replace(worker.listing, state="gone"), 0
                 forget(list(worker.places.values()))
+                self.health.shunned.pop(worker, None)
                 del self.workers[ident]
+        for row in (row for row in rows if row.state != "gone"):
+            few = (deque(maxlen=many) for many in (KEPT_RATIOS, KEPT // 2, KEPT // 2, JUDGED))
+            budget, ident = self.fill.whole(row) / self.seat.of, mark(row.ident)
+            new = Worker(row, *few, budget, LIMIT_START, row.born, ident)
+            self.workers.setdefault(row.ident, new).listing = row
+        if (ready := [w for w in self.workers.values() if w.listing.state == "ready"]) != self.ready:
+            self.rota, self.fill.known, self.ready = deque(ready), ready, ready
 
     def took(self, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
              load: float | None, work: float | None, repeat: bool) -> None:
-        now, kept = self.now, (deque(maxlen=many) for many in (KEPT_CALLS, KEPT, KEPT))
-        program = self.programs.get(name) or Program(name, method, memory, lanes, load or 0.0, *kept)
-        self.programs[name], program.called = program, now
+        now, kept = self.now, (deque(maxlen=many) for many in (KEPT_CALLS, KEPT, KEPT, KEPT))
+        if (program := self.programs.get(name)) is None:
+            program = Program(name, method, memory, lanes, load or 0.0, *kept, mark(name))
+        self.programs[name], program.called, self.probes = program, now, min(PROBES, self.probes + PROBE_PART)
         program.calls.append(now)
         soft = now + min(left, method.soft + method.soft_stretch * (work or 0.0))
         self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
-        self.guards.taken.append(now)
+        self.guards.taken.append((now,))
         self.todo.append(self.rpcs[ident])
+        self.wake_at = min(self.wake_at, now + TICK)
 
     def began(self, ident: int, number: int) -> None:
         if ident in self.rpcs:
@@ -500,12 +495,15 @@
         call_out = rpc.call_outs[number]
         place, worker = call_out.place, call_out.place.worker
         call_out.warm = call_out.warm and standing not in ("began", "awaited")
-        paced(call_out, outcome, now)
+        if outcome == "ok" and call_out.warm and call_out.sent >= worker.lowered:  # not before the last cut
+            paced(call_out, now)
         end(call_out, outcome)
         rpc.closed = rpc.closed or final
         if outcome == "ok":
+            if self.stock.tells_company and call_out.warm:
+                rpc.program.company.append(company)
             self.latency.learn(call_out, standing, now)
-            self.guards.carried.append((now, self.guards.weight(rpc), worker))
+            self.guards.carried.append((now, self.guards.weight(rpc)))
             if place.loading is not None and standing in ("began", None) and not call_out.warm:
                 self.latency.loaded(rpc.program, now - place.loading - self.latency.cost(rpc))
             place.standing, place.used, place.loading = max(1, place.standing), now, None
@@ -516,13 +514,11 @@
             if not company and self.stock.tells_company and not place.out:  # no copy, no memory for one
                 worker.budget *= SHRINK if worker.crammed <= now else 1.0
                 worker.crammed, place.standing = now + CRAMMED, 0
-        elif outcome in ("unreached", "cut"):
-            empty(worker)
         self.health.saw(worker, outcome, now)
         self.latency.reported(worker, report, now)
-        if rpc.closed and all(co.outcome for co in rpc.call_outs):
-            self.rpcs.pop(ident, None)
-        elif not rpc.closed and not rpc.queued:
+        if rpc.closed:
+            self.close(rpc)
+        elif not rpc.queued:
             rpc.queued = True
             self.todo.append(rpc)
 
@@ -531,16 +527,14 @@
             self.close(rpc)
 
     def close(self, rpc: RPC) -> None:
-        rpc.closed = True
-        if all(co.outcome for co in rpc.call_outs):
+        rpc.closed, out = True, [co for co in rpc.call_outs if co.outcome is None]
+        self.acts.extend(("cancel", co) for co in out if self.allowance.cancel)
+        if not out:
             self.rpcs.pop(rpc.ident, None)
-        elif self.allowance.cancel:
-            self.acts.extend(("cancel", co) for co in rpc.call_outs if co.outcome is None)
 
     def held(self, worker_ident: str, name: str, outcome: str, copies: int, took: float) -> None:
         now, worker, program = self.now, self.workers.get(worker_ident), self.programs.get(name)
-        place = worker and worker.places.get(program)
-        if place is None:
+        if (place := worker and worker.places.get(program)) is None:
             return
         place.ordered = place.loading = None
         if outcome == "ok":
@@ -560,45 +554,54 @@
             if outcome == "ok" and worker.mute:  # it speaks again: try it now
                 worker.shun_until = min(worker.shun_until, self.now)
             worker.mute = worker.mute + 1 if outcome == "timeout" else 0
+            self.muted = [w for w in self.muted if w.mute and w is not worker] + [worker] * (worker.mute > 0)
             if outcome == "unreached":
                 self.health.saw(worker, outcome, self.now)
+            self.wake_at = min(self.wake_at, self.now + TICK)
 
     def woke(self, now: float) -> None:
         self.now = now
 
     def decide(self) -> Decision | None:
         now = self.now
-        if now >= self.next_tick:
+        if now >= self.wake_at:
             self.tick(now)
         while not (self.notes or self.acts) and (self.todo or self.orders):
             self.settle(self.todo.popleft(), now) if self.todo else self.order(*self.orders.popleft(), now)
-        acts = self.acts
-        return ("note", self.notes.popleft()) if self.notes else acts.popleft() if acts else None
+        return ("note", self.notes.popleft()) if self.notes else self.acts.popleft() if self.acts else None
 
     def tick(self, now: float) -> None:
-        self.next_tick = self.wake_at = now + TICK
-        self.acts.extend([] if self.followed else [("follow_list", True)])
-        self.followed = True
-        for worker in self.workers.values():
+        self.acts, self.followed = deque([*self.acts, *[("follow_list", True)] * (not self.followed)]), True
+        out = [co.place.worker for rpc in self.rpcs.values() for co in rpc.call_outs if co.outcome is None]
+        for worker in dict.fromkeys(out + self.muted):
             self.rescue(worker, now)
-        ready = [w for w in self.workers.values() if w.listing.state == "ready"]
-        for worker in ready:
             if worker.shun_until <= now and self.health.silent(worker, now):
                 self.health.shun(worker, now, f"silent with {len(worker.out)} out")
-            said = worker.reports[-1][0] if worker.reports else 0.0
-            if self.allowance.probe and now - max(said, worker.probe_sent) >= PROBE_EVERY:
-                worker.probe_sent = now
-                self.acts.append(("probe", worker))
+            if worker.out and worker.heard <= worker.out[0].sent and overdue(worker.out[0], now):
+                self.probe(worker, PROBE_SOON, now)  # a decision hangs on it
+        for worker in self.health.shunned:
+            self.probe(worker, PROBE_EVERY, now)
+        for _ in range(ceil(len(self.rota) * TICK / PROBE_EVERY)):
+            self.rota.rotate(-1)
+            self.probe(self.rota[0], PROBE_EVERY, now)
         self.waiting.sort(key=lambda r: -r.method.gain / (1 if self.seat.by_work else self.latency.cost(r)))
         self.todo, self.waiting = deque([*self.todo, *self.waiting]), []
-        if now >= self.next_fill:
-            self.next_fill = now + PERIOD
+        if now >= self.next_fill:  # by chance, so that front ends fall out of step
+            self.next_fill = now + PERIOD * (0.9 + 0.2 * self.chance.part())
             self.forget_old(now)
-            programs = list(self.programs.values())
-            self.guards.survey(now)
-            if ready:
-                self.fill.run(programs, ready, [w for w in ready if not w.shuns] or ready, now)
+            self.guards.survey(self.ready, now)
+            if self.ready:
+                self.fill.run(programs := list(self.programs.values()), self.ready, now)
                 self.orders = deque(self.fill.holds(programs, now) if self.stock.may_hold else ())
+        self.wake_at = min(self.next_fill, now + TICK if self.rpcs or self.muted else self.next_fill)
+
+    def probe(self, worker: Worker, every: float, now: float) -> None:
+        # Danger: probes of many front ends cost more than the RPCs: they go by our traffic.
+        said = worker.reports[-1][0] if worker.reports else 0.0
+        if (self.allowance.probe and self.probes >= 1 and worker.listing.state == "ready"
+                and now - max(said, worker.probe_sent) >= every):
+            worker.probe_sent, self.probes = now, self.probes - 1
+            self.acts.append(("probe", worker))
 
     def rescue(self, worker: Worker, now: float) -> None:
         # Danger: an RPC sits out its time at a worker that hangs, or waits for a load while a copy stands
@@ -608,8 +611,7 @@
             if (rpc.closed or call_out.fled or rpc.method.effect != "idempotent"
                     or len(rpc.call_outs) >= self.allowance.call_outs):
                 continue
-            lost = self.health.given_up(call_out, now)
-            if lost and not silent:  # Danger: a worker that answers some and loses others
+            if (lost := self.health.given_up(call_out, now)) and not silent:  # it answers some, loses others
                 self.health.saw(worker, "lost", now)
             if lost or silent and worker.shun_until > now:
                 call_out.fled = now
@@ -617,28 +619,30 @@
                 self.acts.append(("cancel", call_out))
 
     def forget_old(self, now: float) -> None:  # programs wanted once must not stay in the books for ever
-        for program in [p for p in self.programs.values() if now - p.called > FORGET * self.stock.idle_life]:
-            if not any(place.out for place in program.places):
-                forget(list(program.places))
-                del self.programs[program.name]
+        for program in [p for p in self.programs.values() if now - p.called > FORGET * self.stock.idle_life
+                        and not any(place.out for place in p.places)]:
+            forget(list(program.places))
+            del self.programs[program.name]
 
     def settle(self, rpc: RPC, now: float) -> None:
         rpc.queued = False
         if rpc.closed or any(co.outcome is None for co in rpc.call_outs):
             return
         if now < rpc.ends - 2 * TICK:
-            usable = [w for w in self.workers.values()
-                      if self.guards.may_call(w, rpc, now) and self.health.usable(w, now)
-                      and may_repeat(rpc, w, self.allowance.call_outs, now)]
-            if place := choose(rpc, usable, self.fill, self.latency, self.chance, now):
+            most = self.allowance.call_outs
+
+            def able(worker: Worker) -> bool:
+                return (worker.shun_until <= now and not (worker.shuns and (worker.out or worker.mute))
+                        and self.guards.may_call(worker, rpc, now) and may_repeat(rpc, worker, most, now))
+
+            if place := choose(rpc, able, self.health, self.fill, self.chance, now):
                 if (self.stock.loads_on_call or self.latency.stands(place, now)
                         or place.ordered is not None and place.ordered < now):
                     return self.call(rpc, place, now)
                 if place.ordered is None:  # a call-out would miss, and might overtake the hold
                     self.order(place, 1, False, now)
-            if (now + self.latency.cost(rpc) * self.latency.average < rpc.soft
-                    and len(rpc.call_outs) < self.allowance.call_outs
-                    and (rpc.method.effect == "idempotent" or not may_have_run(rpc))):
+            late = now + self.latency.cost(rpc) * self.latency.average >= rpc.soft
+            if not late and len(rpc.call_outs) < most and may_wait(rpc):
                 rpc.queued = True
                 return self.waiting.append(rpc)
         back = min(self.allowance.retry_after, self.latency.cost(rpc) * self.latency.average) or None
@@ -658,7 +662,7 @@
 
     def order(self, place: Place, copies: int, renewal: bool, now: float) -> None:
         if self.guards.may_hold(place.worker, renewal, now):
-            self.guards.ordered.append(now)
+            self.guards.ordered.append((now,))
             place.ordered = now
             place.loading = place.loading if renewal or place.standing else now
             self.acts.append(("hold", place.worker, place.program, min(copies, 16)))
