--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -207,7 +207,6 @@
     sent: float
     expected: float
     warm: bool
-    crowd: int
     beside: int
     outcome: str | None = None
     fled: float = 0.0
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -119,18 +119,17 @@
         return max(whole * 0.2, whole - (0.0 if place.loading is None else now - place.loading))
 
     def expect(self, place: Place, rpc: RPC, now: float) -> float:
-        worker, ahead = place.worker, max(0, place.out + 1 - lanes(place))
-        run = self.cost(rpc) * self.pace(worker) * (1 + len(worker.out) / self.width(worker))
-        return run * (1 + ahead / lanes(place)) + self.load_left(place, now)
-
-    def learn(self, call_out: CallOut, standing: str | None, now: float) -> None:
-        worker, rpc = call_out.place.worker, call_out.rpc
-        if not call_out.warm and standing != "stood":
-            return
-        took = (now - call_out.sent) / (1 + call_out.crowd)  # a lane's queue is not the worker's slowness
-        worker.ratios.append((now, took, self.cost(rpc)))
-        self.weigh(worker, now)
-        for times in (rpc.program.times, rpc.method.times):
+        crowd = 1 + len(place.worker.out) / self.width(place.worker)
+        return self.cost(rpc) * self.pace(place.worker) * crowd + self.load_left(place, now)
+
+    def learn(self, call_out: CallOut, outcome: str, now: float) -> None:
+        # Danger: a worker grows slower, and what clients gave up there never tells: it keeps its good pace.
+        # Should also catch lost answers. Could hurt where all workers lose some: then all count as slower.
+        worker, rpc, took = call_out.place.worker, call_out.rpc, now - call_out.sent
+        if outcome == "ok" or outcome in ("timeout", "cancelled") and took > call_out.expected:
+            worker.ratios.append((now, took, self.cost(rpc)))
+            self.weigh(worker, now)
+        for times in (rpc.program.times, rpc.method.times) if outcome == "ok" else ():
             times.append(took / self.pace(worker) if rpc.work is None else rpc.work)
 
 
@@ -141,14 +140,14 @@
 CAP, GRADE = 2, 1.3  # new holds a worker and period; latency steps of kinds
 SLOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
 LOST, RENEW = 4.0, 0.7  # load times after which a load counts as lost; of the idle life: when to renew
-GROWTH, SHRINK = 1.25, 0.7  # of a worker's budget, after a hold in full and after a refusal
+GROWTH, SHRINK, KEEPERS = 1.25, 0.7, 3.0  # of budgets at holds, refusals; others' calls in an idle life
 
 
 class Fill:  # places each program on the fewest lowest-latency workers its demand needs, within budgets
     def __init__(self, latency: Latency, stock: Stock, seat: Seat) -> None:
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
         self.opened, self.known, self.carries, self.unit = {}, [], {}, 1.0
-        self.front_ends, self.count = seat.of, 10**6
+        self.front_ends, self.count, self.tells = seat.of, 10**6, stock.tells_company
 
     def whole(self, listing: Listing) -> float:
         return (self.memory[listing.kind:] or self.memory or (0.0,))[0]
@@ -164,17 +163,15 @@
         ours, seen = own / share, len(program.company)
         homes, near = max(1, sum(place.placed for place in program.places)), mean(program.company, 0.0)
         if not seen:
-            return ours
+            return own if self.tells else ours
         doubt, other = ours**2 * (1 - share) / len(program.calls), homes**2 * (near + 1 / seen) / seen
         return (ours * other + homes * near * doubt) / (doubt + other)
 
-    def open(self, workers: list[Worker], total: float, memory: float) -> list[Worker]:  # alike for all
+    def open(self, workers: list[Worker], load: float, memory: float) -> list[Worker]:  # alike for all
         paces = {w.listing.kind: self.latency.usual_pace(w) / self.latency.average for w in workers}
         grades = {kind: round(log(pace) / log(GRADE)) for kind, pace in paces.items()}
         order = sorted(workers, key=lambda w: (grades[w.listing.kind], w.listing.ident))
         carries = self.carries = {w: self.latency.width(w) / GRADE ** grades[w.listing.kind] for w in order}
-        busy = mean([w.busy for w in order if w.reports], 0.0)  # of those that said nothing
-        load = max(sum((w.busy if w.reports else busy) * carries[w] for w in order), total)
 
         power, room = accumulate(carries[w] * TARGET for w in order), accumulate(w.budget for w in order)
         sums = list(zip(power, room, strict=True))
@@ -227,8 +224,11 @@
             for worker in chosen:
                 room[worker] -= demand[program] / len(chosen)
                 budget[worker] -= memory[program] * copies
+            others = (wide[program] - taken[program]) / latency.usual(program) * self.idle_life / len(chosen)
             for place in [place_of(program, worker) for worker in chosen] and program.places:
                 place.placed, place.wanted = place.worker in chosen, copies
+                if place.placed and others > KEEPERS and place.worker.crammed <= now:
+                    place.standing, place.used = max(1, place.standing), now  # they keep it warm
 
     def put(self, program: Program, load: float, memory: float, placed: list[Worker], part: dict, room: dict,
             budget: dict, now: float) -> list[Worker]:
@@ -236,12 +236,11 @@
         if load > (len(placed) - 1) * self.unit * CLOSE:
             need = max(need, len(placed))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
-        stands = {place.worker for place in program.places if self.latency.stands(place, now)}
         leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
         ring, spare = [w for w in self.ring(program) if w in self.opened], []
         for w in ring if len(chosen) < need else ():
             if w not in chosen and room[w] + leeway * part[w] >= load / need:  # within budget first
-                (spare if budget[w] < memory and w not in stands else chosen).append(w)
+                (spare if budget[w] < memory else chosen).append(w)
                 if len(chosen) == need:
                     break
         chosen += spare[:need - len(chosen)]
@@ -492,17 +491,17 @@
         now, rpc = self.now, self.rpcs.get(ident)
         if rpc is None or number >= len(rpc.call_outs):
             return
-        call_out = rpc.call_outs[number]
-        place, worker = call_out.place, call_out.place.worker
+        call_out, place, worker = (co := rpc.call_outs[number]), co.place, co.place.worker
         call_out.warm = call_out.warm and standing not in ("began", "awaited")
         if outcome == "ok" and call_out.warm and call_out.sent >= worker.lowered:  # not before the last cut
             paced(call_out, now)
         end(call_out, outcome)
         rpc.closed = rpc.closed or final
+        if call_out.warm or standing == "stood":
+            self.latency.learn(call_out, outcome, now)
         if outcome == "ok":
-            if self.stock.tells_company and call_out.warm:
+            if self.stock.tells_company:
                 rpc.program.company.append(company)
-            self.latency.learn(call_out, standing, now)
             self.guards.carried.append((now, self.guards.weight(rpc)))
             if place.loading is not None and standing in ("began", None) and not call_out.warm:
                 self.latency.loaded(rpc.program, now - place.loading - self.latency.cost(rpc))
@@ -581,7 +580,7 @@
                 self.probe(worker, PROBE_SOON, now)  # a decision hangs on it
         for worker in self.health.shunned:
             self.probe(worker, PROBE_EVERY, now)
-        for _ in range(ceil(len(self.rota) * TICK / PROBE_EVERY)):
+        for _ in range(ceil(len(self.rota) * TICK / PROBE_EVERY) if self.probes > PROBES / 2 else 0):
             self.rota.rotate(-1)
             self.probe(self.rota[0], PROBE_EVERY, now)
         self.waiting.sort(key=lambda r: -r.method.gain / (1 if self.seat.by_work else self.latency.cost(r)))
@@ -596,7 +595,7 @@
         self.wake_at = min(self.next_fill, now + TICK if self.rpcs or self.muted else self.next_fill)
 
     def probe(self, worker: Worker, every: float, now: float) -> None:
-        # Danger: probes of many front ends cost more than the RPCs: they go by our traffic.
+        # Danger: probes and holds of many front ends cost more than the RPCs: they go by our traffic.
         said = worker.reports[-1][0] if worker.reports else 0.0
         if (self.allowance.probe and self.probes >= 1 and worker.listing.state == "ready"
                 and now - max(said, worker.probe_sent) >= every):
@@ -651,9 +650,8 @@
 
     def call(self, rpc: RPC, place: Place, now: float) -> None:
         worker, warm = place.worker, self.latency.stands(place, now)
-        call_out = CallOut(rpc, len(rpc.call_outs), place, now, self.latency.expect(place, rpc, now), warm,
-                           max(0, place.out + 1 - lanes(place)), working(worker, now))
-        begin(call_out)
+        due, beside = self.latency.expect(place, rpc, now), working(worker, now)
+        begin(CallOut(rpc, len(rpc.call_outs), place, now, due, warm, beside))
         if self.guards.cold(worker, now):
             worker.sends.append((now, self.guards.weight(rpc)))
         self.acts.append(("call", rpc, worker, None))
@@ -661,8 +659,9 @@
         place.loading = now if not warm and place.loading is None else place.loading
 
     def order(self, place: Place, copies: int, renewal: bool, now: float) -> None:
-        if self.guards.may_hold(place.worker, renewal, now):
+        paid = self.probes >= 1 or not self.stock.loads_on_call
+        if paid and self.guards.may_hold(place.worker, renewal, now):
             self.guards.ordered.append((now,))
-            place.ordered = now
+            place.ordered, self.probes = now, self.probes - 1
             place.loading = place.loading if renewal or place.standing else now
             self.acts.append(("hold", place.worker, place.program, min(copies, 16)))
