--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -151,6 +151,8 @@
             with self.subTest(gap=gap):
                 fleet = Fleet(workers=8)
                 used = []
+                for name in "abcdefgh" * 8:
+                    fleet.fe.probed(name, "ok", (0.1, 0.3))
                 for at in range(300):
                     used += called(fleet.serve(f"p{at % 6}", calls=1, ms=gap))
                 self.assertLessEqual(len(set(used[-60:])), most)
@@ -291,6 +293,8 @@
 
     def test_homes_leave_a_closed_worker(self):
         fleet = Fleet(workers=6)
+        for name in "abcdef" * 8:
+            fleet.fe.probed(name, "ok", (0.2, 0.6))
         for at in range(400):
             fleet.serve(f"p{at % 5}", calls=1, ms=60.0)
         opened = set(fleet.fe.fill.opened)
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -127,7 +127,8 @@
         # Should also catch lost answers. Could hurt where all workers lose some: then all count as slower.
         worker, rpc, took = call_out.place.worker, call_out.rpc, now - call_out.sent
         if outcome == "ok" or outcome in ("timeout", "cancelled") and took > call_out.expected:
-            worker.ratios.append((now, took, self.cost(rpc)))
+            least = took if outcome == "ok" else min(took, OVERDUE * call_out.expected)  # given up: at least
+            worker.ratios.append((now, least, self.cost(rpc)))
             self.weigh(worker, now)
         for times in (rpc.program.times, rpc.method.times) if outcome == "ok" else ():
             times.append(took / self.pace(worker) if rpc.work is None else rpc.work)
@@ -137,7 +138,7 @@
 TARGET, BOUND, HEADROOM = 0.6, 0.7, 1.5  # busy share to open workers, to fill one for; deviations kept free
 SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
 SMALL, CLOSE = 0.15, 0.75  # of a worker's room: less may go over it; below so much of it one is given up
-CAP, GRADE = 2, 1.3  # new holds a worker and period; latency steps of kinds
+CAP, GRADE, DOUBT = 2, 1.3, 4.0  # holds a worker, period; latency steps; reports against twice the load
 SLOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
 LOST, RENEW = 4.0, 0.7  # load times after which a load counts as lost; of the idle life: when to renew
 GROWTH, SHRINK, KEEPERS = 1.25, 0.7, 3.0  # of budgets at holds, refusals; others' calls in an idle life
@@ -164,7 +165,8 @@
         homes, near = max(1, sum(place.placed for place in program.places)), mean(program.company, 0.0)
         if not seen:
             return own if self.tells else ours
-        doubt, other = ours**2 * (1 - share) / len(program.calls), homes**2 * (near + 1 / seen) / seen
+        calls = own * self.idle_life / self.latency.usual(program) / self.latency.average
+        doubt, other = ours**2 * (1 - share) / calls, homes**2 * (near + 1 / seen) / seen
         return (ours * other + homes * near * doubt) / (doubt + other)
 
     def open(self, workers: list[Worker], load: float, memory: float) -> list[Worker]:  # alike for all
@@ -183,9 +185,10 @@
         self.count = max(enough(load), min(self.count, len(order)))
         return order[:self.count]
 
-    def share(self, workers: list[Worker]) -> float:  # our part of the fleet's load; few reports: even parts
-        pairs = [(own, r["held"]) for w in workers for _, r, own in w.reports if "held" in r]
-        return min(1.0, sum([1, *(own for own, _ in pairs)]) / sum([self.front_ends, *(h for _, h in pairs)]))
+    def share(self, workers: list[Worker], own: float) -> float:  # our part of the fleet's load, in lanes
+        held = [r["held"] for w in workers for _, r, _ in w.reports if "held" in r]
+        part = min(1.0, own / max(mean(held, 0.0) * len(workers), own, 1e-9))  # few reports: an even part
+        return (part * len(held) + KEPT / self.front_ends) / (len(held) + KEPT)
 
     def ring(self, program: Program) -> list[Worker]:
         if program.ringed is not self.known:
@@ -195,13 +198,14 @@
     def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
         self.latency.survey(workers, now)
         taken = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
-        latency, share = self.latency, self.share(workers)
+        latency, share = self.latency, self.share(workers, sum(taken.values()))
         busy = mean([w.busy for w in workers if w.reports], 0.0) * sum(map(latency.width, workers)) * share
         scale = busy / sum(taken.values()) if busy and taken else 1.0  # crowding swells lanes only
         wide = {p: max(self.wide(p, load, share), load) for p, load in taken.items()}
         demand = {p: load * scale * share for p, load in wide.items()}
         memory = {p: p.memory * load / wide[p] for p, load in taken.items()}  # our part of what all use
-        opened = self.open(workers, sum(taken.values()) * scale / share, sum(memory.values()))
+        unsure = DOUBT / (1 + sum(len(w.reports) for w in workers)) * bool(latency.report)  # all must agree
+        opened = self.open(workers, sum(taken.values()) * scale / share * (1 + unsure), sum(memory.values()))
         for w in workers:
             w.slow = (w.slow + 1) * bool(w.ratios and latency.pace(w) > SLOW * latency.usual_pace(w))
         well = [w for w in workers if not w.shuns] or workers
@@ -411,8 +415,8 @@
             return worker.listing.state == "ready"
         warmup, sends, weight, age = self.warmup, worker.sends, self.weight(rpc), now - worker.cold_from
         trim(sends, now - warmup.window)
-        share = warmup.start_share + (1 - warmup.start_share) * age / warmup.ramp
-        part = COLD_MARGIN * warmup.multiple * share * self.rate * worker.listing.size * warmup.window
+        share = warmup.multiple * (warmup.start_share + (1 - warmup.start_share) * age / warmup.ramp)
+        part = COLD_MARGIN * share * self.rate * worker.listing.size * warmup.window
         if part >= weight:
             return sum(cost for _, cost in sends) + weight <= part
         # Danger: one RPC of each of many front ends is too much; each waits for its turn, rare as its part is
@@ -471,9 +475,8 @@
 
     def took(self, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
              load: float | None, work: float | None, repeat: bool) -> None:
-        now, kept = self.now, (deque(maxlen=many) for many in (KEPT_CALLS, KEPT, KEPT, KEPT))
-        if (program := self.programs.get(name)) is None:
-            program = Program(name, method, memory, lanes, load or 0.0, *kept, mark(name))
+        now, few = self.now, (deque(maxlen=many) for many in (KEPT_CALLS, KEPT, KEPT, KEPT))
+        program = self.programs.get(name) or Program(name, method, memory, lanes, load or 0, *few, mark(name))
         self.programs[name], program.called, self.probes = program, now, min(PROBES, self.probes + PROBE_PART)
         program.calls.append(now)
         soft = now + min(left, method.soft + method.soft_stretch * (work or 0.0))
@@ -500,8 +503,7 @@
         if call_out.warm or standing == "stood":
             self.latency.learn(call_out, outcome, now)
         if outcome == "ok":
-            if self.stock.tells_company:
-                rpc.program.company.append(company)
+            rpc.program.company.extend([company] if self.stock.tells_company else [])
             self.guards.carried.append((now, self.guards.weight(rpc)))
             if place.loading is not None and standing in ("began", None) and not call_out.warm:
                 self.latency.loaded(rpc.program, now - place.loading - self.latency.cost(rpc))
@@ -562,8 +564,7 @@
         self.now = now
 
     def decide(self) -> Decision | None:
-        now = self.now
-        if now >= self.wake_at:
+        if (now := self.now) >= self.wake_at:
             self.tick(now)
         while not (self.notes or self.acts) and (self.todo or self.orders):
             self.settle(self.todo.popleft(), now) if self.todo else self.order(*self.orders.popleft(), now)
@@ -627,9 +628,8 @@
         rpc.queued = False
         if rpc.closed or any(co.outcome is None for co in rpc.call_outs):
             return
+        most = self.allowance.call_outs
         if now < rpc.ends - 2 * TICK:
-            most = self.allowance.call_outs
-
             def able(worker: Worker) -> bool:
                 return (worker.shun_until <= now and not (worker.shuns and (worker.out or worker.mute))
                         and self.guards.may_call(worker, rpc, now) and may_repeat(rpc, worker, most, now))
