--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -6,7 +6,7 @@
 types stand. wake_at is when to call woke next. Times are float ms of the host; ids stay at this door.
 """
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import replace
 from itertools import accumulate, islice
 from math import ceil, log, sqrt
@@ -161,13 +161,13 @@
     def wide(self, program: Program, own: float, share: float) -> float:  # the fleet's lanes busy with it
         # Danger: of many front ends each believes what it is asked for to be wanted everywhere, and loads it
         # on many workers. Should also catch uneven traffic. Could hurt where the company lags behind a rise.
-        ours, seen = own / share, len(program.company)
-        homes, near = max(1, sum(place.placed for place in program.places)), mean(program.company, 0.0)
-        if not seen:
+        ours, counts = own / share, Counter(worker for worker, _ in program.company)
+        near = sum(many / counts[worker] for worker, many in program.company)  # over the workers we met
+        if not counts:
             return own if self.tells else ours
         calls = own * self.idle_life / self.latency.usual(program) / self.latency.average
-        doubt, other = ours**2 * (1 - share) / calls, homes**2 * (near + 1 / seen) / seen
-        return (ours * other + homes * near * doubt) / (doubt + other)
+        doubt, other = ours**2 * (1 - share) / calls, (near + 1 / KEPT) * len(counts) / len(program.company)
+        return (ours * other + near * doubt) / (doubt + other)
 
     def open(self, workers: list[Worker], load: float, memory: float) -> list[Worker]:  # alike for all
         paces = {w.listing.kind: self.latency.usual_pace(w) / self.latency.average for w in workers}
@@ -218,7 +218,7 @@
         self.unit = max(1e-9, mean([part[w] for w in opened], 1.0))
         room, budget = dict(part), {w: w.budget for w in well}
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in self.opened]
-                  for p in demand if self.front_ends == 1 or now - p.settled < RETHINK}
+                  for p in demand if now - p.settled < RETHINK / max(1 - share, 1e-9)}  # alone: kept
         for program in sorted(demand, key=lambda p: (-demand[p], p.name)):
             chosen = self.put(program, demand[program], memory[program], placed.get(program, []), part, room,
                               budget, now)
@@ -503,7 +503,7 @@
         if call_out.warm or standing == "stood":
             self.latency.learn(call_out, outcome, now)
         if outcome == "ok":
-            rpc.program.company.extend([company] if self.stock.tells_company else [])
+            rpc.program.company.extend([(worker, company)] if self.stock.tells_company else [])
             self.guards.carried.append((now, self.guards.weight(rpc)))
             if place.loading is not None and standing in ("began", None) and not call_out.warm:
                 self.latency.loaded(rpc.program, now - place.loading - self.latency.cost(rpc))
