--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -3,8 +3,7 @@
 A host makes a FrontEnd, tells it the time (woke) and what happens (listed, took, ended, held, probed, left):
 these only update the books. Then it calls decide() until that returns None: plain tuples of a verb (call,
 cancel, deny, abort, hold, probe, follow_list, note) and objects of wickdyke/interface.py, where the shared
-types stand. wake_at is when to call woke next. Times are float ms of the host; ids stay at this door.
-"""
+types stand. wake_at is when to call woke next. Times are float ms of the host; ids stay at this door."""
 
 from collections import Counter, deque
 from dataclasses import replace
@@ -39,7 +38,7 @@
     return max(1, place.standing) * place.program.lanes
 
 
-SAMPLE_AGE, PRIOR = 15000.0, 6.0  # ms for which samples count; samples' worth of its kind's in each pace
+SAMPLE_AGE, PRIOR, FRESH = 15000.0, 6.0, 4000.0  # ms samples count; its kind's in a pace; ms reports fade
 LOAD_GUESS, LOAD_LEAST, COST_GUESS = 1000.0, 50.0, 0.25  # ms of a load unseen; least; work, of soft deadline
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
 OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
@@ -119,8 +118,10 @@
         return max(whole * 0.2, whole - (0.0 if place.loading is None else now - place.loading))
 
     def expect(self, place: Place, rpc: RPC, now: float) -> float:
-        crowd = 1 + len(place.worker.out) / self.width(place.worker)
-        return self.cost(rpc) * self.pace(place.worker) * crowd + self.load_left(place, now)
+        worker, (at, report, own) = place.worker, (place.worker.reports or [(0.0, {}, 0)])[-1]
+        others = max(0.0, report.get("held", 0.0) - own) * max(0.0, 1 - (now - at) / FRESH)
+        crowd = 1 + (len(worker.out) + others) / self.width(worker)
+        return self.cost(rpc) * self.pace(worker) * crowd + self.load_left(place, now)
 
     def learn(self, call_out: CallOut, outcome: str, now: float) -> None:
         # Danger: a worker grows slower, and what clients gave up there never tells: it keeps its good pace.
@@ -209,12 +210,11 @@
         for w in workers:
             w.slow = (w.slow + 1) * bool(w.ratios and latency.pace(w) > SLOW * latency.usual_pace(w))
         well = [w for w in workers if not w.shuns] or workers
-        slow = {w for w in well if w.slow >= SLOW_AFTER}
-        opened = [w for w in opened if not w.shuns and w not in slow] or well
+        opened = [w for w in opened if not w.shuns and w.slow < SLOW_AFTER] or well
         self.opened = dict.fromkeys(opened)
         even = SLACK * sum(demand.values()) / sum(self.carries[w] for w in opened)
         part = {w: max(even * self.carries[w], BOUND * share * latency.width(w))
-                * (latency.average / latency.pace(w) if w in slow else 1.0) for w in well}
+                * (latency.average / latency.pace(w) if w.slow >= SLOW_AFTER else 1.0) for w in well}
         self.unit = max(1e-9, mean([part[w] for w in opened], 1.0))
         room, budget = dict(part), {w: w.budget for w in well}
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in self.opened]
@@ -437,7 +437,7 @@
 
 
 FORGET, TICK, PROBE_PART, PROBES = 3, 50.0, 0.5, 8.0  # idle lives; ms between looks; probes an RPC, saved up
-PROBE_EVERY, PROBE_SOON = 1000.0, 300.0  # ms between probes of a worker, of one that is silent
+PROBE_EVERY, PROBE_SOON, FEW, LAZY = 1000.0, 300.0, 8, 4.0  # ms of probes, if silent; RPCs a fill; periods
 
 
 class FrontEnd:
@@ -451,7 +451,7 @@
         self.orders, self.acts, self.chance = deque(), deque(), Chance(seed)
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
         self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration, seed, seat.of)
-        self.ready, self.rota, self.muted, self.probes = [], deque(), [], PROBES
+        self.ready, self.rota, self.muted, self.probes, self.fresh = [], deque(), [], PROBES, 0
         self.fill, self.health = Fill(self.latency, stock, seat), Health(self.notes.append, self.latency)
         self.next_fill = self.wake_at = now
 
@@ -467,9 +467,8 @@
                 del self.workers[ident]
         for row in (row for row in rows if row.state != "gone"):
             few = (deque(maxlen=many) for many in (KEPT_RATIOS, KEPT // 2, KEPT // 2, JUDGED))
-            budget, ident = self.fill.whole(row) / self.seat.of, mark(row.ident)
-            new = Worker(row, *few, budget, LIMIT_START, row.born, ident)
-            self.workers.setdefault(row.ident, new).listing = row
+            w = Worker(row, *few, self.fill.whole(row) / self.seat.of, LIMIT_START, row.born, mark(row.ident))
+            self.workers.setdefault(row.ident, w).listing = row
         if (ready := [w for w in self.workers.values() if w.listing.state == "ready"]) != self.ready:
             self.rota, self.fill.known, self.ready = deque(ready), ready, ready
 
@@ -479,6 +478,7 @@
         program = self.programs.get(name) or Program(name, method, memory, lanes, load or 0, *few, mark(name))
         self.programs[name], program.called, self.probes = program, now, min(PROBES, self.probes + PROBE_PART)
         program.calls.append(now)
+        self.fresh += 1
         soft = now + min(left, method.soft + method.soft_stretch * (work or 0.0))
         self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
         self.guards.taken.append((now,))
@@ -586,8 +586,9 @@
             self.probe(self.rota[0], PROBE_EVERY, now)
         self.waiting.sort(key=lambda r: -r.method.gain / (1 if self.seat.by_work else self.latency.cost(r)))
         self.todo, self.waiting = deque([*self.todo, *self.waiting]), []
-        if now >= self.next_fill:  # by chance, so that front ends fall out of step
-            self.next_fill = now + PERIOD * (0.9 + 0.2 * self.chance.part())
+        if now >= self.next_fill:  # by chance, so that front ends fall out of step; later where little is new
+            wait = PERIOD * min(LAZY, max(1.0, FEW / (1 + self.fresh)))
+            self.next_fill, self.fresh = now + wait * (0.9 + 0.2 * self.chance.part()), 0
             self.forget_old(now)
             self.guards.survey(self.ready, now)
             if self.ready:
@@ -655,8 +656,7 @@
         if self.guards.cold(worker, now):
             worker.sends.append((now, self.guards.weight(rpc)))
         self.acts.append(("call", rpc, worker, None))
-        place.used = now if warm else place.used
-        place.loading = now if not warm and place.loading is None else place.loading
+        place.used, place.loading = (now, place.loading) if warm else (place.used, place.loading or now)
 
     def order(self, place: Place, copies: int, renewal: bool, now: float) -> None:
         paid = self.probes >= 1 or not self.stock.loads_on_call
