--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -398,6 +398,54 @@
                 self.assertTrue(least <= fleet.clock - start <= most, fleet.clock - start)
                 self.assertTrue(0.0 < next(d[2] for d in got if d[0] == "deny") <= 300.0)
 
+    def test_an_answer_given_up_counts_for_the_pace(self):
+        """(outcome, ms) -> whether the worker counts as slower; not where the client only left early."""
+        for outcome, ms, slower in (("cancelled", 900, True), ("timeout", 900, True),
+                                    ("cancelled", 20, False), ("full", 900, False)):
+            with self.subTest(outcome=outcome, ms=ms):
+                fleet = Fleet(workers=1)
+                fleet.serve(calls=20)
+                rpc = fleet.take()[0][1]
+                worker = rpc.call_outs[0].place.worker
+                before = fleet.fe.latency.pace(worker)
+                fleet.clock += ms
+                fleet.end(rpc, outcome)
+                self.assertEqual(fleet.fe.latency.pace(worker) > before, slower)
+
+    def test_a_connection_lost_makes_the_worker_cold(self):
+        """(outcome) -> whether it counts as started anew, before the list tells."""
+        for outcome, cold in (("cut", True), ("unreached", True), ("error", False), ("full", False)):
+            with self.subTest(outcome=outcome):
+                fleet = Fleet(workers=2)
+                fleet.serve(calls=20)
+                rpc = fleet.take()[0][1]
+                worker = rpc.call_outs[0].place.worker
+                fleet.end(rpc, outcome)
+                self.assertEqual(fleet.fe.guards.cold(worker, fleet.clock), cold)
+
+    def test_the_fleets_demand_for_a_program(self):
+        """(our lanes, our part, company by worker) -> least and most lanes of the fleet."""
+        for own, part, company, least, most in (
+                (0.02, 0.005, [], 0.02, 0.02), (0.02, 0.005, [0] * 8, 0.0, 0.5),
+                (0.05, 0.005, [3] * 8, 5.0, 7.0), (1.0, 1.0, [0] * 8, 1.0, 1.0)):
+            with self.subTest(own=own, company=company):
+                fleet = Fleet(workers=2)
+                fleet.take()
+                program, (a, b) = fleet.fe.programs["p"], fleet.fe.workers.values()
+                program.company.extend((worker, many) for many in company for worker in (a, b))
+                self.assertTrue(least <= fleet.fe.fill.wide(program, own, part) <= most)
+
+    def test_late_answers_limit_all_our_call_outs(self):
+        """(ms of each answer, busy share) -> whether what one front end has out at all workers is limited."""
+        for ms, busy, limited in ((900.0, 0.95, True), (100.0, 0.95, False), (900.0, 0.5, False)):
+            with self.subTest(ms=ms, busy=busy):
+                fleet = Fleet(workers=6, front_ends=200)
+                for name in "abcdef" * 8:
+                    fleet.fe.probed(name, "ok", (busy, 6.0))
+                for at in range(12):
+                    fleet.serve(f"p{at}", calls=2, ms=ms)
+                self.assertEqual(fleet.fe.whole.limit < 9.0, limited)
+
     def test_little_used_programs_stay_at_home(self):
         """(load, of a room of 1 what is left at the first by lot) -> whether it is chosen anew."""
         for load, left, first in ((0.02, -0.1, True), (0.02, -0.5, False), (0.4, -0.1, False),
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -208,6 +208,7 @@
     expected: float
     warm: bool
     beside: int
+    among: int
     outcome: str | None = None
     fled: float = 0.0
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -8,7 +8,7 @@
 from collections import Counter, deque
 from dataclasses import replace
 from itertools import accumulate, islice
-from math import ceil, log, sqrt
+from math import ceil, inf, log, sqrt
 
 from wickdyke.chance import Chance, draw, mark
 from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place
@@ -98,8 +98,7 @@
         if report:
             worker.reports.append((now, report, own))
             worker.busy = mean([r.get("busy", 0.0) for _, r, _ in worker.reports], 0.0)
-        share = report.get("busy", 0.0)
-        if 0.15 < share < 0.85:  # outside, queues and noise say little of the cores
+        if 0.15 < (share := report.get("busy", 0.0)) < 0.85:  # else queues, noise say little of cores
             held = report["held"] if "held" in report else own * self.front_ends
             self.widths.append(max(1.0, held) / (share * worker.listing.size))
 
@@ -124,8 +123,7 @@
         return self.cost(rpc) * self.pace(worker) * crowd + self.load_left(place, now)
 
     def learn(self, call_out: CallOut, outcome: str, now: float) -> None:
-        # Danger: a worker grows slower, and what clients gave up there never tells: it keeps its good pace.
-        # Should also catch lost answers. Could hurt where all workers lose some: then all count as slower.
+        # Danger: one grows slower, what was given up never tells. Also lost answers. Hurts if all lose some.
         worker, rpc, took = call_out.place.worker, call_out.rpc, now - call_out.sent
         if outcome == "ok" or outcome in ("timeout", "cancelled") and took > call_out.expected:
             least = took if outcome == "ok" else min(took, OVERDUE * call_out.expected)  # given up: at least
@@ -138,7 +136,7 @@
 PERIOD, RETHINK, LOOKS = 500.0, 5000.0, 8  # ms: between fills, homes are kept; workers looked at for one RPC
 TARGET, BOUND, HEADROOM = 0.6, 0.7, 1.5  # busy share to open workers, to fill one for; deviations kept free
 SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
-SMALL, CLOSE = 0.15, 0.75  # of a worker's room: less may go over it; below so much of it one is given up
+SMALL, CLOSE, HOT, TIRED = 0.15, 0.75, 1.2, 0.8  # of room: may go over, given up; of mean busy share; least
 CAP, GRADE, DOUBT = 2, 1.3, 4.0  # holds a worker, period; latency steps; reports against twice the load
 SLOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
 LOST, RENEW = 4.0, 0.7  # load times after which a load counts as lost; of the idle life: when to renew
@@ -148,7 +146,7 @@
 class Fill:  # places each program on the fewest lowest-latency workers its demand needs, within budgets
     def __init__(self, latency: Latency, stock: Stock, seat: Seat) -> None:
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
-        self.opened, self.known, self.carries, self.unit = {}, [], {}, 1.0
+        self.opened, self.known, self.carries, self.unit, self.hot = {}, [], {}, 1.0, inf
         self.front_ends, self.count, self.tells = seat.of, 10**6, stock.tells_company
 
     def whole(self, listing: Listing) -> float:
@@ -160,8 +158,7 @@
         return len(recent) / max(span, 1.0) * max(self.latency.usual(program) * self.latency.average, 1e-9)
 
     def wide(self, program: Program, own: float, share: float) -> float:  # the fleet's lanes busy with it
-        # Danger: of many front ends each believes what it is asked for to be wanted everywhere, and loads it
-        # on many workers. Should also catch uneven traffic. Could hurt where the company lags behind a rise.
+        # Danger: each of many loads what few want. Also catches uneven traffic. Hurts if company lags a rise.
         ours, counts = own / share, Counter(worker for worker, _ in program.company)
         near = sum(many / counts[worker] for worker, many in program.company)  # over the workers we met
         if not counts:
@@ -212,6 +209,7 @@
         well = [w for w in workers if not w.shuns] or workers
         opened = [w for w in opened if not w.shuns and w.slow < SLOW_AFTER] or well
         self.opened = dict.fromkeys(opened)
+        self.hot = max(TIRED, HOT * mean([w.busy for w in opened if w.reports], 0.0))  # no newcomers there
         even = SLACK * sum(demand.values()) / sum(self.carries[w] for w in opened)
         part = {w: max(even * self.carries[w], BOUND * share * latency.width(w))
                 * (latency.average / latency.pace(w) if w.slow >= SLOW_AFTER else 1.0) for w in well}
@@ -237,13 +235,12 @@
     def put(self, program: Program, load: float, memory: float, placed: list[Worker], part: dict, room: dict,
             budget: dict, now: float) -> list[Worker]:
         need = max(1, ceil(load / self.unit))
-        if load > (len(placed) - 1) * self.unit * CLOSE:
-            need = max(need, len(placed))
+        need = max(need, len(placed) * (load > (len(placed) - 1) * self.unit * CLOSE))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
-        ring, spare = [w for w in self.ring(program) if w in self.opened], []
+        ring, spare = [w for w in self.ring(program) if w in self.opened], []  # spare: not within budget
         for w in ring if len(chosen) < need else ():
-            if w not in chosen and room[w] + leeway * part[w] >= load / need:  # within budget first
+            if w not in chosen and w.busy <= self.hot and room[w] + leeway * part[w] >= load / need:
                 (spare if budget[w] < memory else chosen).append(w)
                 if len(chosen) == need:
                     break
@@ -291,7 +288,7 @@
                     or p.placed and has_room(p.worker, program, fill, now)]):
         if places:
             return min(places, key=lambda p: latency.expect(p, rpc, now) * (1 + TIE * chance.below(99) / 99))
-    if any(latency.stands(p, now) for p in usable):
+    if any(latency.stands(p, now) and p.full_until <= now + FULL_WAIT for p in usable):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
     ring = fill.ring(program)
     for pool in ((w for w in ring if w in fill.opened), ring):
@@ -310,11 +307,9 @@
 SILENT, SILENT_ONE, MUTE, SILENT_LEAST = 26.0, 6.0, 9.0, 80.0  # dues: in all, one RPC, one probe; ms of one
 
 
-def paced(call_out: CallOut, now: float) -> None:
-    # Danger: a full queue makes every answer late and retries keep it full. Should also catch a slowed
-    # machine. Could hurt where answers are late for another cause than the queue.
-    worker = call_out.place.worker
-    worker.spent.append(((now - call_out.sent) / call_out.rpc.method.soft, call_out.beside))
+def paced(worker: Worker, call_out: CallOut, beside: int, now: float) -> None:
+    # Danger: a full queue makes all late. Also catches slow workers. Hurts if late otherwise.
+    worker.spent.append(((now - call_out.sent) / call_out.rpc.method.soft, beside))
     spent = mean([share for share, _ in worker.spent], 0.0)
     full = not worker.reports or worker.reports[-1][1].get("busy", 1.0) >= FULL_CORES
     if len(worker.spent) == JUDGED and spent > EARLY and full:  # else it was lanes or loads that kept them
@@ -373,14 +368,12 @@
 
 
 def may_repeat(rpc: RPC, worker: Worker, most: int, now: float) -> bool:
-    ran, method, row = may_have_run(rpc), rpc.method, worker.listing
-    if rpc.closed or len(rpc.call_outs) >= most or now >= rpc.ends:
-        return False
-    if not ran or method.effect == "idempotent":
-        return True
+    ran, method = may_have_run(rpc), rpc.method
+    live = not rpc.closed and len(rpc.call_outs) < most and now < rpc.ends
     same = all(method.scope == "all" or getattr(co.place.worker.listing, method.scope)
-               == getattr(row, method.scope) for co in ran)
-    return method.effect == "tokened" and same and now < ran[0].sent + method.window
+               == getattr(worker.listing, method.scope) for co in ran)
+    again = method.effect == "tokened" and same and ran and now < ran[0].sent + method.window
+    return live and bool(not ran or method.effect == "idempotent" or again)
 
 
 def may_wait(rpc: RPC) -> bool:
@@ -453,6 +446,8 @@
         self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration, seed, seat.of)
         self.ready, self.rota, self.muted, self.probes, self.fresh = [], deque(), [], PROBES, 0
         self.fill, self.health = Fill(self.latency, stock, seat), Health(self.notes.append, self.latency)
+        few = (deque(maxlen=JUDGED) for _ in range(4))  # all workers as one: the limit on all our call-outs
+        self.whole = Worker(Listing("", 0, 0, 0, "ready", 1.0, None), *few, 0.0, inf, None, 0)
         self.next_fill = self.wake_at = now
 
     def listed(self, rows: list[Listing], whole: bool | None) -> None:
@@ -480,9 +475,9 @@
         program.calls.append(now)
         self.fresh += 1
         soft = now + min(left, method.soft + method.soft_stretch * (work or 0.0))
-        self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
+        rpc = self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
         self.guards.taken.append((now,))
-        self.todo.append(self.rpcs[ident])
+        self.todo.append(rpc)
         self.wake_at = min(self.wake_at, now + TICK)
 
     def began(self, ident: int, number: int) -> None:
@@ -496,8 +491,10 @@
             return
         call_out, place, worker = (co := rpc.call_outs[number]), co.place, co.place.worker
         call_out.warm = call_out.warm and standing not in ("began", "awaited")
-        if outcome == "ok" and call_out.warm and call_out.sent >= worker.lowered:  # not before the last cut
-            paced(call_out, now)
+        for gate, beside in ((worker, call_out.beside), (self.whole, call_out.among)):
+            if outcome == "ok" and call_out.warm and call_out.sent >= gate.lowered:  # not before the last cut
+                paced(gate, call_out, beside, now)
+        self.whole.out = [co for co in self.whole.out if co is not call_out]
         end(call_out, outcome)
         rpc.closed = rpc.closed or final
         if call_out.warm or standing == "stood":
@@ -511,7 +508,9 @@
         elif outcome == "miss":
             place.standing, place.loading = 0, None
         elif outcome == "full":
-            place.full_until = now + FULL_WAIT
+            # Danger: the full answer at once and draw more. Also lack of memory. Hurts if full briefly.
+            gap = (now - rpc.program.calls[0]) / len(rpc.program.calls)
+            place.full_until = now + min(max(FULL_WAIT, gap), self.stock.idle_life / 2)
             if not company and self.stock.tells_company and not place.out:  # no copy, no memory for one
                 worker.budget *= SHRINK if worker.crammed <= now else 1.0
                 worker.crammed, place.standing = now + CRAMMED, 0
@@ -539,8 +538,7 @@
             return
         place.ordered = place.loading = None
         if outcome == "ok":
-            if not place.standing:
-                self.latency.loaded(program, took)
+            self.latency.loaded(program, 0.0 if place.standing else took)
             worker.heard, place.standing, place.used = now, copies, now
             worker.budget = min(worker.budget * GROWTH, self.fill.whole(worker.listing))
         elif outcome in ("full", "error"):
@@ -572,8 +570,7 @@
 
     def tick(self, now: float) -> None:
         self.acts, self.followed = deque([*self.acts, *[("follow_list", True)] * (not self.followed)]), True
-        out = [co.place.worker for rpc in self.rpcs.values() for co in rpc.call_outs if co.outcome is None]
-        for worker in dict.fromkeys(out + self.muted):
+        for worker in dict.fromkeys([co.place.worker for co in self.whole.out] + self.muted):
             self.rescue(worker, now)
             if worker.shun_until <= now and self.health.silent(worker, now):
                 self.health.shun(worker, now, f"silent with {len(worker.out)} out")
@@ -591,6 +588,7 @@
             self.next_fill, self.fresh = now + wait * (0.9 + 0.2 * self.chance.part()), 0
             self.forget_old(now)
             self.guards.survey(self.ready, now)
+            self.whole.reports.append((now, {"busy": mean([w.busy for w in self.ready if w.reports], 0)}, 0))
             if self.ready:
                 self.fill.run(programs := list(self.programs.values()), self.ready, now)
                 self.orders = deque(self.fill.holds(programs, now) if self.stock.may_hold else ())
@@ -620,8 +618,8 @@
                 self.acts.append(("cancel", call_out))
 
     def forget_old(self, now: float) -> None:  # programs wanted once must not stay in the books for ever
-        for program in [p for p in self.programs.values() if now - p.called > FORGET * self.stock.idle_life
-                        and not any(place.out for place in p.places)]:
+        gone = [p for p in self.programs.values() if now - p.called > FORGET * self.stock.idle_life]
+        for program in (p for p in gone if not any(place.out for place in p.places)):
             forget(list(program.places))
             del self.programs[program.name]
 
@@ -630,7 +628,7 @@
         if rpc.closed or any(co.outcome is None for co in rpc.call_outs):
             return
         most = self.allowance.call_outs
-        if now < rpc.ends - 2 * TICK:
+        if now < rpc.ends - 2 * TICK and working(self.whole, now) < self.whole.limit:
             def able(worker: Worker) -> bool:
                 return (worker.shun_until <= now and not (worker.shuns and (worker.out or worker.mute))
                         and self.guards.may_call(worker, rpc, now) and may_repeat(rpc, worker, most, now))
@@ -641,6 +639,7 @@
                     return self.call(rpc, place, now)
                 if place.ordered is None:  # a call-out would miss, and might overtake the hold
                     self.order(place, 1, False, now)
+        if now < rpc.ends - 2 * TICK:
             late = now + self.latency.cost(rpc) * self.latency.average >= rpc.soft
             if not late and len(rpc.call_outs) < most and may_wait(rpc):
                 rpc.queued = True
@@ -651,8 +650,9 @@
 
     def call(self, rpc: RPC, place: Place, now: float) -> None:
         worker, warm = place.worker, self.latency.stands(place, now)
-        due, beside = self.latency.expect(place, rpc, now), working(worker, now)
-        begin(CallOut(rpc, len(rpc.call_outs), place, now, due, warm, beside))
+        near, far, due = working(worker, now), working(self.whole, now), self.latency.expect(place, rpc, now)
+        begin(CallOut(rpc, len(rpc.call_outs), place, now, due, warm, near, far))
+        self.whole.out.append(rpc.call_outs[-1])
         if self.guards.cold(worker, now):
             worker.sends.append((now, self.guards.weight(rpc)))
         self.acts.append(("call", rpc, worker, None))
