--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -233,7 +233,7 @@
 def empty(worker: Worker) -> None:
     """Nothing stands or loads there any more."""
     for place in worker.places.values():
-        place.standing, place.loading = 0, None
+        place.standing, place.loading, place.used = 0, None, 0.0
 
 
 def begin(call_out: CallOut) -> None:
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -146,7 +146,7 @@
 class Fill:  # places each program on the fewest lowest-latency workers its demand needs, within budgets
     def __init__(self, latency: Latency, stock: Stock, seat: Seat) -> None:
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
-        self.opened, self.known, self.carries, self.unit, self.hot = {}, [], {}, 1.0, inf
+        self.opened, self.known, self.carries, self.unit, self.hot, self.part = {}, [], {}, 1.0, inf, 1.0
         self.front_ends, self.count, self.tells = seat.of, 10**6, stock.tells_company
 
     def whole(self, listing: Listing) -> float:
@@ -209,7 +209,7 @@
         well = [w for w in workers if not w.shuns] or workers
         opened = [w for w in opened if not w.shuns and w.slow < SLOW_AFTER] or well
         self.opened = dict.fromkeys(opened)
-        self.hot = max(TIRED, HOT * mean([w.busy for w in opened if w.reports], 0.0))  # no newcomers there
+        self.part, self.hot = share, max(TIRED, HOT * mean([w.busy for w in opened if w.reports], 0.0))
         even = SLACK * sum(demand.values()) / sum(self.carries[w] for w in opened)
         part = {w: max(even * self.carries[w], BOUND * share * latency.width(w))
                 * (latency.average / latency.pace(w) if w.slow >= SLOW_AFTER else 1.0) for w in well}
@@ -229,7 +229,7 @@
             others = (wide[program] - taken[program]) / latency.usual(program) * self.idle_life / len(chosen)
             for place in [place_of(program, worker) for worker in chosen] and program.places:
                 place.placed, place.wanted = place.worker in chosen, copies
-                if place.placed and others > KEEPERS and place.worker.crammed <= now:
+                if place.placed and place.used and others > KEEPERS and place.worker.crammed <= now:
                     place.standing, place.used = max(1, place.standing), now  # they keep it warm
 
     def put(self, program: Program, load: float, memory: float, placed: list[Worker], part: dict, room: dict,
@@ -398,10 +398,9 @@
 
     def survey(self, workers: list[Worker], now: float) -> None:
         trim(self.carried, now - CARRIED)
-        busy = mean([w.busy for w in workers if w.reports], 1.0)
+        use = mean([w.busy for w in workers if w.reports], 1.0)
         self.size = max(sum(w.listing.size for w in workers), self.size * FADE, 1e-6)  # of all that carried
-        carried = sum(cost for _, cost in self.carried)
-        self.rate = carried / self.size / CARRIED / min(1.0, max(BUSY_LEAST, busy))
+        self.rate = sum(c for _, c in self.carried) / self.size / CARRIED / min(1.0, max(BUSY_LEAST, use))
 
     def may_call(self, worker: Worker, rpc: RPC, now: float) -> bool:
         if worker.listing.state != "ready" or not self.cold(worker, now):
@@ -491,9 +490,10 @@
             return
         call_out, place, worker = (co := rpc.call_outs[number]), co.place, co.place.worker
         call_out.warm = call_out.warm and standing not in ("began", "awaited")
-        for gate, beside in ((worker, call_out.beside), (self.whole, call_out.among)):
+        near, far = (worker, call_out.beside), (self.whole, call_out.among)
+        for gate, beside in (near, far)[:2 - (call_out.beside > 0)]:
             if outcome == "ok" and call_out.warm and call_out.sent >= gate.lowered:  # not before the last cut
-                paced(gate, call_out, beside, now)
+                paced(gate, call_out, beside, now)  # that on all where nothing of ours was beside it there
         self.whole.out = [co for co in self.whole.out if co is not call_out]
         end(call_out, outcome)
         rpc.closed = rpc.closed or final
@@ -510,10 +510,10 @@
         elif outcome == "full":
             # Danger: the full answer at once and draw more. Also lack of memory. Hurts if full briefly.
             gap = (now - rpc.program.calls[0]) / len(rpc.program.calls)
-            place.full_until = now + min(max(FULL_WAIT, gap), self.stock.idle_life / 2)
+            place.full_until = now + min(max(FULL_WAIT, gap * (1 - self.fill.part)), self.stock.idle_life / 2)
             if not company and self.stock.tells_company and not place.out:  # no copy, no memory for one
                 worker.budget *= SHRINK if worker.crammed <= now else 1.0
-                worker.crammed, place.standing = now + CRAMMED, 0
+                worker.crammed, place.standing, place.used = now + CRAMMED, 0, 0.0
         self.health.saw(worker, outcome, now)
         self.latency.reported(worker, report, now)
         if rpc.closed:
