The gateway runs: one desk owns the module, doors and links on blocking sockets

A front end process serves RPCs over JSON-RPC on a Unix socket, the module decides, stand-in workers answer, and a judge reads the five rules from what passed the sockets.

Change: wickdyke/protocol (framing, JSON-RPC 2.0, raw payloads), wickdyke/settings (S-expressions by a lark grammar, tables of fields), wickdyke/gateway (door, desk, link, outbox, roster, tape, log, serve), wickdyke/proving (stand-in worker, store and clients, scripts, director, judge, report), wickdyke/cli. The module is not changed.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# make demo: the main job on a fresh clone; make test: everything CI does.
+PYTHON ?= python3
+BIN := .venv/bin
+READY := .venv/.ready-for-wickdyke
+
+.PHONY: demo test lint unit prove bench fuzz
+
+demo: $(READY)
+	$(BIN)/wickdyke prove scripts/bad-day.sexp
+
+test: lint unit
+
+$(READY): pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/pip -q install --disable-pip-version-check -e ".[test]"
+	touch $@
+
+# The module is printed and kept in the on-call folder: its lines are shorter than the rest's.
+lint: $(READY)
+	$(BIN)/ruff check .
+	$(BIN)/ruff check --line-length 110 wickdyke/logic.py wickdyke/interface.py wickdyke/chance.py wickdyke/drill
+
+unit: $(READY)
+	$(BIN)/python -m unittest discover -s tests -t .
+
+# All scripts, judged, twenty seeds each: about an hour and a half.
+prove: $(READY)
+	$(BIN)/wickdyke prove --brief --seeds 20 scripts/*.sexp
--- /dev/null
+++ b/wickdyke/cli/__init__.py
@@ -0,0 +1,15 @@
+"""The `wickdyke` command: one file a subcommand or group of them."""
+
+import click
+
+from wickdyke.cli import call, check, prove, serve
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+@click.version_option(package_name="wickdyke", message="wickdyke %(version)s")
+def main() -> None:
+    """A gateway that sends RPCs to workers which load programs on demand."""
+
+
+for _command in (serve.serve, serve.up, check.check, call.call, prove.prove, prove.judge, prove.replay):
+    main.add_command(_command)
--- /dev/null
+++ b/wickdyke/cli/__main__.py
@@ -0,0 +1,5 @@
+"""python -m wickdyke.cli"""
+
+from wickdyke.cli import main
+
+main(prog_name="wickdyke")
--- /dev/null
+++ b/wickdyke/gateway/door.py
@@ -0,0 +1,335 @@
+"""The door: a listener and its client connections; one reader thread each, nothing shared but the desk's queue.
+
+JSON-RPC 2.0, one object or batch a line (docs/protocol.md). The door checks and the desk owns: what passes here
+is well formed, names a known method, and has all its figures.
+"""
+
+import fcntl
+import os
+import socket
+import stat
+import threading
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from wickdyke.gateway.outbox import Outbox, Parcel, Unread
+from wickdyke.interface import Method
+from wickdyke.protocol import front, jsonrpc
+from wickdyke.protocol.lines import Lines, TooLong
+from wickdyke.settings import address as addresses
+from wickdyke.settings.station import Bounds, Station
+
+CHUNK = 1 << 18  # bytes read at a time
+STACK = 512 * 1024  # bytes of a thread's stack: the decoder's greatest nesting was tried in it
+BACKLOG = 512
+
+
+class InUse(Exception):
+    """Somebody listens there already."""
+
+
+class Batch:
+    """The answers of one batch, sent together once all are there."""
+
+    def __init__(self, client: "Client", owed: int) -> None:
+        self.client, self.owed, self.bodies, self.lock = client, owed, [], threading.Lock()
+
+    def answer(self, body: bytes | None) -> None:
+        """Takes one answer (None for what gets none)."""
+        with self.lock:
+            self.bodies += [body] if body is not None else []
+            self.owed -= 1
+            if self.owed or not self.bodies:
+                return
+        self.client.write(b"[" + b",".join(self.bodies) + b"]\n")
+
+
+class Ask:
+    """One call of a client, checked. The desk answers it once, or drops it when the client has left."""
+
+    __slots__ = ("client", "ident", "method", "call", "left", "batch", "rpc", "sent", "done", "orders", "told")
+
+    def __init__(self, client: "Client", ident: jsonrpc.Ident, method: Method, call: front.Call, left: float,
+                 batch: Batch | None) -> None:
+        self.client, self.ident, self.method, self.call, self.left = client, ident, method, call, left
+        self.batch, self.rpc, self.sent, self.done, self.orders, self.told = batch, None, 0, False, {}, None
+
+    def answer(self, body: bytes) -> None:
+        """Sends the final answer."""
+        self.client.close_ask(self)
+        if self.batch is not None:
+            self.batch.answer(body)
+        else:
+            self.client.write(body + b"\n")
+
+
+class Client:
+    """One connection of a client."""
+
+    def __init__(self, door: "Door", sock: socket.socket, number: int) -> None:
+        self.door, self.sock, self.number = door, sock, number
+        self.outbox = Outbox(sock, door.bounds.unread, f"client-{number}-out")
+        self.asks: dict[jsonrpc.Ident, Ask] = {}
+        self.lock = threading.Lock()
+
+    def write(self, line: bytes) -> None:
+        """Writes without waiting; whoever does not read is hung up on."""
+        try:
+            self.outbox.put(Parcel(line))
+        except Unread as much:
+            self.door.said("client hung up on", client=self.number, why=f"does not read: {much}")
+            self.door.counts["unread"] += 1
+            self.outbox.close()
+        except OSError:
+            self.outbox.close()
+
+    def close_ask(self, ask: Ask) -> None:
+        """Its id may be used again."""
+        with self.lock:
+            if self.asks.get(ask.ident) is ask:
+                del self.asks[ask.ident]
+
+    def read(self) -> None:
+        """The reader thread: until the client hangs up."""
+        lines = Lines(self.door.bounds.line)
+        try:
+            while data := self.sock.recv(CHUNK):
+                for line in lines.feed(data):
+                    self._line(line)
+        except TooLong as bad:
+            self.door.counts["malformed"] += 1
+            self.write(jsonrpc.refusal(jsonrpc.Fault(jsonrpc.INVALID, str(bad))) + b"\n")
+            self.door.said("client hung up on", client=self.number, why=str(bad))
+        except OSError:
+            pass
+        finally:
+            # what is written already reaches a client that still reads
+            self.outbox.close()
+            self.door.gone(self)
+            self.sock.close()
+
+    def _line(self, line: bytes) -> None:
+        requests = list(jsonrpc.requests(line))
+        if not jsonrpc.is_batch(line) or requests and len(requests) == 1 and isinstance(requests[0], jsonrpc.Fault) \
+                and requests[0].ident is None:
+            for each in requests:
+                self._one(each, None, None)
+            return
+        # Danger: one array answers all, so the first whose time is up would answer late. All have the least.
+        least = min((self.door.time_left(each) for each in requests), default=None)
+        batch = Batch(self, len(requests))
+        for each in requests:
+            self._one(each, batch, least)
+
+    def _one(self, request: jsonrpc.Request | jsonrpc.Fault, batch: Batch | None, least: float | None) -> None:
+        try:
+            if isinstance(request, jsonrpc.Fault):
+                raise request
+            ask = self._checked(request, batch, least)
+        except jsonrpc.Fault as fault:
+            self.door.counts["malformed"] += 1
+            told = isinstance(request, jsonrpc.Request) and request.told
+            self._say(None if told else jsonrpc.refusal(fault), batch)
+            return
+        if ask is None:
+            if batch is not None:
+                batch.answer(None)
+            return
+        full = self.door.refuses(self)
+        if full:
+            self.close_ask(ask)
+            self.door.counts["refused"] += 1
+            self._say(front.denied(request.ident, full), batch)
+            return
+        self.door.desk(("asked", ask))
+
+    def _say(self, body: bytes | None, batch: Batch | None) -> None:
+        if batch is not None:
+            batch.answer(body)
+        elif body is not None:
+            self.write(body + b"\n")
+
+    def _checked(self, request: jsonrpc.Request, batch: Batch | None, least: float | None) -> Ask | None:
+        ident = request.ident
+        if request.method == "cancel":
+            cancel = jsonrpc.params(front.Cancel, request.params, ident)
+            if not request.told:
+                raise jsonrpc.Fault(jsonrpc.INVALID, "cancel: expected a notification, without an id", ident)
+            with self.lock:
+                ask = self.asks.pop(cancel.id, None)
+            if ask is not None:
+                if ask.batch is not None:
+                    ask.batch.answer(None)
+                self.door.desk(("left", ask))
+            return None
+        if request.method != "call":
+            raise jsonrpc.Fault(jsonrpc.NO_METHOD, f"{request.method[:60]}: expected call or cancel", ident)
+        if request.told or ident is None:
+            raise jsonrpc.Fault(jsonrpc.INVALID, "call: expected an id that is a string or a number", ident)
+        call = jsonrpc.params(front.Call, request.params, ident)
+        method = self.door.methods.get(call.method)
+        if method is None:
+            raise jsonrpc.Fault(jsonrpc.BAD_PARAMS, f"method: {call.method[:60]}, expected one of "
+                                + ", ".join(self.door.methods), ident)
+        if method.effect == "tokened" and not call.token:
+            raise jsonrpc.Fault(jsonrpc.BAD_PARAMS, f"token: missing, and {method.name} is tokened", ident)
+        stated = self.door.stated(call.program)
+        if call.memory_mb is None:
+            if stated is None:
+                raise jsonrpc.Fault(jsonrpc.BAD_PARAMS, f"memory_mb: missing, and the settings state none for "
+                                    f"{call.program[:60]}", ident)
+            call.memory_mb = stated.memory
+        if call.lanes is None:
+            call.lanes = stated.lanes if stated else 1
+        if call.load_ms is None and stated:
+            call.load_ms = stated.load
+        left = min(call.time_left_ms or method.deadline, method.deadline, least or method.deadline)
+        ask = Ask(self, ident, method, call, left, batch)
+        with self.lock:
+            if ident in self.asks:
+                # answered without the id: an error under it would pass for the final answer of the other
+                raise jsonrpc.Fault(jsonrpc.INVALID, f"id: {ident!r} is in use by a call that is not answered yet")
+            self.asks[ident] = ask
+        return ask
+
+
+class Door:
+    """The listener on one Unix socket or loopback address.
+
+    `desk` takes an event ("asked", ask), ("left", ask) or ("gone", [asks]); `busy` says in one word why no more
+    can be taken, or nothing.
+    """
+
+    def __init__(self, station: Station, desk: Callable[[tuple], None], busy: Callable[[], str],
+                 said: Callable[..., None]) -> None:
+        self.bounds: Bounds = station.bounds
+        self.desk, self.busy, self.said = desk, busy, said
+        self.methods = {method.name: method for method in station.methods}
+        self.stated = station.stated
+        self.counts: Counter[str] = Counter()
+        self.clients: set[Client] = set()
+        self.lock = threading.Lock()
+        self.number = 0
+        self.address = station.listen
+        self.sock, self.held = listener(station.listen)
+        self.thread = threading.Thread(target=self._accept, name="door", daemon=True)
+
+    def open(self) -> None:
+        """Begins to take connections."""
+        self.thread.start()
+
+    def time_left(self, request: jsonrpc.Request | jsonrpc.Fault) -> float:
+        """The time stated in a request, as far as it can be read; else the greatest."""
+        most = max((method.deadline for method in self.methods.values()), default=0.0)
+        if isinstance(request, jsonrpc.Request) and request.method == "call":
+            try:
+                call = jsonrpc.params(front.Call, request.params, None)
+            except jsonrpc.Fault:
+                return most
+            method = self.methods.get(call.method)
+            return min(call.time_left_ms or most, method.deadline if method else most)
+        return most
+
+    def refuses(self, client: Client) -> str:
+        """Why a call of this client can't be taken now, in one word, or nothing."""
+        if len(client.asks) > self.bounds.open_each:
+            return "connection-full"
+        return self.busy()
+
+    def gone(self, client: Client) -> None:
+        """A client hung up: it has left with all it had out."""
+        with self.lock:
+            self.clients.discard(client)
+        with client.lock:
+            asks, client.asks = list(client.asks.values()), {}
+        if asks:
+            self.desk(("gone", asks))
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError as bad:
+                if self.sock.fileno() < 0 or bad.errno not in (23, 24, 103):  # too many files; gone already
+                    return
+                self.said("connection not taken", why=str(bad))
+                threading.Event().wait(0.05)  # else the listener would spin until a file is closed
+                continue
+            with self.lock:
+                self.number += 1
+                client = Client(self, sock, self.number)
+                full = len(self.clients) >= self.bounds.connections
+                if not full:
+                    self.clients.add(client)
+            if full:
+                self.counts["turned_away"] += 1
+                client.write(front.denied(None, "too-many-connections") + b"\n")
+                client.outbox.close()
+                sock.close()
+                continue
+            try:
+                threading.Thread(target=client.read, name=f"client-{client.number}", daemon=True).start()
+            except RuntimeError as bad:  # no thread to be had
+                self.said("connection not taken", why=str(bad))
+                client.write(front.denied(None, "too-many-connections") + b"\n")
+                client.outbox.close()
+                self.gone(client)
+                sock.close()
+
+    def shut(self) -> None:
+        """Takes no more connections; those there are stay."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.sock.close()
+        if ":" not in self.address or "/" in self.address:
+            try:
+                os.unlink(self.address)
+            except OSError:
+                pass
+
+    def flushed(self) -> bool:
+        """Whether all answers are with the kernel."""
+        with self.lock:
+            return all(client.outbox.empty() for client in self.clients)
+
+    def hang_up(self) -> None:
+        """Ends all connections."""
+        with self.lock:
+            clients = list(self.clients)
+        for client in clients:
+            client.outbox.close()
+
+
+def listener(address: str) -> tuple[socket.socket, Iterable]:
+    """(listening socket, what must be kept while it is used); raises InUse where a live gateway has it.
+
+    A lock beside the socket's file tells a live owner from a file that a killed one left behind.
+    """
+    family, where = addresses.parse(address)
+    held = None
+    if family == socket.AF_UNIX:
+        os.makedirs(os.path.dirname(address) or ".", exist_ok=True)
+        held = open(address + ".lock", "w")  # noqa: SIM115 - kept open as long as the socket
+        try:
+            fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            held.close()
+            raise InUse(f"{address}: a live gateway listens there, expected a free one") from None
+        try:
+            if not stat.S_ISSOCK(os.lstat(address).st_mode):
+                raise InUse(f"{address}: a file that is no socket stands there, expected none")
+            os.unlink(address)  # nobody holds the lock: it is left over
+        except FileNotFoundError:
+            pass
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    if family != socket.AF_UNIX:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind(where)
+        sock.listen(BACKLOG)
+    except OSError as bad:
+        sock.close()
+        raise InUse(f"{address}: {bad.strerror}, expected a free one") from None
+    return sock, held
--- /dev/null
+++ b/wickdyke/gateway/serve.py
@@ -0,0 +1,123 @@
+"""Assembles a gateway from its settings, and ends it in order."""
+
+import os
+import random
+import signal
+import sys
+import threading
+from collections.abc import Callable
+
+from wickdyke.gateway import door as doors
+from wickdyke.gateway.desk import Desk, clock
+from wickdyke.gateway.door import Door
+from wickdyke.gateway.tape import Tape
+from wickdyke.settings import roll
+from wickdyke.settings.sexp import Unusable
+from wickdyke.settings.station import Station
+
+
+class Watcher:
+    """Reads the worker list whenever its file changes. What can't be used is said once and changes nothing."""
+
+    def __init__(self, station: Station, desk: Callable[[tuple], None], log) -> None:
+        self.path, self.every, self.desk, self.log = station.workers, station.reread / 1000, desk, log
+        self.zones, self.kinds = station.zones, station.kinds
+        self.mark: tuple | None = ()
+        self.ended = threading.Event()
+        self.thread = threading.Thread(target=self._watch, name="list", daemon=True)
+
+    def open(self) -> None:
+        """Reads it once, then follows it."""
+        self.look()
+        self.thread.start()
+
+    def close(self) -> None:
+        """Ends the thread."""
+        self.ended.set()
+        self.thread.join()
+
+    def look(self) -> None:
+        """Looks once."""
+        try:
+            found = os.stat(self.path)
+            mark = (found.st_mtime_ns, found.st_ino, found.st_size)
+        except OSError:
+            mark = None
+        if mark == self.mark:
+            return
+        self.mark = mark
+        try:
+            rows = roll.read(self.path, self.zones, self.kinds)
+        except Unusable as bad:
+            first, more = str(bad.troubles[0]), len(bad.troubles) - 1
+            self.log.warning("list unusable", why=first + (f" (and {more} more)" if more else ""),
+                             kept="the last good one")
+            return
+        self.log.info("list read", workers=len(rows), ready=sum(row.state == "ready" for row in rows))
+        self.desk(("rows", rows))
+
+    def _watch(self) -> None:
+        while not self.ended.wait(self.every):
+            self.look()
+
+
+class Gateway:
+    """All parts of one gateway. `open` begins, `stop` ends it as a drain: what is held gets its answer."""
+
+    def __init__(self, station: Station, log) -> None:
+        threading.stack_size(doors.STACK)
+        # Hand-offs between threads are many and short: at the standard 5 ms an answer would wait for a decoder.
+        sys.setswitchinterval(0.001)
+        self.station, self.log = station, log
+        seed = station.seed if station.seed is not None else random.SystemRandom().getrandbits(48)
+        self.tape = Tape(station.tape) if station.tape else None
+        self.desk = Desk(station, seed, log, self.tape)
+        self.door = Door(station, self.desk.take, self.desk.busy, log.warning)
+        self.watcher = Watcher(station, self.desk.take, log)
+
+    def open(self) -> None:
+        """Begins to serve."""
+        self.desk.open()
+        self.watcher.open()
+        self.door.open()
+        self.log.info("serving", socket=self.station.listen, seat=f"{self.station.seat.number}/{self.station.seat.of}")
+
+    def stop(self) -> None:
+        """Takes no more RPCs, answers all it holds within their deadlines, then ends."""
+        began = clock()
+        self.desk.stopping = True
+        self.door.shut()
+        self.log.info("stopping", held=len(self.desk.asks))
+        most = max(method.deadline for method in self.station.methods)
+        pause = threading.Event()
+        while clock() - began < most + 1000 and not (self.desk.idle() and self.door.flushed()):
+            pause.wait(0.01)
+        self.close()
+        self.log.info("stopped", took_ms=round(clock() - began), **dict(self.desk.counts))
+
+    def close(self) -> None:
+        """Ends all threads at once."""
+        self.watcher.close()
+        self.desk.end()
+        self.door.hang_up()
+        if self.tape is not None:
+            self.tape.close()
+
+
+def until_signal(gateway: Gateway, ready: Callable[[], None]) -> int:
+    """Serves until SIGTERM or SIGINT; a second signal ends it at once. `ready` is called once it serves."""
+    ended = threading.Event()
+
+    def asked(number: int, frame: object) -> None:
+        if ended.is_set():
+            os._exit(1)
+        ended.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, asked)
+    gateway.open()
+    ready()
+    while not ended.wait(3600):
+        pass
+    gateway.stop()
+    return 0
--- /dev/null
+++ b/wickdyke/gateway/tape.py
@@ -0,0 +1,148 @@
+"""A recording of what the module was told and what it decided; played again without sockets or clock.
+
+The same events give the same decisions: `replay` proves it for a recording, and finds the first that differs.
+"""
+
+import queue
+import threading
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict
+
+import msgspec
+
+from wickdyke.interface import Allowance, Directory, Listing, Method, Ration, Seat, Stock, Tariff, Warmup
+from wickdyke.logic import FrontEnd
+
+WAITING = 200000  # entries; a recording that can't be written as fast stops, and says so at its end
+PARTS = {"seat": Seat, "allowance": Allowance, "stock": Stock, "warmup": Warmup, "ration": Ration,
+         "directory": Directory, "tariff": Tariff}
+
+
+def decided(decision: tuple) -> list:
+    """A decision in ids."""
+    verb, *rest = decision
+    match verb:
+        case "call":
+            rpc, worker, patience = rest
+            return [verb, rpc.ident, worker.listing.ident, patience]
+        case "cancel":
+            return [verb, rest[0].rpc.ident, rest[0].number]
+        case "deny":
+            return [verb, rest[0].ident, rest[1]]
+        case "abort":
+            return [verb, rest[0].ident]
+        case "hold":
+            return [verb, rest[0].listing.ident, rest[1].name, rest[2]]
+        case "probe":
+            return [verb, rest[0].listing.ident]
+    return [verb, *rest]
+
+
+def _plain(value: object) -> object:
+    if isinstance(value, Method):
+        return value.name
+    if isinstance(value, Listing):
+        return asdict(value)
+    if isinstance(value, (list, tuple)):
+        return [_plain(each) for each in value]
+    return value
+
+
+class Tape:
+    """Writes the recording, by a thread of its own."""
+
+    def __init__(self, path: str) -> None:
+        self.sink = open(path, "wb")  # noqa: SIM115 - closed by close()
+        self.entries: queue.Queue = queue.Queue(WAITING)
+        self.broken = False
+        self.thread = threading.Thread(target=self._write, name="tape", daemon=True)
+        self.thread.start()
+
+    def start(self, now: float, seed: int, methods: list[Method], parts: dict) -> None:
+        """What the front end was made with."""
+        named = [{k: v for k, v in asdict(method).items() if k != "times"} for method in methods]
+        self._put(("start", now, seed, named, {name: asdict(part) for name, part in parts.items()}))
+
+    def heard(self, now: float, name: str, args: tuple) -> None:
+        """One input."""
+        self._put(("heard", now, name, _plain(args)))
+
+    def decided(self, decision: tuple) -> None:
+        """One decision."""
+        self._put(("decided", decided(decision)))
+
+    def close(self) -> None:
+        """Writes what waits and ends."""
+        self._put(None, 5.0)
+        self.thread.join(5.0)
+
+    def _put(self, entry: tuple | None, wait: float = 0.0) -> None:
+        if self.broken and entry is not None:
+            return
+        try:
+            self.entries.put(entry, block=wait > 0, timeout=wait or None)
+        except queue.Full:
+            self.broken = True
+
+    def _write(self) -> None:
+        encoder = msgspec.json.Encoder()
+        with self.sink as sink:
+            while (entry := self.entries.get()) is not None:
+                sink.write(encoder.encode(entry) + b"\n")
+            if self.broken:
+                sink.write(encoder.encode(("broken off",)) + b"\n")
+
+
+def entries(lines: Iterable[bytes]) -> Iterator[list]:
+    """The entries of a recording, up to where it was broken off or a writer was killed in the middle of a line."""
+    for line in lines:
+        if not line.endswith(b"\n"):
+            return
+        entry = msgspec.json.decode(line)
+        if entry[0] == "broken off":
+            return
+        yield entry
+
+
+def replay(lines: Iterable[bytes]) -> tuple[int, str | None]:
+    """(decisions that came out alike, the first difference or None)."""
+    source = entries(lines)
+    first = next(source, None)
+    if not first or first[0] != "start":
+        return 0, "found no start, expected it as the first entry"
+    _, now, seed, methods, parts = first
+    known = [msgspec.convert(method, Method, strict=False) for method in methods]
+    named = {method.name: method for method in known}
+    front_end = FrontEnd(now, seed, known, **{name: msgspec.convert(parts[name], kind)
+                                              for name, kind in PARTS.items()})
+    alike, said, now = 0, [], 0.0
+
+    def check(want: list) -> str | None:
+        nonlocal said
+        got, said = list(said), []
+        return None if msgspec.json.encode(got) == msgspec.json.encode(want) else (
+            f"at {now} ms: decided {got}, recorded {want}")
+
+    want: list | None = None
+    for entry in source:
+        if entry[0] == "decided":
+            want.append(entry[1])
+            continue
+        if want is not None:
+            if (differs := check(want)) is not None:
+                return alike, differs
+            alike += len(want)
+        _, now, name, args = entry
+        front_end.woke(now)
+        if name == "listed":
+            args = [[Listing(**row) for row in args[0]], args[1]]
+        elif name == "took":
+            args[2] = named[args[2]]
+        elif name in ("ended", "probed") and args[-1] is not None:
+            args[-1] = tuple(args[-1])
+        if name != "woke":
+            getattr(front_end, name)(*args)
+        said = [decided(decision) for decision in iter(front_end.decide, None)]
+        want = []
+    # decisions after the last input may have been cut off with the recording
+    return alike + len(want or ()), None
--- /dev/null
+++ b/wickdyke/settings/roll.py
@@ -0,0 +1,67 @@
+"""The worker list: a file of S-expressions, replaced whole by whoever writes it."""
+
+from dataclasses import dataclass
+
+from wickdyke.settings import address, check, sexp
+from wickdyke.settings.check import Field, Notes, choice, count, number, record, text
+from wickdyke.settings.sexp import Spot
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """One worker as the list tells of it; `start` changes when it was started anew under the same name."""
+
+    name: str
+    address: str
+    zone: str | None
+    kind: str | None
+    cell: int
+    cores: float
+    state: str
+    start: int
+
+
+def _row(spot: Spot, **values) -> tuple[Row, Spot]:
+    return Row(**values), spot
+
+
+WORKER = record(
+    _row, named=True, address=Field(address.read), zone=Field(text, None), kind=Field(text, None),
+    cell=Field(count(0, 10**6), 0), cores=Field(number(0.01, 10**6), 1.0),
+    state=Field(choice(ready="ready", draining="draining", gone="gone"), "ready"),
+    start=Field(count(0, 2**53), 0))
+WORKERS = record(lambda spot, worker: worker, worker=Field(WORKER, None, many=True))
+
+
+def rows(forms: list, path: str, zones: tuple[str, ...] = (), kinds: tuple[str, ...] = ()) -> list[Row]:
+    """The rows of a list, checked also against the zones and kinds that the gateway knows, where it names any."""
+    notes = Notes()
+    form = check.only_form(forms, "workers", path, notes)
+    found = WORKERS(form, notes) if form is not None else None
+    for row, spot in found or ():
+        for what, value, known in (("zone", row.zone, zones), ("kind", row.kind, kinds)):
+            if known and value not in known:
+                said = f'{what} "{value}"' if value else f"no {what}"
+                notes.add(spot, said, f"one of {', '.join(known)}, as the gateway's file names them")
+    check.unique([row.name for row, _ in found or ()], [spot for _, spot in found or ()], "worker", notes)
+    notes.done()
+    return [row for row, _ in found]
+
+
+def read(path: str, zones: tuple[str, ...] = (), kinds: tuple[str, ...] = ()) -> list[Row]:
+    """The rows of a file; raises Unusable with all that is wrong."""
+    return rows(sexp.read(path), path, zones, kinds)
+
+
+def written(rows_: list[Row]) -> str:
+    """The text of a list, as `read` takes it."""
+    def quoted(value: str) -> str:
+        return '"' + value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+
+    lines = ["(workers"]
+    for row in rows_:
+        places = "".join(f" ({what} {quoted(value)})" for what, value in (("zone", row.zone), ("kind", row.kind))
+                         if value)
+        lines.append(f"  (worker {quoted(row.name)} (address {quoted(row.address)}){places} (cell {row.cell})"
+                     f" (cores {row.cores:g}) (state {row.state}) (start {row.start}))")
+    return "\n".join(lines) + ")\n"
--- /dev/null
+++ b/wickdyke/settings/sexp.py
@@ -0,0 +1,147 @@
+"""S-expressions read by a lark grammar that keeps line and column."""
+
+from dataclasses import dataclass, field
+from importlib import resources
+
+from lark import Lark, Token
+from lark.exceptions import UnexpectedCharacters, UnexpectedEOF, UnexpectedInput, UnexpectedToken
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Spot:
+    """A place in a file; lines and columns count from 1."""
+
+    file: str
+    line: int
+    column: int
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}:{self.column}"
+
+
+@dataclass(slots=True, frozen=True)
+class Trouble:
+    """One thing that is wrong: where, what was found, what was expected, and the likely fix."""
+
+    spot: Spot
+    found: str
+    expected: str
+    fix: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.spot}: found {self.found}, expected {self.expected}" + (f"; {self.fix}" if self.fix else "")
+
+
+class Unusable(Exception):
+    """A file that can't be used, with all that is wrong with it in the order of its lines."""
+
+    def __init__(self, troubles: list[Trouble]) -> None:
+        self.troubles = sorted(troubles, key=lambda t: t.spot)
+        super().__init__("\n".join(map(str, self.troubles)))
+
+
+@dataclass(slots=True, frozen=True)
+class Atom:
+    """A number, a string or a word."""
+
+    kind: str
+    value: str | float
+    text: str
+    spot: Spot
+
+
+@dataclass(slots=True, frozen=True)
+class Form:
+    """`(name item ...)`; `name` is empty where the first item is no word."""
+
+    name: str
+    items: list["Atom | Form"] = field(default_factory=list)
+    spot: Spot = Spot("", 1, 1)
+
+
+_grammar = Lark(resources.files(__package__).joinpath("sexp.lark").read_text(), parser="lalr",
+                propagate_positions=True, maybe_placeholders=False)
+_ESCAPES = {'\\"': '"', "\\\\": "\\", "\\n": "\n"}
+
+
+def _string(text: str) -> str:
+    out, at, body = [], 0, text[1:-1]
+    while at < len(body):
+        step = 2 if body[at] == "\\" else 1
+        out.append(_ESCAPES.get(body[at:at + step], body[at:at + step]))
+        at += step
+    return "".join(out)
+
+
+def _atom(token: Token, file: str) -> Atom:
+    spot = Spot(file, token.line, token.column)
+    if token.type == "NUMBER":
+        return Atom("number", float(token), str(token), spot)
+    if token.type == "STRING":
+        return Atom("string", _string(token), str(token), spot)
+    return Atom("word", str(token), str(token), spot)
+
+
+def _form(tree, file: str) -> Form:
+    opening, *children = tree.children
+    items = [_atom(c, file) if isinstance(c, Token) else _form(c, file) for c in children]
+    spot = Spot(file, opening.line, opening.column)
+    if items and isinstance(items[0], Atom) and items[0].kind == "word":
+        return Form(items[0].text, items[1:], spot)
+    return Form("", items, spot)
+
+
+def _unclosed(text: str) -> tuple[int, int]:
+    """Line and column of the innermost bracket that is never closed."""
+    open_at: list[tuple[int, int]] = []
+    for number, line in enumerate(text.split("\n"), 1):
+        quoted = skip = False
+        for column, char in enumerate(line, 1):
+            if skip:
+                skip = False
+            elif quoted:
+                skip, quoted = char == "\\", char != '"'
+            elif char == ";":
+                break
+            elif char == '"':
+                quoted = True
+            elif char == "(":
+                open_at.append((number, column))
+            elif char == ")" and open_at:
+                open_at.pop()
+    return open_at[-1] if open_at else (1, 1)
+
+
+def parse(text: str, file: str) -> list[Form]:
+    """The forms of a text; raises Unusable with the one place where it stops being S-expressions."""
+    try:
+        return [_form(tree, file) for tree in _grammar.parse(text).children]
+    except (UnexpectedEOF, UnexpectedToken) as bad:
+        if isinstance(bad, UnexpectedEOF) or bad.token.type == "$END":
+            line, column = _unclosed(text)
+            raise Unusable([Trouble(Spot(file, line, column), "a bracket that is never closed",
+                                    "a ) for each (")]) from None
+        found = f"{str(bad.token)!r}"
+        expected = "( to open a form" if bad.token.type != "RPAR" else "no ) here: none is open"
+        raise Unusable([Trouble(Spot(file, bad.line, bad.column), found, expected)]) from None
+    except UnexpectedCharacters as bad:
+        found = repr(text[bad.pos_in_stream:bad.pos_in_stream + 1])
+        what = 'a string that ends on its line, with \\" \\\\ and \\n as its only escapes' if found == "'\"'" \
+            else "( ) a number, a word or a string in double quotes"
+        raise Unusable([Trouble(Spot(file, bad.line, bad.column), found, what)]) from None
+    except UnexpectedInput as bad:
+        raise Unusable([Trouble(Spot(file, bad.line, bad.column), "something else", "S-expressions")]) from None
+    except RecursionError:
+        raise Unusable([Trouble(Spot(file, 1, 1), "forms nested too deep", "fewer than 100 levels")]) from None
+
+
+def read(path: str) -> list[Form]:
+    """The forms of a file; raises Unusable also where it can't be read."""
+    try:
+        with open(path, encoding="utf-8") as source:
+            return parse(source.read(), path)
+    except UnicodeDecodeError:
+        raise Unusable([Trouble(Spot(path, 1, 1), "bytes that are not text", "UTF-8 text")]) from None
+    except OSError as bad:
+        raise Unusable([Trouble(Spot(path, 1, 1), f"no readable file ({bad.strerror})",
+                                "a file of S-expressions")]) from None
--- /dev/null
+++ b/wickdyke/settings/station.py
@@ -0,0 +1,187 @@
+"""The settings file of a gateway, as checked values."""
+
+import os
+from dataclasses import dataclass
+
+from wickdyke.interface import Allowance, Directory, Method, Ration, Seat, Stock, Tariff, Warmup
+from wickdyke.settings import address, check, sexp
+from wickdyke.settings.check import Field, Notes, choice, count, flag, number, record, size, span, text, words
+from wickdyke.settings.sexp import Spot
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """What a gateway bounds: whoever goes past is turned away or hung up on (docs/protocol.md)."""
+
+    connections: int
+    open_rpcs: int
+    open_each: int
+    line: int
+    unread: int
+    events: int
+
+
+@dataclass(slots=True, frozen=True)
+class Stated:
+    """What a file states of programs whose name is `name`, or begins with it where it ends with a star."""
+
+    name: str
+    memory: float
+    lanes: int
+    load: float | None
+    spot: Spot
+
+    def fits(self, program: str) -> bool:
+        """Whether it speaks of that program."""
+        return program.startswith(self.name[:-1]) if self.name.endswith("*") else program == self.name
+
+
+@dataclass(slots=True)
+class Station:
+    """All that a gateway's file states, each part for the part of the program that takes it."""
+
+    name: str
+    listen: str
+    workers: str
+    reread: float
+    log: str | None
+    tape: str | None
+    seed: int | None
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    methods: list[Method]
+    programs: list[Stated]
+    seat: Seat
+    allowance: Allowance
+    stock: Stock
+    warmup: Warmup
+    ration: Ration
+    directory: Directory
+    tariff: Tariff
+    bounds: Bounds
+    answer_way: float
+    probe_wait: float
+
+    def stated(self, program: str) -> Stated | None:
+        """What is stated of a program: the exact name before the longest beginning."""
+        fits = [each for each in self.programs if each.fits(program)]
+        return max(fits, key=lambda each: (not each.name.endswith("*"), len(each.name)), default=None)
+
+
+def _part(build):
+    """Builds without the spot, which most parts have no use for."""
+    return lambda spot, **values: build(**values)
+
+
+def _method(spot: Spot, name: str, effect: str, scope: str, window: float, soft_deadline: float, deadline: float,
+            soft_stretch: float, gain: float, late_gain: float) -> tuple[Method, Spot]:
+    return Method(name, effect, scope, window, soft_deadline, soft_stretch, deadline, gain, late_gain), spot
+
+
+METHOD = record(
+    _method, named=True,
+    effect=Field(choice(idempotent="idempotent", tokened="tokened", side_effecting="side-effecting")),
+    scope=Field(choice(all="all", zone="zone", cell="cell"), "all"), window=Field(span(), 0.0),
+    soft_deadline=Field(span(1.0)), deadline=Field(span(1.0)), soft_stretch=Field(number(0, 1000), 0.0),
+    gain=Field(number(0, 1e6), 1.0), late_gain=Field(number(0, 1), 0.0))
+PROGRAM = record(
+    lambda spot, name, memory, lanes, load: Stated(name, memory, lanes, load, spot), named=True,
+    memory=Field(size(0)), lanes=Field(count(1, 4096), 1), load=Field(span(), None))
+KIND = record(lambda spot, name, memory: (name, memory, spot), named=True, memory=Field(size()))
+LISTEN = record(lambda spot, json_rpc: json_rpc, json_rpc=Field(address.read))
+WORKERS = record(lambda spot, file, reread: (file, reread), file=Field(text),
+                 reread=Field(span(5.0, 60000.0), 100.0))
+SEAT = record(lambda spot, number, of: (number, of, spot), number=Field(count(0, 100000)),
+              of=Field(count(1, 100000)))
+CALL_OUTS = record(
+    lambda spot, most, **rest: Allowance(call_outs=most, **rest), most=Field(count(1, 100), 3),
+    overlap=Field(flag, False), cancel=Field(flag, True),
+    probe=Field(flag, True), retry_after=Field(span(), 0.0), dial=Field(span(1.0, 60000.0), 250.0))
+STOCK = record(
+    _part(dict), idle_life=Field(span(1.0)), may_hold=Field(flag, True), loads_on_call=Field(flag, True),
+    hold_wait=Field(span(1.0), 10000.0), tells_standing=Field(flag, True), tells_company=Field(flag, True))
+WARMUP = record(_part(Warmup), start_share=Field(number(0.001, 1)), ramp=Field(span()),
+                multiple=Field(number(1, 1000)), window=Field(span(1.0)))
+RATION = record(_part(Ration), free=Field(number(0, 1e6)), share=Field(number(0, 1e6)), window=Field(span()))
+TARIFF = record(_part(Tariff), **{name: Field(number(0, 100), 0.0) for name in
+                                  ("waste", "late", "fetch", "probe", "crossing", "idle_memory")})
+BOUNDS = record(_part(Bounds), connections=Field(count(1, 60000), 1024), open_rpcs=Field(count(1, 10**7), 32768),
+                open_each=Field(count(1, 10**6), 4096), line=Field(size(0.001, 1024), 16.0),
+                unread=Field(size(0.001, 4096), 32.0), events=Field(count(10, 10**7), 100000))
+GATEWAY = record(
+    lambda spot, **values: (spot, values), name=Field(text, "gateway"), listen=Field(LISTEN),
+    workers=Field(WORKERS), log=Field(text, None), tape=Field(text, None), seed=Field(count(0, 2**53), None),
+    zone=Field(record(lambda spot, name: (name, spot), named=True), None, many=True), at=Field(text, None),
+    kind=Field(KIND, None, many=True), method=Field(METHOD, many=True),
+    program=Field(PROGRAM, None, many=True), seat=Field(SEAT, (0, 1, None)),
+    report=Field(words, ("busy", "held")), by_work=Field(flag, False),
+    call_outs=Field(CALL_OUTS, Allowance(3, False, True, True, 0.0, 250.0)), stock=Field(STOCK),
+    warmup=Field(WARMUP), ration=Field(RATION, Ration(0.0, 0.0, 0.0)), drain_grace=Field(span()),
+    tariff=Field(TARIFF, Tariff(0, 0, 0, 0, 0, 0)), bounds=Field(BOUNDS, Bounds(
+        1024, 32768, 4096, 16.0, 32.0, 100000)),
+    answer_way=Field(span(0.0, 60000.0), 20.0), probe_wait=Field(span(1.0, 60000.0), 250.0))
+
+
+def _contradictions(spot: Spot, got: dict, notes: Notes) -> None:
+    way = got["answer_way"]
+    for method, at in got["method"]:
+        if method.soft >= method.deadline:
+            notes.add(at, f"a soft deadline of {method.soft:g} ms", f"one before the deadline, {method.deadline:g} ms")
+        if method.deadline <= way:
+            notes.add(at, f"a deadline of {method.deadline:g} ms", f"more than answer-way, {way:g} ms")
+        if method.effect == "tokened" and not method.window:
+            notes.add(at, f'method "{method.name}" tokened without a window', "(window TIME) in it")
+        if method.effect != "tokened" and method.window:
+            notes.add(at, f'method "{method.name}" {method.effect} with a window', "a window only where tokened")
+    for what, names, spots in (
+            ("method", [m.name for m, _ in got["method"]], [at for _, at in got["method"]]),
+            ("program", [p.name for p in got["program"]], [p.spot for p in got["program"]]),
+            ("kind", [k for k, _, _ in got["kind"]], [at for _, _, at in got["kind"]]),
+            ("zone", [z for z, _ in got["zone"]], [at for _, at in got["zone"]])):
+        check.unique(names, spots, what, notes)
+    zones = [zone for zone, _ in got["zone"]]
+    if got["at"] is not None and got["at"] not in zones:
+        notes.add(spot, f'(at "{got["at"]}")', "one of the zones" + "".join(f' "{z}"' for z in zones))
+    if got["at"] is None and len(zones) > 1:
+        notes.add(spot, f"{len(zones)} zones and no (at ...)", '(at "ZONE"): where this gateway stands')
+    place, of, at = got["seat"]
+    if place >= of:
+        notes.add(at, f"number {place} of {of}", f"a number of 0 to {of - 1}")
+    if got["workers"][0] == got["listen"]:
+        notes.add(spot, f'"{got["listen"]}" as socket and as list of workers', "two different files")
+    if got["bounds"].unread < got["bounds"].line:
+        notes.add(spot, f"unread of {got['bounds'].unread:g} MB under line of {got['bounds'].line:g} MB",
+                  "room for one line at least")
+
+
+def read(path: str) -> Station:
+    """Reads and checks a gateway's file; raises Unusable with all that is wrong. Paths in it hang on its folder."""
+    notes = Notes()
+    form = check.only_form(sexp.read(path), "gateway", path, notes)
+    read_form = GATEWAY(form, notes) if form is not None else None
+    if read_form is not None:
+        _contradictions(*read_form, notes)
+    notes.done()
+    _, got = read_form
+    base = os.path.dirname(path)
+
+    def beside(name: str | None) -> str | None:
+        return None if name is None else os.path.join(base, name)
+
+    listen = got["listen"] if ":" in got["listen"] else beside(got["listen"])
+    zones = tuple(zone for zone, _ in got["zone"])
+    number_, of, _ = got["seat"]
+    bounds = got["bounds"]
+    return Station(
+        name=got["name"], listen=listen, workers=beside(got["workers"][0]), reread=got["workers"][1],
+        log=beside(got["log"]), tape=beside(got["tape"]), seed=got["seed"], zones=zones,
+        kinds=tuple(kind for kind, _, _ in got["kind"]), methods=[method for method, _ in got["method"]],
+        programs=got["program"],
+        seat=Seat(number_, of, zones.index(got["at"]) if got["at"] else 0, got["report"], got["by_work"]),
+        allowance=got["call_outs"],
+        stock=Stock(memory=tuple(memory for _, memory, _ in got["kind"]), **got["stock"]),
+        warmup=got["warmup"], ration=got["ration"], directory=Directory(True, 0.0, got["drain_grace"]),
+        tariff=got["tariff"],
+        bounds=Bounds(bounds.connections, bounds.open_rpcs, bounds.open_each, round(bounds.line * 2**20),
+                      round(bounds.unread * 2**20), bounds.events),
+        answer_way=got["answer_way"], probe_wait=got["probe_wait"])
