--- /dev/null
+++ b/scripts/effects.sexp
@@ -0,0 +1,15 @@
+; Only RPCs that must not run twice, or twice only within a group and window, while connections break.
+(script "effects"
+  (seed 1) (length 12 s) (gateways 2) (workers 6) (zones 2) (rate 120)
+  (method "seal-alert" (effect side-effecting) (soft-deadline 1 s) (deadline 3 s) (gain 5) (work 50 ms) (programs 10))
+  (method "zone-note" (effect tokened) (scope zone) (window 1 s) (soft-deadline 1 s) (deadline 3 s) (work 50 ms)
+    (programs 10))
+  (method "cell-note" (effect tokened) (scope cell) (window 1 s) (soft-deadline 1 s) (deadline 3 s) (work 50 ms)
+    (programs 10))
+  (on (call-out "w1" 30) (die "w1"))
+  (on (call-out "w2" 40) (die "w2"))
+  (at 3 s (lose "w3" (share 0.6) (for 4 s)))
+  (at 4 s (hang "w4" (for 2 s)))
+  (at 6 s (fail "w5" (share 0.7) (for 3 s)))
+  (at 7 s (drain "w6" (for 1 s)))
+  (at 8 s (kill-gateway "g1" (back 1 s))))
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,344 @@
+"""The desk and its parts together: times, losses, lists, logs, stopping, and recordings played again."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+from tests.rig import LONG, Client, Running, hello, lines_of, ok, until, willing
+from wickdyke.gateway import log as logs
+from wickdyke.gateway import tape
+from wickdyke.gateway.door import InUse, listener
+from wickdyke.protocol import back, jsonrpc
+from wickdyke.settings.roll import Row, written
+
+
+def silent(sock, number):
+    source = lines_of(sock)
+    hello(sock, source)
+    for _ in source:
+        pass
+
+
+def answers_after(ms):
+    """Answers each call-out so long after its time is up."""
+    def play(sock, number):
+        source = lines_of(sock)
+        hello(sock, source)
+        for asked in source:
+            if asked["method"] == "run":
+                time.sleep((asked["params"]["time_left_ms"] + ms) / 1000)
+                sock.sendall(ok(asked["id"]))
+    return play
+
+
+def dies_on_run(sock, number):
+    source = lines_of(sock)
+    hello(sock, source, start=number)
+    for asked in source:
+        if asked["method"] == "run":
+            sock.shutdown(socket.SHUT_RDWR)
+            return
+
+
+def refuses(code):
+    def play(sock, number):
+        source = lines_of(sock)
+        hello(sock, source)
+        for asked in source:
+            if asked["method"] in ("run", "hold"):
+                sock.sendall(jsonrpc.problem(asked["id"], code, "no", b"{}") + b"\n")
+    return play
+
+
+def a_byte_a_time(sock, number):
+    source = lines_of(sock)
+    hello(sock, source)
+    for asked in source:
+        for byte in ok(asked["id"]):
+            sock.sendall(bytes([byte]))
+            time.sleep(0.05)
+
+
+class Answers(unittest.TestCase):
+    def test_final(self):
+        """(workers, method) -> the final answer and its word, before the client's time is up."""
+        for name, workers, method, answer, why in (
+                ("served", (willing,), "idem", "ok", None),
+                ("silent", (silent,), "idem", "denied", "cancelled timeout"),
+                ("silent, side-effecting", (silent,), "side", "aborted", "timeout"),
+                ("just after its time", (answers_after(5),), "side", "aborted", "timeout"),
+                ("a byte a time", (a_byte_a_time,), "side", "aborted", "timeout"),
+                ("dies, side-effecting", (dies_on_run,), "side", "aborted", "cut"),
+                ("fails, side-effecting", (refuses(back.FAILED),), "side", "aborted", "error"),
+                ("full, side-effecting", (refuses(back.FULL),), "side", "denied", "full"),
+                ("no worker", (), "idem", "denied", "no-place")):
+            with self.subTest(case=name), Running(workers, soft="400 ms", deadline="900 ms") as running:
+                client = running.client()
+                began = time.monotonic()
+                client.ask(1, method)
+                got = client.answer()
+                took = (time.monotonic() - began) * 1000
+                data = got["result"] if "result" in got else got["error"]["data"]
+                self.assertEqual(data["answer"], answer)
+                self.assertIn(data.get("why", ""), why or "")
+                self.assertLess(took, 900)
+                client.sock.settimeout(0.3)
+                with self.assertRaises(TimeoutError):
+                    client.answer()  # and nothing after
+                client.close()
+
+    def test_client_leaves(self):
+        """One that hangs up, or cancels, frees what it held; the worker is told."""
+        for how in ("hang up", "cancel"):
+            cancelled = threading.Event()
+
+            def play(sock, number, cancelled=cancelled):
+                source = lines_of(sock)
+                hello(sock, source)
+                for asked in source:
+                    if asked["method"] == "cancel":
+                        cancelled.set()
+
+            with self.subTest(how=how), Running((play,)) as running:
+                client = running.client()
+                client.ask("x")
+                self.assertTrue(until(lambda running=running: running.desk.asks
+                                      and next(iter(running.desk.asks.values())).orders))
+                if how == "cancel":
+                    client.tell(jsonrpc.told_line("cancel", b'{"id":"x"}'))
+                else:
+                    client.close()
+                self.assertTrue(cancelled.wait(LONG))
+                self.assertTrue(until(lambda running=running: not running.desk.asks))
+                if how == "cancel":
+                    client.ask("x")  # the id is free again
+                client.close()
+
+    def test_payload(self):
+        """A payload of megabytes goes through as it is, to the worker and back."""
+        def echo(sock, number):
+            source = lines_of(sock)
+            hello(sock, source)
+            for asked in source:
+                if asked["method"] == "run":
+                    sock.sendall(ok(asked["id"], jsonrpc.encode(asked["params"]["input"])))
+
+        with Running((echo,), deadline="60 s", soft="50 s") as running:
+            client = running.client()
+            for payload in ("x" * (8 << 20), "\u00e9\u2603" * 1000, {"a": [1.5, None, {"b": "\\\""}]}):
+                client.ask(1, input=payload)
+                self.assertEqual(client.answer()["result"]["output"], payload)
+            client.close()
+
+
+class Lists(unittest.TestCase):
+    def test_broken_list(self):
+        """What can't be read leaves the last good list in force, and is said once."""
+        with Running() as running:
+            for text in ("(workers (worker", "", '(workers (worker "w0" (adress "x")))', "(workers)) ", "\xff(("):
+                running.write(text)
+                said = running.said.getvalue().count("list unusable")
+                self.assertTrue(until(lambda said=said: running.said.getvalue().count("list unusable") == said + 1))
+                client = running.client()
+                client.ask(1)
+                self.assertIn("result", client.answer())
+                client.close()
+            self.assertEqual(running.said.getvalue().count("list unusable"), 5)
+            os.unlink(os.path.join(running.folder, "workers.sexp"))
+            self.assertTrue(until(lambda: running.said.getvalue().count("list unusable") == 6))
+            self.assertEqual(len(running.desk.front_end.ready), 1)
+
+    def test_changes(self):
+        """(rows written) -> who is ready then."""
+        with Running((willing, willing)) as running:
+            one, two = running.rows
+            moved = Row("w0", two.address, None, None, 0, 4.0, "ready", 0)
+            for rows, ready in (
+                    ([one], ["w0"]), ([one, two], ["w0", "w1"]),
+                    ([Row(**{**_fields(one), "state": "draining"}), two], ["w1"]),
+                    ([one, two], ["w0", "w1"]), ([Row(**{**_fields(one), "state": "gone"}), two], ["w1"]),
+                    ([moved], ["w0"]), ([], []), ([one, two], ["w0", "w1"])):
+                running.write(written(rows))
+                with self.subTest(rows=rows):
+                    self.assertTrue(until(lambda ready=ready: sorted(
+                        w.listing.ident for w in running.desk.front_end.ready) == ready))
+
+    def test_drains_by_its_own_word(self):
+        """A worker that answers that it drains gets nothing more, whatever the list says."""
+        with Running((refuses(back.DRAINING), willing)) as running:
+            client = running.client()
+            for at in range(40):
+                client.ask(at, program=f"p{at}")
+                self.assertIn("result", client.answer())
+                if not any(w.listing.ident == "w0" for w in running.desk.front_end.ready):
+                    break
+            self.assertEqual([w.listing.ident for w in running.desk.front_end.ready], ["w1"])
+            client.close()
+
+    def test_restart_is_known(self):
+        """A worker that starts anew says so in its hello: it counts as cold and empty from then."""
+        again = threading.Event()
+
+        def play(sock, number):
+            source = lines_of(sock)
+            hello(sock, source, start=number, up=1e6 if number == 1 else 0.0)
+            if number == 1:
+                again.wait(LONG)
+                sock.shutdown(socket.SHUT_RDWR)
+            for _ in source:
+                pass
+
+        with Running((play,), more="") as running:
+            worker = running.desk.front_end.workers["w0"]
+            again.set()
+            self.assertTrue(until(lambda: running.desk.front_end.workers["w0"] is not worker))
+            self.assertGreater(running.desk.front_end.workers["w0"].cold_from, time.monotonic() * 1000 - 20000)
+
+
+def _fields(row):
+    return {name: getattr(row, name) for name in row.__slots__}
+
+
+class Recordings(unittest.TestCase):
+    def test_replay(self):
+        """The same events give the same decisions, without sockets; a decision changed by hand is found."""
+        with Running((willing, refuses(back.FULL), dies_on_run, silent), soft="300 ms", deadline="800 ms",
+                     tape=True) as running:
+            client = running.client()
+            for at in range(150):
+                client.ask(at, ("idem", "side")[at % 3 == 0], f"p{at % 7}")
+            got = {client.answer()["id"] for _ in range(150)}
+            self.assertEqual(got, set(range(150)))
+            client.close()
+            running.gateway.door.shut()
+            running.desk.end()
+            running.gateway.tape.close()
+            with open(running.station.tape, "rb") as source:
+                lines = source.readlines()
+            running.desk.events.put(None)
+            alike, differs = tape.replay(lines)
+            self.assertIsNone(differs)
+            self.assertGreater(alike, 150)
+            at = next(n for n, line in enumerate(lines) if line.startswith(b'["decided",["call"'))
+            changed = [*lines[:at], lines[at].replace(b'"w', b'"x'), *lines[at + 1:]]
+            self.assertIn("decided", tape.replay(changed)[1])
+            cut_off = [*lines[:-1], lines[-1][:5]]
+            self.assertIsNone(tape.replay(cut_off)[1])
+            running.gateway.desk.end = lambda: None  # ended already
+
+
+class Logs(unittest.TestCase):
+    def test_full_pipe(self):
+        """A log pipe that nobody reads costs lines and never an RPC's time."""
+        out, into = os.pipe()
+        sink = os.fdopen(into, "w")
+        with Running(sink=sink) as running:
+            for at in range(logs.WAITING + 5000):
+                running.log.info("filler", at=at, more="x" * 100)
+            self.assertTrue(until(lambda: running.scribe.lost > 0))
+            client = running.client()
+            for at in range(50):
+                client.ask(at, time_left_ms=5000)
+                self.assertIn("result", client.answer())
+            client.close()
+            reader = threading.Thread(target=lambda: [None for _ in iter(lambda: os.read(out, 1 << 16), b"")])
+            reader.start()
+        sink.close()
+        reader.join(LONG)
+        os.close(out)
+
+    def test_keys(self):
+        for note, event, keys in (
+                ("worker w1 shunned for 1500 ms: cut, 3 of 4 bad", "worker shunned for 1500 ms: cut, 3 of 4 bad",
+                 {"worker": "w1"}), ("something else", "something else", {})):
+            self.assertEqual(logs.keys(note), (event, keys))
+
+
+class Stopping(unittest.TestCase):
+    def serve(self, folder, play, deadline="20 s"):
+        """A gateway as a process, with one worker played here."""
+        from tests.rig import TERMS, Peer
+        peer = Peer(folder, "w0", play)
+        self.addCleanup(peer.close)
+        with open(os.path.join(folder, "workers.sexp"), "w") as out:
+            out.write(written([Row("w0", peer.path, None, None, 0, 4.0, "ready", 0)]))
+        with open(os.path.join(folder, "g.sexp"), "w") as out:
+            out.write(TERMS.format(soft="500 ms", deadline=deadline, way="100 ms", more=""))
+        process = subprocess.Popen([sys.executable, "-m", "wickdyke.cli", "serve", os.path.join(folder, "g.sexp")],
+                                   stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.stderr.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        self.assertEqual(process.stdout.readline().decode(), f"ready {os.path.join(folder, 'g.sock')}\n")
+        return process, os.path.join(folder, "g.sock")
+
+    def test_held_is_answered(self):
+        """SIGTERM: what is held gets its answer, what comes then is denied, exit 0, no socket left behind."""
+        go = threading.Event()
+
+        def slow(sock, number):
+            source = lines_of(sock)
+            hello(sock, source)
+            for asked in source:
+                if asked["method"] == "run":
+                    go.wait(LONG)
+                    sock.sendall(ok(asked["id"]))
+
+        with tempfile.TemporaryDirectory(prefix="wd-") as folder:
+            process, path = self.serve(folder, slow)
+            client = Client(path)
+            client.ask(1, "side")
+            self.assertTrue(until(lambda: go.is_set() or client.sock is not None))
+            time.sleep(0.3)
+            process.send_signal(signal.SIGTERM)
+            self.assertTrue(until(lambda: not os.path.exists(path)))
+            client.ask(2, "side")
+            got = client.answer()
+            self.assertEqual((got["id"], got["error"]["data"]["why"]), (2, "stopping"))
+            go.set()
+            got = client.answer()
+            self.assertEqual((got["id"], got["result"]["answer"]), (1, "ok"))
+            self.assertEqual(process.wait(LONG), 0)
+            client.close()
+
+    def test_second_signal(self):
+        with tempfile.TemporaryDirectory(prefix="wd-") as folder:
+            process, path = self.serve(folder, silent, "3600 s")
+            client = Client(path)
+            client.ask(1, "side")
+            time.sleep(0.3)
+            process.send_signal(signal.SIGTERM)
+            self.assertTrue(until(lambda: not os.path.exists(path)))
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(process.wait(LONG), 1)
+            client.close()
+
+    def test_owned_socket(self):
+        """A live owner is left alone; what a killed one left behind is replaced; a file is not touched."""
+        with tempfile.TemporaryDirectory(prefix="wd-") as folder:
+            process, path = self.serve(folder, silent)
+            with self.assertRaisesRegex(InUse, "live gateway"):
+                listener(path)
+            process.kill()
+            process.wait()
+            self.assertTrue(os.path.exists(path))
+            sock, held = listener(path)
+            sock.close()
+            held.close()
+            plain = os.path.join(folder, "plain")
+            with open(plain, "w") as out:
+                out.write("x")
+            with self.assertRaisesRegex(InUse, "no socket"):
+                listener(plain)
+            self.assertTrue(os.path.exists(plain))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,290 @@
+"""The door: what each malformed request gets, that others notice nothing, and what happens at each bound."""
+
+import socket
+import threading
+import unittest
+
+import msgspec
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from tests.rig import LONG, Client, Running, hello, lines_of, until, willing
+from wickdyke.protocol import jsonrpc
+
+
+def silent(sock, number):
+    """Takes call-outs and answers none."""
+    source = lines_of(sock)
+    hello(sock, source)
+    for _ in source:
+        pass
+
+
+CALL = b'{"jsonrpc":"2.0","method":"call","params":{"method":"idem","program":"p"},"id":%d}\n'
+
+
+class Malformed(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.running = Running()
+        cls.running.__enter__()
+        cls.addClassCleanup(cls.running.__exit__)
+
+    def test_each(self):
+        """(line) -> (code, id, words of the data); the connection goes on."""
+        def call(params, more=b'"id":7'):
+            return b'{"jsonrpc":"2.0","method":"call","params":%b,%b}' % (params, more)
+
+        deep = b"[" * 60000 + b"]" * 60000
+        for line, code, ident, words in (
+                (b"{", -32700, None, "not JSON"),
+                (b"hello", -32700, None, "not JSON"),
+                (b'"\xff"', -32700, None, "UTF-8"),
+                (b"[1,", -32700, None, "not JSON"),
+                (deep, -32700, None, "not JSON"),
+                (b"[]", -32600, None, "empty batch"),
+                (b"1", -32600, None, "object"),
+                (b'{"id":7}', -32600, 7, "jsonrpc"),
+                (b'{"jsonrpc":"1.0","method":"call","id":7}', -32600, 7, "jsonrpc"),
+                (b'{"jsonrpc":"2.0","id":7}', -32600, 7, "method"),
+                (b'{"jsonrpc":"2.0","method":1,"id":7}', -32600, 7, "method"),
+                (b'{"jsonrpc":"2.0","method":"call","params":1,"id":7}', -32600, 7, "params"),
+                (b'{"jsonrpc":"2.0","method":"call","params":{},"id":[]}', -32600, None, "id"),
+                (b'{"jsonrpc":"2.0","method":"call","params":{},"id":null}', -32600, None, "id"),
+                (b'{"jsonrpc":"2.0","method":"rpc.x","id":7}', -32601, 7, "call or cancel"),
+                (b'{"jsonrpc":"2.0","method":"cancel","params":{"id":1},"id":7}', -32600, 7, "notification"),
+                (call(b"[]"), -32602, 7, "object"),
+                (call(b"{}"), -32602, 7, "method"),
+                (call(b'{"method":"idem"}'), -32602, 7, "program"),
+                (call(b'{"method":"idem","program":""}'), -32602, 7, "program"),
+                (call(b'{"method":"idem","program":"p","inptu":1}'), -32602, 7, "inptu"),
+                (call(b'{"method":"no","program":"p"}'), -32602, 7, "idem, side"),
+                (call(b'{"method":"idem","program":"q"}'), -32602, 7, "memory_mb"),
+                (call(b'{"method":"idem","program":"p","time_left_ms":-1}'), -32602, 7, "time_left_ms"),
+                (call(b'{"method":"idem","program":"p","time_left_ms":1e999}'), -32602, 7, ""),
+                (call(b'{"method":"idem","program":"p","lanes":0}'), -32602, 7, "lanes"),
+                (call(b'{"method":"idem","program":"p","lanes":99999999999999999999999}'), -32602, 7, ""),
+                (call(b'{"method":"idem","program":"p","input":' + b"[" * 500 + b"]" * 500 + b"}"), -32602, 7, "deep")):
+            with self.subTest(line=line[:70]):
+                client = self.running.client()
+                self.addCleanup(client.close)
+                client.tell(line + b"\n")
+                got = client.answer()
+                self.assertEqual((got["error"]["code"], got["id"]), (code, ident), got)
+                self.assertIn(words, got["error"]["data"])
+                client.ask(8)
+                self.assertEqual(client.answer()["result"]["answer"], "ok")
+                client.close()
+
+    def test_taken_id(self):
+        """An id in use is refused without it, so that the first keeps its one answer."""
+        with Running((silent,), deadline="300 ms", soft="250 ms", way="10 ms") as running:
+            client = running.client()
+            client.ask(1)
+            client.ask(1)
+            got = [client.answer(), client.answer()]
+            self.assertEqual([each["id"] for each in got], [None, 1])
+            self.assertEqual(got[0]["error"]["code"], -32600)
+            client.close()
+
+    def test_told_and_blank(self):
+        """Notifications get no answer, whatever is wrong with them; blank lines are nothing."""
+        client = self.running.client()
+        client.tell(b'\n  \n{"jsonrpc":"2.0","method":"call","params":{}}\n{"jsonrpc":"2.0","method":"x"}\n')
+        client.tell(b'{"jsonrpc":"2.0","method":"cancel","params":{"id":99}}\n')
+        client.ask(5)
+        self.assertEqual(client.answer()["id"], 5)
+        client.close()
+
+    def test_batches(self):
+        client = self.running.client()
+        one, two = CALL[:-1] % 1, CALL[:-1] % 2
+        for batch, ids in (
+                (b"[%b]" % one, [1]), (b"[%b,%b]" % (one, two), [1, 2]), (b"[1,%b]" % one, [None, 1]),
+                (b'[{"jsonrpc":"2.0","method":"x"},%b]' % two, [2]), (b"[1,2,3]", [None, None, None])):
+            with self.subTest(batch=batch[:60]):
+                client.tell(batch + b"\n")
+                got = client.answer()
+                self.assertIsInstance(got, list)
+                self.assertEqual(sorted((each["id"] for each in got), key=str), sorted(ids, key=str))
+        client.close()
+
+    def test_pieces(self):
+        """A request cut into single bytes, and many in one piece."""
+        client = self.running.client()
+        for byte in CALL % 1:
+            client.tell(bytes([byte]))
+        self.assertEqual(client.answer()["id"], 1)
+        client.tell(b"".join(CALL % at for at in range(2, 60)))
+        self.assertEqual({client.answer()["id"] for _ in range(2, 60)}, set(range(2, 60)))
+        client.close()
+
+    @settings(max_examples=150, deadline=None, suppress_health_check=list(HealthCheck))
+    @given(st.one_of(
+        st.binary(max_size=200),
+        st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(), lambda inner: st.lists(
+            inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4), max_leaves=20).map(_json := (
+                lambda value: msgspec.json.encode(value))),
+        st.fixed_dictionaries({}, optional={
+            "jsonrpc": st.sampled_from(["2.0", "1.0", 2]), "method": st.sampled_from(["call", "cancel", "rpc.x", 4]),
+            "id": st.one_of(st.integers(), st.text(max_size=5), st.floats(), st.none(), st.just([])),
+            "params": st.one_of(st.integers(), st.fixed_dictionaries({}, optional={
+                "method": st.sampled_from(["idem", "side", "x", 5]), "program": st.sampled_from(["p", "", 5]),
+                "input": st.text(), "time_left_ms": st.one_of(st.floats(), st.integers()),
+                "lanes": st.integers(), "token": st.text(max_size=4)}))}).map(_json)))
+    def test_anything(self, data):
+        """Whatever comes, each line gets what JSON-RPC says or nothing, and the next call is answered."""
+        client = Client(self.running.station.listen)
+        try:
+            client.tell(data.replace(b"\n", b" ") + b"\n")
+            client.tell(CALL % 424242)
+            while True:
+                got = client.answer()
+                answers = got if isinstance(got, list) else [got]
+                for each in answers:
+                    self.assertEqual(each["jsonrpc"], "2.0")
+                    self.assertTrue(("result" in each) != ("error" in each))
+                if any(each["id"] == 424242 and "result" in each for each in answers):
+                    break
+        finally:
+            client.close()
+
+
+class Bounds(unittest.TestCase):
+    def test_too_long(self):
+        """A line over the bound gets an error and the connection ends; others notice nothing."""
+        with Running(more="(bounds (line 1 MB))") as running:
+            other, client = running.client(), running.client()
+            client.tell(b"x" * (1 << 20) + b"xx")
+            self.assertEqual(client.answer()["error"]["code"], -32600)
+            with self.assertRaises((StopIteration, ConnectionError)):
+                client.answer()
+            other.ask(1)
+            self.assertEqual(other.answer()["result"]["answer"], "ok")
+            for each in (client, other):
+                each.close()
+
+    def test_too_many_connections(self):
+        with Running(more="(bounds (connections 3))") as running:
+            clients = [running.client() for _ in range(3)]
+            for at, client in enumerate(clients):
+                client.ask(at)
+                client.answer()
+            late = running.client()
+            self.assertEqual(late.answer()["error"]["data"]["why"], "too-many-connections")
+            late.close()
+            clients[0].close()
+
+            def again():
+                client = running.client()
+                try:
+                    client.ask(1)
+                    return "result" in client.answer()
+                except OSError:
+                    return False
+                finally:
+                    client.close()
+            self.assertTrue(until(again))
+            for client in clients[1:]:
+                client.close()
+
+    def test_too_many_rpcs(self):
+        """Past the bounds of a connection and of the gateway an RPC is denied at once, with the bound's name."""
+        for bounds, why in (("(open-each 5)", "connection-full"), ("(open-rpcs 5)", "gateway-full")):
+            with self.subTest(bound=bounds), Running((silent,), deadline="2 s", soft="1 s",
+                                                     more=f"(bounds {bounds})") as running:
+                client = running.client()
+                for at in range(5):
+                    client.ask(at)
+                self.assertTrue(until(lambda running=running: len(running.desk.asks) == 5))
+                client.ask(6)
+                got = client.answer()
+                self.assertEqual((got["id"], got["error"]["data"]["why"]), (6, why))
+                client.close()
+
+    def test_client_that_reads_nothing(self):
+        """It is hung up on once too much waits for it; what others ask is answered meanwhile."""
+        def large(sock, number):
+            source = lines_of(sock)
+            hello(sock, source)
+            for asked in source:
+                if asked["method"] == "run":
+                    size = 1 << 20 if asked["params"]["program"] == "plarge" else 10
+                    body = b'{"output":"%b","standing":"stood"}' % (b"x" * size)
+                    sock.sendall(jsonrpc.result(asked["id"], body) + b"\n")
+
+        with Running((large,), more="(bounds (line 2 MB) (unread 4 MB))") as running:
+            deaf, other = running.client(), running.client()
+            sent = threading.Event()
+
+            def flood():
+                try:
+                    for at in range(200):
+                        deaf.ask(at, program="plarge")
+                except OSError:
+                    pass
+                sent.set()
+
+            threading.Thread(target=flood, daemon=True).start()
+            for at in range(30):
+                other.ask(at)
+                self.assertEqual(other.answer()["result"]["answer"], "ok")
+            self.assertTrue(until(lambda: running.gateway.door.counts["unread"] == 1), running.gateway.door.counts)
+            self.assertTrue(sent.wait(LONG))
+            self.assertTrue(until(lambda: not running.desk.asks))
+            self.assertIn("does not read", running.said.getvalue())
+            for each in (deaf, other):
+                each.close()
+
+    def test_many(self):
+        """400 connections with 50 RPCs out on each: each gets its one answer."""
+        with Running((willing, willing), more="(bounds (connections 500))", deadline="60 s", soft="3 s") as running:
+            clients = [running.client() for _ in range(400)]
+            for client in clients:
+                client.tell(b"".join(CALL % at for at in range(50)))
+            for client in clients:
+                got = [client.answer() for _ in range(50)]
+                self.assertEqual(sorted(each["id"] for each in got), list(range(50)))
+                self.assertTrue(all("result" in each or each["error"]["code"] == -32001 for each in got))
+            self.assertEqual(running.desk.counts["unanswered"], 0)
+            for client in clients:
+                client.close()
+            self.assertTrue(until(lambda: not running.gateway.door.clients))
+            self.assertTrue(until(lambda: not running.desk.asks))
+
+    def test_half_lines(self):
+        """Those that never end their line cost a thread each and nothing else."""
+        with Running() as running:
+            slow = [running.client() for _ in range(50)]
+            for client in slow:
+                client.tell((CALL % 1)[:30])
+            other = running.client()
+            other.ask(1)
+            self.assertEqual(other.answer()["result"]["answer"], "ok")
+            for client in [*slow, other]:
+                client.close()
+
+
+class Addresses(unittest.TestCase):
+    def test_loopback_tcp(self):
+        """The same door on a loopback address with a port."""
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        with Running(more="") as made:
+            made.station.listen = f"127.0.0.1:{port}"
+            from wickdyke.gateway.serve import Gateway
+            gateway = Gateway(made.station, made.log)
+            gateway.open()
+            try:
+                self.assertTrue(until(lambda: gateway.desk.front_end.ready))
+                with socket.create_connection(("127.0.0.1", port), LONG) as sock:
+                    sock.sendall(CALL % 1)
+                    self.assertIn(b'"ok"', sock.makefile("rb").readline())
+            finally:
+                gateway.door.shut()
+                gateway.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,285 @@
+"""Links: exactly what is known of each call-out, whatever the worker does to the connection."""
+
+import os
+import socket
+import struct
+import tempfile
+import threading
+import unittest
+
+from tests.rig import Peer, Told, hello, lines_of, ok, until
+from wickdyke.gateway.link import Link, Order
+from wickdyke.gateway.outbox import Outbox, Parcel, Unread
+from wickdyke.protocol import back, jsonrpc
+
+BIG = b'"' + b"x" * (8 << 20) + b'"'
+
+
+def reset(sock):
+    """Ends the connection at once."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.shutdown(socket.SHUT_RDWR)
+    sock.close()
+
+
+def answering(*lines):
+    """Answers the first call-out with these lines (its number in {n}) and waits for the end."""
+    def play(sock, number):
+        source = lines_of(sock)
+        hello(sock, source)
+        run = next(source)
+        for line in lines:
+            sock.sendall(line(run["id"]) if callable(line) else line)
+        for _ in source:
+            pass
+    return play
+
+
+def dies_on_run(sock, number):
+    source = lines_of(sock)
+    hello(sock, source, start=number)
+    next(source)
+    reset(sock)
+
+
+def half_answer(sock, number):
+    source = lines_of(sock)
+    hello(sock, source)
+    sock.sendall(ok(next(source)["id"])[:20])
+    reset(sock)
+
+
+def dies_while_read(sock, number):
+    """Reads a part of a large message and is gone."""
+    hello(sock, lines_of_some(sock))
+    sock.recv(1000)
+    reset(sock)
+
+
+def lines_of_some(sock):
+    """The first line, read byte by byte, so that nothing of the next is taken."""
+    import msgspec
+    line = b""
+    while not line.endswith(b"\n"):
+        line += sock.recv(1)
+    yield msgspec.json.decode(line)
+
+
+def no_hello(sock, number):
+    for _ in lines_of(sock):
+        pass
+
+
+def a_byte_a_time(sock, number):
+    """Says its hello too slowly to ever be done."""
+    stop = threading.Event()
+    while not stop.wait(0.02):
+        sock.sendall(b"{")
+
+
+def error(code, data=b"null"):
+    return lambda n: jsonrpc.problem(n, code, "x", data) + b"\n"
+
+
+class Links(unittest.TestCase):
+    def setUp(self):
+        made = tempfile.TemporaryDirectory(prefix="wd-")
+        self.addCleanup(made.cleanup)
+        self.folder, self.count = made.name, 0
+
+    def link(self, play, dial=5000.0, line=16 << 20):
+        self.count += 1
+        peer = Peer(self.folder, f"w{self.count}", play)
+        told = Told()
+        link = Link("w", peer.path, "g", told, dial, line, 32 << 20)
+        self.addCleanup(link.close)
+        self.addCleanup(peer.close)
+        return link, told, peer
+
+    def run_once(self, play, params=b"{}", **more):
+        link, told, _ = self.link(play, **more)
+        order = Order("run", None, "run", params)
+        link.send(order)
+        return told.next("back")[2:]
+
+    def test_outcomes(self):
+        """(worker, params of the call-out) -> the outcome told."""
+        for name, play, params, outcome in (
+                ("answered", answering(ok), b"{}", "ok"),
+                ("answered with 8 MB", answering(lambda n: ok(n, BIG)), b"{}", "ok"),
+                ("full", answering(error(back.FULL)), b"{}", "full"),
+                ("miss", answering(error(back.MISS)), b"{}", "miss"),
+                ("failed", answering(error(back.FAILED)), b"{}", "error"),
+                ("draining", answering(error(back.DRAINING)), b"{}", "full"),
+                ("out of time there", answering(error(back.OUT_OF_TIME)), b"{}", "timeout"),
+                ("an error nobody knows", answering(error(-5)), b"{}", "error"),
+                ("an answer with neither result nor error", answering(b'{"jsonrpc":"2.0","id":1}\n'), b"{}", "cut"),
+                ("an answer that is no JSON", answering(b"hello\n"), b"{}", "cut"),
+                ("an answer that is no text", answering(b'{"id":1,"result":"\xff"}\n'), b"{}", "cut"),
+                ("an answer longer than allowed", answering(lambda n: ok(n, b'"' + b"x" * (17 << 20) + b'"')), b"{}",
+                 "cut"),
+                ("the worker ends on the call-out", dies_on_run, b"{}", "cut"),
+                ("an answer half read", half_answer, b"{}", "cut"),
+                ("ends with half of the message read", dies_while_read, BIG, "cut"),
+                ("a stray answer first", answering(b'{"jsonrpc":"2.0","id":77,"result":1}\n', ok), b"{}", "ok"),
+                ("an answer without a number first", answering(b'{"jsonrpc":"2.0","id":null,"result":1}\n', ok),
+                 b"{}", "ok")):
+            with self.subTest(case=name):
+                self.assertEqual(self.run_once(play, params)[1], outcome)
+
+    def test_no_connection(self):
+        """(worker) -> unreached, within the time to dial."""
+        for name, play in (("no hello", no_hello), ("a byte at a time", a_byte_a_time),
+                           ("the wrong version", lambda sock, n: sock.sendall(
+                               jsonrpc.result(0, b'{"version":99,"worker":"w","start":1}') + b"\n")),
+                           ("garbage", lambda sock, n: sock.sendall(b"SSH-2.0\n")),
+                           ("an error", lambda sock, n: sock.sendall(jsonrpc.problem(0, -1, "no") + b"\n"))):
+            with self.subTest(case=name):
+                self.assertEqual(self.run_once(play, dial=150.0)[1], "unreached")
+        link = Link("w", os.path.join(self.folder, "nobody"), "g", told := Told(), 1000.0, 1 << 20, 1 << 20)
+        self.addCleanup(link.close)
+        link.send(Order("run", None, "run", b"{}"))
+        self.assertEqual(told.next("back")[3], "unreached")
+
+    def test_second_answer(self):
+        """Two answers with one number: the first counts; the second, and one for what was never asked, do not."""
+        link, told, _ = self.link(answering(ok, ok, b'{"jsonrpc":"2.0","id":99,"result":1}\n'))
+        link.send(Order("run", None, "run", b"{}"))
+        self.assertEqual(told.next("back")[3], "ok")
+        self.assertTrue(until(lambda: link.counts == {"late": 1, "stray": 1}), link.counts)
+        self.assertTrue(told.events.empty())
+
+    def test_restarted(self):
+        """What waits for a connection is not sent to a worker that has started anew meanwhile."""
+        ready = threading.Event()
+
+        def play(sock, number):
+            source = lines_of(sock)
+            if number > 1:
+                ready.wait(20)
+            hello(sock, source, start=number)
+            if number == 1:
+                next(source)
+                reset(sock)
+            for asked in source:
+                sock.sendall(ok(asked["id"]))
+
+        link, told, _ = self.link(play)
+        link.send(Order("run", "first", "run", b"{}"))
+        self.assertEqual(told.next("back")[3], "cut")
+        told.next("lost")
+        link.send(Order("run", "second", "run", b"{}"))
+        ready.set()
+        self.assertEqual(told.next("back")[3], "unsent")
+        link.send(Order("run", "third", "run", b"{}"))
+        self.assertEqual(told.next("back")[3], "ok")
+
+    def test_worker_that_reads_nothing(self):
+        """What is past the kernel's buffers waits with us; cancelled there it was never sent, else it was cut."""
+        def play(sock, number):
+            hello(sock, lines_of_some(sock))
+            threading.Event().wait(60)
+
+        link, told, _ = self.link(play)
+        told.next("hello")
+        self.assertTrue(until(lambda: link.outbox is not None))
+        orders = [Order("run", at, "run", BIG) for at in range(3)]
+        for order in orders:
+            link.send(order)  # must not wait
+        self.assertTrue(until(lambda: orders[0].parcel.begun))
+        self.assertEqual(link.cancel(orders[2], lambda: None), "unsent")
+        self.assertIsNone(link.cancel(orders[0], lambda: None))
+        link.cut()
+        got = {event[2].key: event[3] for event in (told.next("back"), told.next("back"))}
+        self.assertEqual(got, {0: "cut", 1: "unsent"})
+
+    def test_bound(self):
+        """Past the bound the connection is given up; what was never begun is told as unsent."""
+        def play(sock, number):
+            hello(sock, lines_of_some(sock))
+            threading.Event().wait(60)
+
+        link, told, _ = self.link(play)
+        self.assertTrue(until(lambda: link.outbox is not None))
+        for at in range(6):
+            link.send(Order("run", at, "run", BIG))
+        got = sorted(told.next("back")[3] for _ in range(6))
+        self.assertEqual(got.count("cut"), 1, got)
+        self.assertEqual(set(got) - {"cut"}, {"unsent"} if "unreached" not in got else {"unsent", "unreached"})
+
+    def test_cancel(self):
+        """A cancel that is with the kernel ends the call-out; its late answer is dropped and counted."""
+        go = threading.Event()
+
+        def play(sock, number):
+            source = lines_of(sock)
+            hello(sock, source)
+            run = next(source)
+            self.assertEqual(next(source), {"jsonrpc": "2.0", "method": "cancel", "params": {"id": run["id"]}})
+            sock.sendall(ok(run["id"]))
+            go.set()
+            for _ in source:
+                pass
+
+        link, told, _ = self.link(play)
+        told.next("hello")
+        self.assertTrue(until(lambda: link.outbox is not None))
+        order = Order("run", None, "run", b"{}")
+        link.send(order)
+        self.assertEqual(link.cancel(order, lambda: None), "cancelled")
+        self.assertEqual(link.cancel(order, lambda: None), "ended")
+        self.assertTrue(go.wait(20))
+        self.assertTrue(until(lambda: link.counts["late"] == 1))
+
+    def test_retired(self):
+        """A link that is given up ends with the last of what is out, and sends nothing more."""
+        answer = threading.Event()
+
+        def play(sock, number):
+            source = lines_of(sock)
+            hello(sock, source)
+            run = next(source)
+            answer.wait(20)
+            sock.sendall(ok(run["id"]))
+
+        link, told, _ = self.link(play)
+        link.send(Order("run", 1, "run", b"{}"))
+        self.assertTrue(until(lambda: link.out))
+        link.retire()
+        answer.set()
+        self.assertEqual(told.next("back")[3], "ok")
+        link.thread.join(20)
+        self.assertFalse(link.thread.is_alive())
+        link.send(Order("run", 2, "run", b"{}"))
+        self.assertEqual(told.next("back")[3], "unsent")
+
+
+class Outboxes(unittest.TestCase):
+    def test_order_and_bound(self):
+        """All bytes arrive in their order, whoever wrote them; past the bound it is Unread."""
+        here, there = socket.socketpair()
+        box = Outbox(here, 1 << 20, "box")
+        sent = b""
+        for at in range(40):
+            data = bytes([at]) * 20000
+            sent += data
+            box.put(Parcel(data))
+        got = b""
+        while len(got) < len(sent):
+            got += there.recv(1 << 16)
+        self.assertEqual(got, sent)
+        with self.assertRaises(Unread):
+            for _ in range(100):
+                box.put(Parcel(b"x" * 50000))
+        box.close()
+        with self.assertRaises(OSError):
+            box.put(Parcel(b"x"))
+        if box.thread:
+            box.thread.join(20)
+            self.assertFalse(box.thread.is_alive())
+        here.close()
+        there.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_prove.py
@@ -0,0 +1,111 @@
+"""Whole days against real gateways: the rules hold, and the judge finds each that a wrong gateway breaks."""
+
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+
+from wickdyke.proving import script as scripts
+from wickdyke.proving import trace
+from wickdyke.proving.director import Director
+from wickdyke.proving.judge import Judge
+from wickdyke.settings.sexp import Unusable
+
+DAY = """(script "day" (length 6 s) (gateways 2) (workers 6) (zones 2) (rate 130) (drain-grace 300 ms)
+  (warmup (start-share 0.05) (ramp 8 s) (multiple 1.5) (window 2 s)) (ration (free 3) (share 0.02) (window 5 s))
+  (method "idem" (effect idempotent) (soft-deadline 750 ms) (deadline 3 s) (work 60 ms) (programs 30) (load 300 ms))
+  (method "side" (effect side-effecting) (soft-deadline 1 s) (deadline 2 s) (part 0.5) (work 40 ms) (programs 4))
+  (at 1 s (lose "w1" (share 0.5) (for 4 s)))
+  (at 1 s (fail "w5" (share 0.7) (for 4 s)))
+  (at 1200 ms (drain "w3" (for 4 s)))
+  (at 1500 ms (hang "w1" (for 3 s)))
+  (at 2 s (lose-zone "z2" (back 300 ms)))
+  (on (call-out "w4" 15) (die "w4")))"""
+
+
+class Mistakes(unittest.TestCase):
+    def test_found(self):
+        """(mistake) -> the rule that the judge must find broken; with none, all are kept."""
+        cases = (("none", set()), ("answers twice", {1}), ("never answers", {1}), ("repeats all", {2}),
+                 ("cancels in silence", {2}), ("deaf to drains", {3}), ("blind to the cold", {4}),
+                 ("orders at will", {5}))
+        found, failed = {}, {}
+        with tempfile.TemporaryDirectory(prefix="wd-") as folder:
+            path = os.path.join(folder, "day.sexp")
+            with open(path, "w") as sink:
+                sink.write(DAY)
+
+            def play(mistake):
+                try:
+                    director = Director(scripts.read(path), os.path.join(folder, mistake.replace(" ", "-")),
+                                        (sys.executable, "-m", "tests.wrong", mistake, "serve"))
+                    found[mistake] = Judge(trace.read(director.run()))
+                except Exception as bad:
+                    failed[mistake] = bad
+
+            for few in (cases[:3], cases[3:6], cases[6:]):  # a few at once: each is several processes
+                threads = [threading.Thread(target=play, args=(mistake,)) for mistake, _ in few]
+                for thread in threads:
+                    thread.start()
+                for thread in threads:
+                    thread.join()
+        self.assertEqual(failed, {})
+        for mistake, rules in cases:
+            with self.subTest(mistake=mistake):
+                got = {finding.rule for finding in found[mistake].findings}
+                self.assertLessEqual(rules, got, [str(f) for f in found[mistake].findings[:5]])
+                if not rules:
+                    self.assertEqual(got, set(), [str(f) for f in found[mistake].findings[:5]])
+
+
+class Scripts(unittest.TestCase):
+    def test_bad(self):
+        """(what stands in place of a trouble) -> words of the one message."""
+        for text, words in (
+                ('(at 1 s (dye "w1"))', ("dye", "die")), ('(at 1 s (die "w9"))', ("w9", "w1, w2")),
+                ("(at 1 s (die))", ("0 names",)), ('(at 1 (die "w1"))', ("unit", "1 ms")),
+                ('(at 1 s (slow "w1" (factr 3)))', ("factr", "factor")), ("(at 1 s)", ("without a trouble",)),
+                ('(at 1 s (burst "w1"))', ("1 names", "none")),
+                ('(on (call-out "w1" 3) (burst))', ("burst", "on an event")),
+                ('(on (call-out "w1" 3) (die "w2"))', ("w2", "w1")), ('(on (wake "w1" 3) (die "w1"))', ("call-out",)),
+                ('(at 1 s (kill-gateway "w1"))', ("g1",))):
+            with self.subTest(text=text), tempfile.NamedTemporaryFile("w", suffix=".sexp") as sink:
+                sink.write(f'(script "x" (length 1 s) (workers 2) (gateways 1) {text} (method "m" (effect idempotent)'
+                           " (soft-deadline 1 s) (deadline 2 s) (work 1 ms)))")
+                sink.flush()
+                with self.assertRaises(Unusable) as bad:
+                    scripts.read(sink.name)
+                self.assertEqual(len(bad.exception.troubles), 1, bad.exception)
+                for word in words:
+                    self.assertIn(word, str(bad.exception))
+
+
+class Commands(unittest.TestCase):
+    def test_codes(self):
+        """(arguments) -> exit code, and words; never a traceback."""
+        with tempfile.TemporaryDirectory() as folder:
+            broken, good = os.path.join(folder, "a.trace"), os.path.join(folder, "b.trace")
+            with open(broken, "w") as sink:
+                sink.write("no\n{}\n")
+            with open(good, "w") as sink:
+                sink.write('{"t":1,"by":"c","n":1,"what":"x"}\n')
+            for argv, code, words in (
+                    (("judge", broken), 2, "a.trace:1"), (("judge", good), 2, "terms"),
+                    (("judge", folder + "/none"), 2, "none"), (("prove", folder + "/none"), 2, "none"),
+                    (("check", folder + "/none"), 2, "none"), (("serve", folder + "/none"), 2, "none"),
+                    (("up", folder + "/none"), 2, "none"), (("replay", broken), 2, "recording"),
+                    (("replay", folder + "/none"), 2, "none"), (("call", folder + "/none", "m", "p"), 5, "none"),
+                    (("call", "10.0.0.1:80", "m", "p"), 5, "loopback"), (("dance",), 2, "dance"),
+                    (("check", "scripts/small.sexp"), 0, "good")):
+                with self.subTest(argv=argv):
+                    done = subprocess.run([sys.executable, "-m", "wickdyke.cli", *argv], capture_output=True,
+                                          text=True, timeout=60)
+                    self.assertEqual(done.returncode, code, done.stderr)
+                    self.assertIn(words, done.stdout + done.stderr)
+                    self.assertNotIn("Traceback", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,76 @@
+"""Who is there: what the list and the workers' own word make together."""
+
+import unittest
+
+from wickdyke.gateway.roster import Roster
+from wickdyke.protocol.back import Standing
+from wickdyke.settings.roll import Row
+
+
+def row(state="ready", start=0, address="a", name="w"):
+    return Row(name, address, "z2", "k2", 1, 4.0, state, start)
+
+
+def said(start, up=0.0, draining=False):
+    return Standing(1, "w", start, up, draining)
+
+
+class Views(unittest.TestCase):
+    def test_one_worker(self):
+        """(inputs at times) -> the (state, born) passed on by the last of them; None for nothing."""
+        far = 100000.0
+        for name, inputs, want in (
+                ("listed and not yet heard", [(0, "rows", [row()])], None),
+                ("heard", [(0, "rows", [row()]), (5, "hello", said(1, far))], ("ready", 5 - far)),
+                ("not to be reached: as just started", [(0, "rows", [row()]), (9, "unheard")], ("ready", 9)),
+                ("still not to be reached", [(0, "rows", [row()]), (9, "unheard"), (20, "unheard")], None),
+                ("heard after all", [(0, "rows", [row()]), (9, "unheard"), (20, "hello", said(1, 50))],
+                 ("ready", -30)),
+                ("connected anew, the same", [(0, "rows", [row()]), (5, "hello", said(1, far)),
+                                              (9, "hello", said(1, far + 4))], None),
+                ("restarted, told by itself", [(0, "rows", [row()]), (5, "hello", said(1, far)),
+                                               (50, "hello", said(2, 10))], ("ready", 40)),
+                ("restarted, told by the list", [(0, "rows", [row(start=1)]), (5, "hello", said(1, far)),
+                                                 (50, "rows", [row(start=2)])], ("ready", 50)),
+                ("then by itself: no news", [(0, "rows", [row(start=1)]), (5, "hello", said(1, far)),
+                                             (50, "rows", [row(start=2)]), (60, "hello", said(2, 20))], None),
+                ("a list that lags behind its word", [(0, "rows", [row(start=1)]), (5, "hello", said(1, far)),
+                                                      (50, "hello", said(2, 10)), (60, "rows", [row(start=1)])], None),
+                ("draining by the list", [(0, "rows", [row()]), (5, "hello", said(1, far)),
+                                          (9, "rows", [row("draining")])], ("draining", 5 - far)),
+                ("draining by its word", [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "draining")],
+                 ("draining", 5 - far)),
+                ("the list does not undo its word", [(0, "rows", [row()]), (5, "hello", said(1, far)),
+                                                     (9, "draining"), (20, "rows", [row()])], None),
+                ("its new start does", [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "draining"),
+                                        (20, "hello", said(2, 0))], ("ready", 20)),
+                ("draining in its hello", [(0, "rows", [row()]), (5, "hello", said(1, far, True))],
+                 ("draining", 5 - far)),
+                ("gone", [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "rows", [])], ("gone", 5 - far)),
+                ("gone by its state", [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "rows", [row("gone")])],
+                 ("gone", 5 - far)),
+                ("gone before it was heard", [(0, "rows", [row()]), (9, "rows", [])], None),
+                ("heard when gone", [(0, "rows", [row()]), (9, "rows", []), (10, "hello", said(1))], None),
+                ("another address: another worker", [(0, "rows", [row()]), (5, "hello", said(1, far)),
+                                                     (9, "rows", [row(address="b")])], ("gone", 5 - far))):
+            with self.subTest(case=name):
+                roster = Roster(("z1", "z2"), ("k1", "k2"))
+                changes = []
+                for now, what, *more in inputs:
+                    now = float(now)
+                    match what:
+                        case "rows":
+                            changes = roster.rows(more[0], now)
+                        case "hello":
+                            changes = roster.hello("w", more[0], now)
+                        case "unheard":
+                            changes = roster.unheard("w", now)
+                        case "draining":
+                            changes = roster.draining("w")
+                self.assertEqual([(c.state, c.born) for c in changes], [] if want is None else [want])
+                for change in changes:
+                    self.assertEqual((change.zone, change.kind, change.cell, change.size), (1, 1, 1, 4.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,165 @@
+"""Settings: each broken file gets its one message, with place, found, expected and fix; all of them at once."""
+
+import os
+import tempfile
+import unittest
+
+from wickdyke.protocol import jsonrpc
+from wickdyke.protocol.lines import Lines, TooLong
+from wickdyke.settings import address, roll, sexp, station
+from wickdyke.settings.sexp import Unusable
+
+GOOD = """(gateway
+  (listen (json-rpc "run/w.sock"))
+  (workers (file "workers.sexp"))
+  (zone "a") (zone "b") (at "b")
+  (kind "quad" (memory 64 GB)) (kind "duo" (memory 900 MB))
+  (method "m" (effect idempotent) (soft-deadline 750 ms) (deadline 4 s))
+  (method "t" (effect tokened) (window 2 min) (scope cell) (soft-deadline 1 s) (deadline 4 s))
+  (program "p*" (memory 1 GB)) (program "p/one" (memory 100 MB) (lanes 4) (load 1.5 s)) ; the exact name wins
+  (stock (idle-life 8 s))
+  (warmup (start-share 0.25) (ramp 14 s) (multiple 3) (window 1.5 s))
+  (drain-grace 1 s))"""
+
+
+class Settings(unittest.TestCase):
+    def read(self, text, reader=station.read):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "f.sexp")
+            with open(path, "wb") as sink:
+                sink.write(text if isinstance(text, bytes) else text.encode())
+            return reader(path)
+
+    def test_good(self):
+        got = self.read(GOOD)
+        self.assertEqual((got.zones, got.kinds, got.seat.zone), (("a", "b"), ("quad", "duo"), 1))
+        self.assertEqual(got.stock.memory, (65536.0, 900.0))
+        self.assertEqual([(m.name, m.effect, m.window, m.scope) for m in got.methods],
+                         [("m", "idempotent", 0.0, "all"), ("t", "tokened", 120000.0, "cell")])
+        for program, memory in (("p/one", 100.0), ("p/two", 1024.0), ("q", None)):
+            stated = got.stated(program)
+            self.assertEqual(stated and stated.memory, memory)
+        self.assertTrue(got.listen.endswith("/run/w.sock") and os.path.isabs(got.listen))
+
+    def test_bad(self):
+        """(what is replaced, by what) -> line:column and words of the one message."""
+        for old, new, place, words in (
+                ("750 ms", "750", "6:50", ("without a unit", "750 ms")),
+                ("750 ms", "750 sec", "6:54", ("sec", "us, ms, s, min")),
+                ("750 ms", "750 MS", "6:54", ("MS", "write ms")),
+                ("750 ms", "5 s", "6:3", ("5000 ms", "before the deadline, 4000 ms")),
+                ("64 GB", "64 gb", "5:27", ("gb", "write GB")),
+                ("64 GB", '"64 GB"', "5:16", ("memory", "a size")),
+                ("(effect idempotent)", "(effect idempotant)", "6:23", ("idempotant", "write idempotent")),
+                ("(effect idempotent) ", "", "6:3", ("without effect",)),
+                ("(effect idempotent)", "(effect idempotent) (effect idempotent)", "6:35", ("a second time", "line 6")),
+                ("(window 2 min) ", "", "7:3", ("without a window", "(window TIME)")),
+                ("(effect idempotent)", "(effect idempotent) (window 2 s)", "6:3", ("window only where tokened",)),
+                ('method "t"', 'method "m"', "7:3", ("method m a second time", "line 6")),
+                ('method "t"', "method t", "7:3", ("without a name",)),
+                ('(zone "b")', "", "1:1", ('(at "b")', '"a"')),
+                (' (at "b")', "", "1:1", ("2 zones", "(at")),
+                ("(idle-life 8 s)", "(idle-lfe 8 s)", "9:10", ("did you mean idle-life",)),
+                ("(start-share 0.25)", "(start-share 25)", "10:24", ("25", "0.001 to 1")),
+                ("(lanes 4)", "(lanes 4.5)", "8:72", ("4.5", "whole number", "write 4")),
+                ("(drain-grace 1 s)", "drain-grace", "11:3", ("drain-grace", "in brackets")),
+                ('"run/w.sock"', '"192.168.0.1:80"', "2:21", ("loopback",)),
+                ('"run/w.sock"', '"localhost:99999"', "2:21", ("port",)),
+                ('"run/w.sock"', f'"{"x" * 120}/s"', "2:21", ("107 bytes",)),
+                ('"run/w.sock"', '"workers.sexp"', "1:1", ("two different files",)),
+                ("(drain-grace 1 s)", "(drain-grace 1 s) (seat (number 2) (of 2))", "11:21", ("2 of 2", "0 to 1")),
+                ("(drain-grace 1 s)", "(drain-grace 1 s) (bounds (line 9 MB) (unread 2 MB))", "1:1", ("one line",)),
+                ("(drain-grace 1 s)", "(drain-grace 1 s) (answer-way 4 s)", "6:3", ("answer-way, 4000",)),
+                ("(drain-grace 1 s))", "(drain-grace 1 s)", "1:1", ("never closed",)),
+                ("(drain-grace 1 s))", "(drain-grace 1 s)))", "11:21", (")", "none is open")),
+                ('"m"', '"m', "6:11", ("ends on its line",)),
+                ("(gateway", "(getaway", "1:1", ("getaway", "(gateway ...)")),
+                ("0.25", "#25", "10:24", ("#",))):
+            with self.subTest(old=old, new=new):
+                text = GOOD.replace(old, new, 1)
+                self.assertNotEqual(text, GOOD)
+                with self.assertRaises(Unusable) as bad:
+                    self.read(text)
+                said = str(bad.exception)
+                if "answer-way" in new:  # it holds for each method
+                    said = said.splitlines()[0]
+                self.assertEqual(said.count("\n"), 0, said)
+                self.assertIn(f"f.sexp:{place}: found ", said)
+                for word in words:
+                    self.assertIn(word, said)
+
+    def test_all_at_once(self):
+        text = GOOD.replace("750 ms", "750").replace("idempotent", "idem").replace("8 s", "8").replace("14 s", "14")
+        with self.assertRaises(Unusable) as bad:
+            self.read(text)
+        self.assertEqual([t.spot.line for t in bad.exception.troubles], [6, 6, 9, 10])
+
+    def test_no_file(self):
+        for text, words in ((b"\xff(", "UTF-8"), ("", "nothing"), ("(" * 5000, "closed")):
+            with self.subTest(text=text[:9]), self.assertRaisesRegex(Unusable, words):
+                self.read(text)
+        with self.assertRaisesRegex(Unusable, "no readable file"):
+            station.read("/nowhere/at.all")
+
+    def test_rolls(self):
+        """(list) -> words of the message; what is written reads back as it was."""
+        row = roll.Row('w "1"', "run/w.sock", "a", "quad", 3, 2.5, "draining", 17)
+        self.assertEqual(self.read(roll.written([row]), roll.read), [row])
+        for text, words in (
+                ('(workers (worker "w" (address "10.1.1.1:5")))', "loopback"),
+                ('(workers (worker "w"))', "without address"),
+                ('(workers (worker "w" (address "a/b")) (worker "w" (address "a/c")))', "worker w a second time"),
+                ('(workers (worker "w" (address "a/b") (state redy)))', "write ready"),
+                ('(workers (worker "w" (address "a/b") (zone "x")))', "one of a, b"),
+                ("(workers) (workers)", "a second")):
+            with self.subTest(text=text), self.assertRaisesRegex(Unusable, words):
+                roll.rows(sexp.parse(text, "f"), "f", ("a", "b"))
+
+    def test_addresses(self):
+        for text, good in (("a/b", True), ("sock", True), ("127.0.0.1:80", True), ("127.9.9.9:80", True),
+                           ("[::1]:80", True), ("localhost:0", True), ("0.0.0.0:80", False), ("8.8.8.8:1", False),
+                           ("[::]:1", False), ("example.org:80", False), ("127.0.0.1:x", False)):
+            with self.subTest(address=text):
+                try:
+                    address.parse(text)
+                    got = True
+                except ValueError:
+                    got = False
+                self.assertEqual(got, good)
+
+
+class Framing(unittest.TestCase):
+    def test_lines(self):
+        """(pieces) -> lines, with a bound of 6 bytes."""
+        for pieces, lines in (
+                ([b"ab\ncd\n"], [b"ab", b"cd"]), ([b"a", b"b", b"\n"], [b"ab"]), ([b"\n\n \nx\n"], [b"x"]),
+                ([b"ab\nc", b"d\nef"], [b"ab", b"cd"]), ([b"abcdef", b"\n"], [b"abcdef"])):
+            with self.subTest(pieces=pieces):
+                framing = Lines(6)
+                self.assertEqual([line for piece in pieces for line in framing.feed(piece)], lines)
+        for pieces in ([b"abcdefg"], [b"abcd", b"efg"], [b"a\nabcdefg\n"], [b"abcdefg\n"]):
+            with self.subTest(pieces=pieces), self.assertRaises(TooLong):
+                framing = Lines(6)
+                for piece in pieces:
+                    framing.feed(piece)
+
+    def test_answers(self):
+        """Lines that are no answers of JSON-RPC are told apart from those that are."""
+        self.assertEqual(jsonrpc.answer(jsonrpc.result(7, b"[1]")), (7, b"[1]", None))
+        ident, result, problem = jsonrpc.answer(jsonrpc.problem("x", -1, "no", b'{"a":1}'))
+        self.assertEqual((ident, result, problem.code, bytes(problem.data)), ("x", None, -1, b'{"a":1}'))
+        for line in (b"", b"[]", b"{}", b'{"id":1}', b'{"id":1,"result":1,"error":{"code":1}}', b'{"id":[],"result":1}',
+                     b'{"id":1,"error":1}', b'{"id":1,"result":"\xff"}', b"[" * 100000):
+            with self.subTest(line=line[:40]), self.assertRaises(jsonrpc.Fault):
+                jsonrpc.answer(line)
+
+    def test_depth(self):
+        for text, deep in ((b"[" * 64 + b"]" * 64, False), (b"[" * 65 + b"]" * 65, True), (b"[]" * 1000, False),
+                           (b'"' + b"[" * 1000 + b'"', False), (b'["\\"' + b"[" * 99 + b'"]', False),
+                           (b'{"a":' * 65 + b"1" + b"}" * 65, True)):
+            with self.subTest(text=text[:20]):
+                self.assertEqual(jsonrpc.too_deep(text), deep)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/wrong.py
@@ -0,0 +1,69 @@
+"""A gateway made wrong on purpose: `python -m tests.wrong MISTAKE serve FILE ...`. The judge must find each."""
+
+import itertools
+import sys
+
+from wickdyke import logic
+from wickdyke.cli import main
+from wickdyke.gateway.desk import Desk
+from wickdyke.gateway.door import Ask
+from wickdyke.gateway.roster import Roster
+from wickdyke.settings.roll import Row
+
+_turn = itertools.count(1)
+_answer = Ask.answer
+
+
+def _twice(ask, body):
+    _answer(ask, body)
+    if next(_turn) % 50 == 0:
+        ask.client.write(body + b"\n")
+
+
+def _never(ask, body):
+    if next(_turn) % 50:
+        _answer(ask, body)
+
+
+def _unsaid(desk, ask, call_out, outcome):
+    desk.events.put(("withdrawn", ask, call_out, outcome))
+
+
+_rows = Roster.rows
+
+
+def _deaf(roster, rows, now):
+    return _rows(roster, [Row(**{name: getattr(row, name) for name in row.__slots__ if name != "state"},
+                              state="ready") for row in rows], now)
+
+
+def _draining(roster, name):
+    return []
+
+
+def make(mistake):
+    """Puts the mistake in."""
+    match mistake:
+        case "none":
+            pass
+        case "answers twice":
+            Ask.answer = _twice
+        case "never answers":
+            Ask.answer = _never
+        case "repeats all":
+            logic.may_have_run = lambda rpc: []
+        case "cancels in silence":
+            Desk._withdraw = _unsaid
+        case "deaf to drains":
+            Roster.rows, Roster.draining = _deaf, _draining
+        case "blind to the cold":
+            logic.Guards.cold = lambda guards, worker, now: False
+        case "orders at will":
+            logic.Guards.may_hold = lambda guards, worker, renewal, now: worker.listing.state == "ready"
+        case _:
+            raise SystemExit(f"no such mistake: {mistake}")
+
+
+if __name__ == "__main__":
+    make(sys.argv.pop(1))
+    main(prog_name="wrong")
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -28,6 +28,9 @@
 from wickdyke.settings.station import Station
 
 
+ROUND = 512  # events told to the module before its decisions are pulled, at most
+
+
 def clock() -> float:
     """Monotonic time in ms."""
     return time.monotonic() * 1000
@@ -44,7 +47,7 @@
         self.links: dict[str, Link] = {}
         self.roster = Roster(station.zones, station.kinds)
         self.asks: dict[int, Ask] = {}
-        self.stopping = False
+        self.stopping = self.told = False
         self.counts: Counter[str] = Counter()
         self.ident = 0
         parts = {"seat": station.seat, "allowance": station.allowance, "stock": station.stock,
@@ -97,32 +100,33 @@
     # ---- the thread ----
 
     def _run(self) -> None:
-        get = self.events.get
+        events = self.events
         while True:
             wait = min(self.front_end.wake_at, self.timers[0][0] if self.timers else float("inf")) - clock()
             try:
-                event = get(True, max(0.0, wait / 1000)) if wait > 0 else get(False)
+                # Danger: when much is held one look costs more than the time between two, and each event alone
+                # would wait for one. What has come by now is told first, then the decisions are pulled.
+                event = events.get(True, wait / 1000) if wait > 0 else events.get(False)
+                for left in range(ROUND, 0, -1):
+                    if event is None:
+                        return
+                    self._guarded(self.handlers[event[0]], event[1:])
+                    if left > 1:
+                        event = events.get(False)
             except queue.Empty:
-                self._due()
-                continue
-            if event is None:
-                return
-            try:
-                self.handlers[event[0]](*event[1:])
-            except Exception as bad:  # Danger: one bad event must not end the one thread all hang on
-                self._broken(bad)
-            self._due()
-
-    def _due(self) -> None:
-        now = clock()
-        while self.timers and self.timers[0][0] <= now:
-            _, _, act, args = heapq.heappop(self.timers)
-            try:
-                act(*args)
-            except Exception as bad:
-                self._broken(bad)
-        if self.front_end.wake_at <= now:
-            self._inform("woke")
+                pass
+            now = clock()
+            while self.timers and self.timers[0][0] <= now:
+                _, _, act, args = heapq.heappop(self.timers)
+                self._guarded(act, args)
+            if self.told or self.front_end.wake_at <= now:
+                self._guarded(self._pull, ())
+
+    def _guarded(self, act: Callable, args: tuple) -> None:
+        try:
+            act(*args)
+        except Exception as bad:  # Danger: one bad event must not end the one thread that all hang on
+            self._broken(bad)
 
     def _broken(self, bad: Exception) -> None:
         self.counts["faults"] += 1
@@ -134,14 +138,21 @@
         heapq.heappush(self.timers, (when, next(self.turn), act, args))
 
     def _inform(self, name: str, *args: object) -> None:
-        """Tells the module one thing and carries out all it decides on it."""
+        """Tells the module one thing: that only updates its books."""
+        now = clock()
+        if self.tape is not None:
+            self.tape.heard(now, name, args)
+        self.front_end.woke(now)
+        getattr(self.front_end, name)(*args)
+        self.told = True
+
+    def _pull(self) -> None:
+        """Pulls all decisions and carries them out."""
+        front_end, tape, self.told = self.front_end, self.tape, False
         now = clock()
-        front_end, tape = self.front_end, self.tape
-        if tape is not None:
-            tape.heard(now, name, args)
         front_end.woke(now)
-        if name != "woke":
-            getattr(front_end, name)(*args)
+        if tape is not None:
+            tape.heard(now, "decide", ())
         while (decision := front_end.decide()) is not None:
             if tape is not None:
                 tape.decided(decision)
@@ -170,13 +181,16 @@
         if ask is None or ask.done:
             return
         # The module reads the client's time as up at the same moment: it answers for good on what it is told here.
+        self._at(clock() + self.station.answer_way / 2, self._left_open, ident)
         for call_out, order in list(ask.orders.items()):
             if order.link is not None:
                 order.link.cancel(order, lambda: None)
             self._ended(ask, call_out, "timeout")
-        if not ask.done and ident in self.asks:
-            self._inform("woke")
-        if not ask.done and ident in self.asks:
+        self.told = True
+
+    def _left_open(self, ident: int) -> None:
+        ask = self.asks.get(ident)
+        if ask is not None and not ask.done:
             # Danger: an RPC that the module left open would be lost. Nothing known leads here; it is logged.
             self.counts["unanswered"] += 1
             self.log.error("rpc left open at its time", rpc=ident)
--- a/wickdyke/gateway/door.py
+++ b/wickdyke/gateway/door.py
@@ -288,6 +288,8 @@
                 os.unlink(self.address)
             except OSError:
                 pass
+        if self.held is not None:
+            self.held.close()
 
     def flushed(self) -> bool:
         """Whether all answers are with the kernel."""
@@ -319,6 +321,7 @@
             raise InUse(f"{address}: a live gateway listens there, expected a free one") from None
         try:
             if not stat.S_ISSOCK(os.lstat(address).st_mode):
+                held.close()
                 raise InUse(f"{address}: a file that is no socket stands there, expected none")
             os.unlink(address)  # nobody holds the lock: it is left over
         except FileNotFoundError:
--- a/wickdyke/gateway/tape.py
+++ b/wickdyke/gateway/tape.py
@@ -132,17 +132,18 @@
             if (differs := check(want)) is not None:
                 return alike, differs
             alike += len(want)
+            want = None
         _, now, name, args = entry
         front_end.woke(now)
+        if name == "decide":
+            said, want = [decided(decision) for decision in iter(front_end.decide, None)], []
+            continue
         if name == "listed":
             args = [[Listing(**row) for row in args[0]], args[1]]
         elif name == "took":
             args[2] = named[args[2]]
         elif name in ("ended", "probed") and args[-1] is not None:
             args[-1] = tuple(args[-1])
-        if name != "woke":
-            getattr(front_end, name)(*args)
-        said = [decided(decision) for decision in iter(front_end.decide, None)]
-        want = []
+        getattr(front_end, name)(*args)
     # decisions after the last input may have been cut off with the recording
     return alike + len(want or ()), None
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -127,6 +127,8 @@
     mark: int
     sends: deque = field(default_factory=deque)
     out: list["CallOut"] = field(default_factory=list)
+    lates: list[tuple] = field(default_factory=list)
+    at_work: int = 0
     fled: list["CallOut"] = field(default_factory=list)
     places: dict["Program", "Place"] = field(default_factory=dict)
     shun_until: float = 0.0
@@ -209,6 +211,7 @@
     warm: bool
     beside: int
     among: int
+    late_at: float = 0.0
     outcome: str | None = None
     fled: float = 0.0
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -7,6 +7,7 @@
 
 from collections import Counter, deque
 from dataclasses import replace
+from heapq import heappop, heappush
 from itertools import accumulate, islice
 from math import ceil, inf, log, sqrt
 
@@ -49,7 +50,16 @@
 
 
 def working(worker: Worker, now: float) -> int:  # our call-outs that take its cores, not waiting for loads
-    return sum(co.warm and not overdue(co, now) for co in worker.out)
+    while worker.lates and worker.lates[0][0] < now:  # counted as they change: thousands may be out
+        call_out = heappop(worker.lates)[-1]
+        worker.at_work -= call_out.warm and call_out.outcome is None
+    return worker.at_work
+
+
+def rest(call_out: CallOut, gates: tuple[Worker, ...], now: float) -> None:  # takes cores no more
+    for gate in gates if call_out.warm and call_out.outcome is None else ():
+        working(gate, now)
+        gate.at_work -= call_out.late_at >= now
 
 
 class Latency:  # round trip plus run time as measured, against what the RPC takes on the average worker
@@ -439,7 +449,7 @@
         for method in methods:
             method.times = deque(maxlen=KEPT)
         self.workers, self.programs, self.rpcs = {}, {}, {}
-        self.notes, self.todo, self.waiting = deque(), deque(), []
+        self.notes, self.todo, self.waiting, self.stuck = deque(), deque(), [], set()
         self.orders, self.acts, self.chance = deque(), deque(), Chance(seed)
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
         self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration, seed, seat.of)
@@ -489,12 +499,16 @@
         if rpc is None or number >= len(rpc.call_outs):
             return
         call_out, place, worker = (co := rpc.call_outs[number]), co.place, co.place.worker
-        call_out.warm = call_out.warm and standing not in ("began", "awaited")
+        if standing in ("began", "awaited"):
+            rest(call_out, (worker, self.whole), now)
+            call_out.warm = False
         near, far = (worker, call_out.beside), (self.whole, call_out.among)
         for gate, beside in (near, far)[:2 - (call_out.beside > 0)]:
             if outcome == "ok" and call_out.warm and call_out.sent >= gate.lowered:  # not before the last cut
                 paced(gate, call_out, beside, now)  # that on all where nothing of ours was beside it there
-        self.whole.out = [co for co in self.whole.out if co is not call_out]
+        rest(call_out, (worker, self.whole), now)
+        if call_out.outcome is None:
+            self.whole.out.remove(call_out)
         end(call_out, outcome)
         rpc.closed = rpc.closed or final
         if call_out.warm or standing == "stood":
@@ -560,6 +574,7 @@
 
     def woke(self, now: float) -> None:
         self.now = now
+        self.stuck.clear()
 
     def decide(self) -> Decision | None:
         if (now := self.now) >= self.wake_at:
@@ -633,7 +648,12 @@
                 return (worker.shun_until <= now and not (worker.shuns and (worker.out or worker.mute))
                         and self.guards.may_call(worker, rpc, now) and may_repeat(rpc, worker, most, now))
 
-            if place := choose(rpc, able, self.health, self.fill, self.chance, now):
+            # Danger: thousands that wait cost more than the time between two looks. Hurts nowhere: the first
+            # that finds no place tells for all of its program, until something is heard.
+            like = (rpc.program, rpc.method, not rpc.call_outs)
+            place = None if like in self.stuck else choose(rpc, able, self.health, self.fill, self.chance, now)
+            self.stuck.update({like} if place is None and not rpc.call_outs else ())
+            if place:
                 if (self.stock.loads_on_call or self.latency.stands(place, now)
                         or place.ordered is not None and place.ordered < now):
                     return self.call(rpc, place, now)
@@ -651,8 +671,12 @@
     def call(self, rpc: RPC, place: Place, now: float) -> None:
         worker, warm = place.worker, self.latency.stands(place, now)
         near, far, due = working(worker, now), working(self.whole, now), self.latency.expect(place, rpc, now)
-        begin(CallOut(rpc, len(rpc.call_outs), place, now, due, warm, near, far))
-        self.whole.out.append(rpc.call_outs[-1])
+        late = now + max(OVERDUE_LEAST, OVERDUE * due)
+        begin(call_out := CallOut(rpc, len(rpc.call_outs), place, now, due, warm, near, far, late))
+        self.whole.out.append(call_out)
+        for gate in (worker, self.whole) if warm else ():
+            heappush(gate.lates, (late, rpc.ident, call_out.number, call_out))
+            gate.at_work += 1
         if self.guards.cold(worker, now):
             worker.sends.append((now, self.guards.weight(rpc)))
         self.acts.append(("call", rpc, worker, None))
--- a/wickdyke/protocol/lines.py
+++ b/wickdyke/protocol/lines.py
@@ -30,7 +30,7 @@
         first, *rest = data.split(b"\n")
         last = rest.pop()
         self._hold(first)
-        done = [b"".join(self.parts) if len(self.parts) > 1 else first, *rest]
+        done = [b"".join(self.parts) if len(self.parts) > 1 else self.parts[0] if self.parts else b"", *rest]
         self.parts, self.held = [], 0
         if any(len(line) > self.most for line in rest):
             raise TooLong(f"a line of over {self.most} bytes")
--- a/wickdyke/proving/director.py
+++ b/wickdyke/proving/director.py
@@ -161,6 +161,8 @@
         build = standin.Build(name, self._path(f"{name}.sock"), trace, self._path("store.sock"), start,
                       script.seed * 7919 + start, script.cores, script.speed, script.memory, script.idle_life,
                       queue_most=script.queue, cold=cold, **script.warmup)
+        if name in self.workers:
+            self.workers[name].end()
         self.workers[name] = Child((sys.executable, "-m", "wickdyke.proving.standin",
                                     msgspec.json.encode(build).decode()), self._path(f"{name}.err"), ready=False)
         self.rows[name] = Row(name, build.socket, scripts.zone_of(script, name), "k", int(name[1:]) % 3,
--- a/wickdyke/proving/script.py
+++ b/wickdyke/proving/script.py
@@ -119,10 +119,10 @@
 def _at(form: Form, notes: Notes) -> Trouble | None:
     """(at 5 s (die "w3"))"""
     *time, last = form.items or [None]
-    at = span()(Form("at", time, form.spot), notes)
     if not isinstance(last, Form):
         notes.add(form.spot, "(at ...) without a trouble", "(at TIME (TROUBLE ...))")
         return None
+    at = span()(Form("at", time, form.spot), notes)
     return _trouble(last, notes, at=at)
 
 
--- a/wickdyke/settings/check.py
+++ b/wickdyke/settings/check.py
@@ -182,14 +182,17 @@
             else:
                 values["name"] = str(first.value)
         seen: dict[str, Spot] = {}
+        excused: set[str] = set()
         for item in items:
             if isinstance(item, Atom) or not item.name:
                 notes.add(item.spot, shown(item), f"a field of {form.name} in brackets")
+                excused.add(shown(item))  # else it would be said to be missing as well
                 continue
             if item.name not in table:
                 near = get_close_matches(item.name, table, 1, 0.5)
                 notes.add(item.spot, f"({item.name} ...)", f"a field of {form.name}",
                           f"did you mean {near[0]}?" if near else "it knows " + ", ".join(table))
+                excused.update(near)
                 continue
             known = table[item.name]
             if item.name in seen and not known.many:
@@ -204,7 +207,7 @@
                 values[item.name] = value
         for name, known in table.items():
             if name not in seen:
-                if known.absent is NEEDED:
+                if known.absent is NEEDED and name not in excused:
                     notes.add(form.spot, f"({form.name} ...) without {name}", f"({name} ...) in it")
                 values[name] = [] if known.many and known.absent in (NEEDED, None) else known.absent
         if len(notes.troubles) > before:
