--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -648,11 +648,12 @@
                 return (worker.shun_until <= now and not (worker.shuns and (worker.out or worker.mute))
                         and self.guards.may_call(worker, rpc, now) and may_repeat(rpc, worker, most, now))
 
-            # Danger: thousands that wait cost more than the time between two looks. Hurts nowhere: the first
-            # that finds no place tells for all of its program, until something is heard.
-            like = (rpc.program, rpc.method, not rpc.call_outs)
-            place = None if like in self.stuck else choose(rpc, able, self.health, self.fill, self.chance, now)
-            self.stuck.update({like} if place is None and not rpc.call_outs else ())
+            # Danger: to look at thousands that wait takes longer than the time between two looks. The first
+            # to find no place tells for all like it, until something is heard. Hurts nowhere: all would fail.
+            like, place = (rpc.program, rpc.method, not rpc.call_outs), None
+            if like not in self.stuck:
+                place = choose(rpc, able, self.health, self.fill, self.chance, now)
+                self.stuck.update({like} if place is None and not rpc.call_outs else ())
             if place:
                 if (self.stock.loads_on_call or self.latency.stands(place, now)
                         or place.ordered is not None and place.ordered < now):
