Each call-out in the log on demand; a worker that reads nothing is cut for an RPC that ends

Need: rpc, call-out and worker as keys of the log; the desk's answer to a deaf worker was tested in the link alone.

--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -1,5 +1,6 @@
 """The desk and its parts together: times, losses, lists, logs, stopping, and recordings played again."""
 
+import io
 import os
 import signal
 import socket
@@ -137,6 +138,24 @@
             client.close()
 
 
+    def test_worker_that_reads_nothing(self):
+        """A call-out that is to end there can't be cancelled: its link is cut for it, and others go on."""
+        def deaf(sock, number):
+            asked = b""
+            while not asked.endswith(b"\n"):
+                asked += sock.recv(1)
+            sock.sendall(jsonrpc.result(0, jsonrpc.encode(back.Standing(back.VERSION, "w", 1, 1e6))) + b"\n")
+            threading.Event().wait(60)
+
+        with Running((deaf,), deadline="60 s", soft="50 s") as running:
+            client = running.client()
+            client.ask(1, input="x" * (8 << 20))
+            self.assertTrue(until(lambda: any(ask.orders for ask in running.desk.asks.values())))
+            client.close()
+            self.assertTrue(until(lambda: "link cut" in running.said.getvalue()))
+            self.assertTrue(until(lambda: not running.desk.asks))
+
+
 class Lists(unittest.TestCase):
     def test_broken_list(self):
         """What can't be read leaves the last good list in force, and is said once."""
@@ -253,6 +272,17 @@
         reader.join(LONG)
         os.close(out)
 
+    def test_levels(self):
+        """(debug, JSON) -> whether call-outs are logged, and how a line looks."""
+        for debug, json, words in ((False, False, "event=one worker=w"), (True, True, '"event": "one"')):
+            sink = io.StringIO()
+            log, scribe = logs.logger(sink, json, debug, gateway="g")
+            log.info("one", worker="w")
+            log.debug("two", rpc=1, call_out=0)
+            scribe.close()
+            self.assertEqual("two" in sink.getvalue(), debug)
+            self.assertIn(words, sink.getvalue().replace("gateway=g ", ""))
+
     def test_keys(self):
         for note, event, keys in (
                 ("worker w1 shunned for 1500 ms: cut, 3 of 4 bad", "worker shunned for 1500 ms: cut, 3 of 4 bad",
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,6 +4,9 @@
 import tempfile
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from wickdyke.protocol import jsonrpc
 from wickdyke.protocol.lines import Lines, TooLong
 from wickdyke.settings import address, roll, sexp, station
@@ -153,6 +156,18 @@
             with self.subTest(line=line[:40]), self.assertRaises(jsonrpc.Fault):
                 jsonrpc.answer(line)
 
+    @settings(max_examples=300, deadline=None)
+    @given(st.one_of(st.binary(max_size=80), st.text(alphabet='{}[]":,0123456789eidrsultno', max_size=60).map(
+        str.encode)))
+    def test_any_bytes(self, data):
+        """Whatever comes, a decoder gives a value or its own error."""
+        for read, error in ((jsonrpc.answer, jsonrpc.Fault), (lambda d: list(jsonrpc.requests(d)), ()),
+                            (lambda d: sexp.parse(d.decode("latin-1"), "f"), Unusable)):
+            try:
+                read(data)
+            except error:
+                pass
+
     def test_depth(self):
         for text, deep in ((b"[" * 64 + b"]" * 64, False), (b"[" * 65 + b"]" * 65, True), (b"[]" * 1000, False),
                            (b'"' + b"[" * 1000 + b'"', False), (b'["\\"' + b"[" * 99 + b'"]', False),
--- a/wickdyke/cli/serve.py
+++ b/wickdyke/cli/serve.py
@@ -22,8 +22,9 @@
 @click.argument("file", type=click.Path())
 @click.option("--log", "log_file", type=click.Path(), help="Append the log to this file (else standard error).")
 @click.option("--json", "as_json", is_flag=True, help="Log JSON lines instead of logfmt.")
+@click.option("--debug", is_flag=True, help="Also log each call-out that ends and each answer, by rpc.")
 @click.option("--tape", type=click.Path(), help="Record what the module is told and decides (see replay).")
-def serve(file: str, log_file: str | None, as_json: bool, tape: str | None) -> None:
+def serve(file: str, log_file: str | None, as_json: bool, debug: bool, tape: str | None) -> None:
     """Run a gateway as FILE states, until SIGTERM.
 
     The first line on standard output is `ready` and the socket's path. On SIGTERM or SIGINT no new RPC is taken,
@@ -44,7 +45,7 @@
         sink = open(path, "a", encoding="utf-8") if path else logs.standard_error()  # noqa: SIM115
     except OSError as bad:
         _fail(f"{path}: found no file to append to ({bad.strerror}), expected one")
-    log, scribe = logs.logger(sink, as_json, gateway=made.name)
+    log, scribe = logs.logger(sink, as_json, debug, gateway=made.name)
     try:
         gateway = Gateway(made, log)
     except InUse as bad:
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -290,6 +290,8 @@
                report: tuple[float, ...] | None = None) -> None:
         del ask.orders[call_out]
         self.counts[f"call_outs_{outcome}"] += 1
+        self.log.debug("call-out ended", rpc=ask.told, call_out=call_out.number, outcome=outcome,
+                       worker=call_out.place.worker.listing.ident, took_ms=round(clock() - call_out.sent, 1))
         self._inform("ended", ask.told, call_out.number, outcome, ask.done, standing, company, report)
         self._forget(ask)
 
@@ -307,6 +309,7 @@
         ask.done = True
         self.counts[answer] += 1
         ask.answer(body)
+        self.log.debug("answered", rpc=ask.told, answer=answer, client=ask.client.number)
         ask.call.input = None  # of megabytes, maybe, while a call-out that was given up ends
 
     # ---- what is decided ----
--- a/wickdyke/gateway/log.py
+++ b/wickdyke/gateway/log.py
@@ -1,5 +1,6 @@
 """Structured logs that never hold anybody up: lines wait in a bounded queue for a thread that writes them."""
 
+import logging
 import queue
 import re
 import sys
@@ -49,13 +50,14 @@
                 self.lost += lost + 1
 
 
-def logger(sink: TextIO, json: bool, **bound: object):
-    """(logger, scribe): logfmt or JSON lines with time, level and the bound keys."""
+def logger(sink: TextIO, json: bool, debug: bool = False, **bound: object):
+    """(logger, scribe): logfmt or JSON lines with time, level and the bound keys; `debug` for each call-out too."""
     scribe = Scribe(sink)
     drawn = structlog.processors.JSONRenderer() if json else structlog.processors.LogfmtRenderer(
         key_order=["timestamp", "level", "event"], drop_missing=True)
     log = structlog.wrap_logger(scribe, processors=[
-        structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True), drawn])
+        structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True), drawn],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG if debug else logging.INFO))
     return log.bind(**bound), scribe
 
 
