--- a/wickdyke/proving/director.py
+++ b/wickdyke/proving/director.py
@@ -143,8 +143,12 @@
 
     def _write(self, row: Row) -> None:
         self.told[row.name] = row
+        # Danger: a gateway may read the new list before this process gets to write it down. Ready counts from before
+        # it is put there, the rest from after; else what was sent rightly looks like a drain that was not kept.
+        before = clock()
         self._replace()
-        self.record("told", worker=row.name, state=row.state, start=row.start)
+        self.record("told", before if row.state == "ready" else None, worker=row.name, state=row.state,
+                    start=row.start)
 
     def _replace(self) -> None:
         with open(self._path("workers.new"), "w", encoding="utf-8") as sink:
--- a/wickdyke/timing/terms.py
+++ b/wickdyke/timing/terms.py
@@ -46,11 +46,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Terms:
-    """All that holds for an RPC of a route. Times are ms."""
+    """All that holds for an RPC of a route. Times are ms. Without `attempt` one lasts as long as the RPC. `linger` is
+    how long a worker may still be at it past that time where time-outs do not cancel; None where nobody knows."""
 
     soft: float
     deadline: float
     attempt: float | None = None
+    linger: float | None = None
     attempts: int = 1
     pause: Pause = Pause()
     again: frozenset[str] = NEVER_RAN
@@ -105,7 +107,7 @@
     waits its pause with all its spread, and is looked at a tick after that.
     """
     many = terms.attempts if attempts is None else attempts
-    parts = [Part("queue", terms.queue or 0.0), Part("tick", ground.tick)]
+    parts = [Part("queue", 0.0 if terms.queue is None else terms.queue), Part("tick", ground.tick)]
     if terms.attempt is not None:
         parts += [Part("attempt", terms.attempt, many), Part("dial", ground.dial, many)]
     pauses = sum(terms.pause.greatest(nth) for nth in range(1, many))
