Routes decide: attempts, pauses, budgets, second copies and queueing by the operators' own file

Change: an RPC may come with a Timing (interface); logic.py goes by it for patience, further attempts, pauses, retry budgets, second copies where two may be out at once, queueing time and priority; without one it decides as before. The gateway reads routes beside its settings and follows the file: RPCs taken keep their terms, a bad file leaves the last good one in force. wickdyke routes show; check reads the routes too.

Tables of the module's attempts, and of a file changed under load; a recording with both plays again alike.

--- a/deploy/gateway.sexp
+++ b/deploy/gateway.sexp
@@ -3,6 +3,7 @@
   (name "g1")                                   ; * "gateway": workers and logs know it by this
   (listen (json-rpc "run/wickdyke.sock"))       ; a Unix socket, or a loopback address: "127.0.0.1:7070"
   (workers (file "workers.sexp") (reread 100 ms)) ; * reread: how often it is looked at for a change
+  (routes (file "routes.sexp") (reread 100 ms)) ; the timing of RPCs; left out, the module goes by its own lights
   ; (log "run/gateway.log")                       else standard error
   ; (tape "run/gateway.tape")                     records what the module is told and decides, for wickdyke replay
   ; (seed 7)                                      else drawn at each start
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -48,10 +48,10 @@
             self.fe.held(worker.listing.ident, program.name, self.holds, copies, 1.0)
         return done
 
-    def take(self, program="p", left=4000.0):
+    def take(self, program="p", left=4000.0, timing=None):
         self.ids += 1
         self.fe.woke(self.clock)
-        self.fe.took(self.ids, left, self.method, program, 4000.0, self.lanes, None, None, False)
+        self.fe.took(self.ids, left, self.method, program, 4000.0, self.lanes, None, None, False, timing)
         return self.pull()
 
     def end(self, rpc, outcome="ok", number=None, standing="stood", final=None):
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -107,13 +107,17 @@
 class Running:
     """A gateway in this process, its folder and its workers; used as a context."""
 
-    def __init__(self, workers=(willing,), soft="4 s", deadline="10 s", way="100 ms", more="", tape=False, sink=None):
+    def __init__(self, workers=(willing,), soft="4 s", deadline="10 s", way="100 ms", more="", tape=False, sink=None,
+                 routes=None):
         self.made = tempfile.TemporaryDirectory(prefix="wd-")
         self.folder, self.peers = self.made.name, []
         for at, play in enumerate(workers):
             self.peers.append(Peer(self.folder, f"w{at}", play))
         self.rows = [Row(f"w{at}", peer.path, None, None, 0, 4.0, "ready", 0) for at, peer in enumerate(self.peers)]
         self.write(written(self.rows))
+        if routes is not None:
+            self.route(routes)
+            more += ' (routes (file "routes.sexp") (reread 20 ms))'
         with open(os.path.join(self.folder, "g.sexp"), "w") as out:
             out.write(TERMS.format(soft=soft, deadline=deadline, way=way, more=more))
         self.station = station.read(os.path.join(self.folder, "g.sexp"))
@@ -131,6 +135,13 @@
             out.write(text)
         os.replace(path + ".new", path)
 
+    def route(self, text):
+        """Replaces the routes."""
+        path = os.path.join(self.folder, "routes.sexp")
+        with open(path + ".new", "w") as out:
+            out.write(f"(routes {text})")
+        os.replace(path + ".new", path)
+
     def __enter__(self):
         self.gateway.open()
         assert until(lambda: len(self.desk.front_end.ready) == len(self.peers)), "workers not listed"
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,159 @@
+"""What the module does by a route's timing: attempts, pauses, outcomes, second copies, budgets, queueing, priority."""
+
+import unittest
+
+from tests.helpers import Fleet, called, verbs
+from wickdyke.interface import Timing
+
+PLAIN = {"soft": 800.0, "attempt": 500.0, "attempts": 3, "pause": (0.0, 1.0, 1e9, 0.0),
+         "again": frozenset({"full", "miss", "unreached", "unsent", "timeout"}), "second": None, "budget": None,
+         "queue": None, "priority": 0}
+
+
+def timing(**more):
+    return Timing(**{**PLAIN, **more})
+
+
+def first(decisions, verb="call"):
+    return next(d for d in decisions if d[0] == verb)
+
+
+def fail(fleet, rpc):
+    """Each call-out times out until the RPC is closed; how many there were."""
+    for calls in range(1, 20):
+        fleet.end(rpc, "timeout", final=False)
+        if rpc.closed:
+            return calls
+    raise AssertionError("never closed")
+
+
+class Attempts(unittest.TestCase):
+    def test_patience(self):
+        """A call-out goes out with its attempt's time; without a route with none."""
+        fleet = Fleet()
+        self.assertEqual(first(fleet.take(timing=timing()))[3], 500.0)
+        self.assertIsNone(first(fleet.take())[3])
+
+    def test_outcomes(self):
+        """(outcomes one after another, timing, effect) -> call-outs in all, and the final answer."""
+        for outcomes, more, effect, calls, final in (
+                (["timeout"] * 5, {}, "idempotent", 3, "deny"),
+                (["timeout"] * 5, {"attempts": 1}, "idempotent", 1, "deny"),
+                (["timeout"] * 5, {"attempts": 9}, "idempotent", 4, "deny"),  # the deployment's own most
+                (["error"], {}, "idempotent", 1, "deny"),
+                (["error"] * 5, {"again": frozenset({"error"})}, "idempotent", 3, "deny"),
+                (["full", "error"], {}, "idempotent", 2, "deny"),
+                (["full", "full", "error"], {}, "side-effecting", 3, "abort"),
+                (["timeout"], {}, "side-effecting", 1, "abort"),  # asked for past the check: rule 2 stands above
+                (["full"] * 5, {}, "side-effecting", 3, "deny"),
+                (["cancelled", "full", "full"], {"again": frozenset()}, "idempotent", 2, "deny")):
+            with self.subTest(outcomes=outcomes, more=more, effect=effect):
+                fleet = Fleet(workers=8, effect=effect, call_outs=4)
+                done = fleet.take(timing=timing(**more))
+                rpc, all_done = first(done)[1], list(done)
+                for outcome in outcomes:
+                    if rpc.closed:
+                        break
+                    all_done += fleet.end(rpc, outcome, final=False)
+                self.assertEqual((verbs(all_done).count("call"), verbs(all_done)[-1]), (calls, final))
+
+    def test_pauses(self):
+        """The nth further attempt waits its pause, grown and bounded, and is sent within a look of it."""
+        for pause, least in (((100.0, 2.0, 1e9, 0.0), (100.0, 200.0)), ((100.0, 3.0, 150.0, 0.0), (100.0, 150.0)),
+                             ((100.0, 1.0, 1e9, 0.5), (100.0, 100.0)), ((0.0, 1.0, 1e9, 0.0), (0.0, 0.0))):
+            fleet = Fleet(workers=8)
+            rpc = first(fleet.take(timing=timing(pause=pause)))[1]
+            for wait in least:
+                with self.subTest(pause=pause, wait=wait):
+                    done, ended = fleet.end(rpc, "full", final=False), fleet.clock
+                    for _ in range(2000):
+                        if done:
+                            break
+                        fleet.clock += 1
+                        fleet.fe.woke(fleet.clock)
+                        done = fleet.pull() if fleet.clock >= fleet.fe.wake_at else []
+                    self.assertIn("call", verbs(done))
+                    took = fleet.clock - ended
+                    self.assertGreaterEqual(took, wait)
+                    self.assertLessEqual(took, wait * (1 + pause[3]) + 50)
+
+    def test_pause_past_the_end(self):
+        """An RPC whose pause would outlast it is answered before its time is up."""
+        fleet = Fleet(workers=8)
+        rpc = first(fleet.take(left=1000.0, timing=timing(pause=(5000.0, 1.0, 1e9, 0.0))))[1]
+        fleet.end(rpc, "full", final=False)
+        self.assertIn("deny", verbs(fleet.pass_time(1000)))
+
+    def test_budget(self):
+        """Further attempts are at most the floor and the share of the RPCs within the window; then none; then again."""
+        fleet = Fleet(workers=8)
+        terms = timing(budget=(10000.0, 0.1, 2.0))
+
+        def failing(many):
+            calls = 0
+            for _ in range(many):
+                done = fleet.take(f"p{fleet.ids % 5}", timing=terms)
+                rpc = first(done)[1]
+                calls += fail(fleet, rpc)
+            return calls - many
+        self.assertEqual(failing(100), 2 + 10)
+        self.assertEqual(failing(50), 5)
+        fleet.clock += 10001
+        self.assertEqual(failing(1), 2)
+
+    def test_budgets_apart(self):
+        """Each route pays for itself."""
+        fleet, poor, rich = Fleet(workers=8), timing(budget=(1e4, 0.0, 1.0)), timing(budget=(1e4, 0.0, 9.0))
+        for terms, calls in ((poor, 2), (poor, 1), (rich, 3), (poor, 1), (rich, 3)):
+            rpc = first(fleet.take(timing=terms))[1]
+            self.assertEqual(fail(fleet, rpc), calls)
+
+    def test_second_copies(self):
+        """(overlap, effect, second, time passed) -> call-outs out; never more than saved up, never at one worker."""
+        for overlap, effect, second, ms, out in (
+                (True, "idempotent", (200.0, 2, 1.0), 150, 1), (True, "idempotent", (200.0, 2, 1.0), 300, 2),
+                (True, "idempotent", (200.0, 3, 1.0), 300, 2), (False, "idempotent", (200.0, 2, 1.0), 300, 1),
+                (True, "side-effecting", (200.0, 2, 1.0), 300, 1), (True, "tokened", (200.0, 2, 1.0), 300, 2),
+                (True, "idempotent", (200.0, 2, 0.5), 300, 1), (True, "idempotent", None, 300, 1)):
+            with self.subTest(overlap=overlap, effect=effect, second=second, ms=ms):
+                fleet = Fleet(workers=6, overlap=overlap, effect=effect)
+                rpc = first(fleet.take(timing=timing(second=second)))[1]
+                fleet.pass_time(ms)
+                workers = [co.place.worker for co in rpc.call_outs if co.outcome is None]
+                self.assertEqual(len(workers), out)
+                self.assertEqual(len(set(workers)), out)
+
+    def test_first_answer_wins(self):
+        """The loser is cancelled; its answer on the way changes nothing; a failed one leaves the other out."""
+        for begins, want in ((("ok", 0), ["cancel"]), (("ok", 1), ["cancel"]), (("error", 0), [])):
+            with self.subTest(begins=begins):
+                fleet = Fleet(workers=6, overlap=True)
+                rpc = first(fleet.take(timing=timing(second=(200.0, 2, 1.0))))[1]
+                fleet.pass_time(300)
+                outcome, number = begins
+                self.assertEqual(verbs(fleet.end(rpc, outcome, number)), want)
+                self.assertEqual(verbs(fleet.end(rpc, "ok", 1 - number, final=True)), [])
+                self.assertNotIn(rpc.ident, fleet.fe.rpcs)
+
+    def test_queue_and_priority(self):
+        """What waits for a first place is denied after its queueing time; the dearest by priority goes first."""
+        fleet = Fleet(workers=1)
+        fleet.lanes = 1
+        served = fleet.serve(calls=5)
+        self.assertTrue(called(served))
+        low, high = timing(priority=0, queue=2000.0, soft=3000.0), timing(priority=5, queue=2000.0, soft=3000.0)
+        short = timing(queue=120.0, soft=3000.0)
+        out = [first(fleet.take(timing=high))[1]]
+        for terms in (low, low, high, short):
+            fleet.take(timing=terms)
+        waiting = list(fleet.fe.waiting)
+        self.assertEqual(len(waiting), 4)
+        self.assertEqual(verbs(fleet.pass_time(100)).count("deny"), 0)
+        self.assertIn("deny", verbs(fleet.pass_time(100)))
+        fleet.end(out[0])
+        done = fleet.pass_time(100)
+        self.assertEqual(first(done)[1].timing.priority, 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -220,6 +220,49 @@
             self.assertGreater(running.desk.front_end.workers["w0"].cold_from, time.monotonic() * 1000 - 20000)
 
 
+def _ended(running):
+    """Call-outs whose time was up, or that the module took back before."""
+    return running.desk.counts["call_outs_timeout"] + running.desk.counts["call_outs_cancelled"]
+
+
+class Routed(unittest.TestCase):
+    ROUTE = '(route "r" (takes (method "idem")) (deadline %d ms) (attempt 300 ms) (attempts %d) (again timeout))'
+
+    def test_terms(self):
+        """Attempts and their time are the route's; the deadline too. (attempts) -> call-outs seen by the workers."""
+        for attempts in (1, 2):
+            with self.subTest(attempts=attempts), Running((silent, silent, silent), routes=self.ROUTE % (
+                    8000, attempts)) as running:
+                client = running.client()
+                client.ask(1)
+                self.assertEqual(client.answer()["error"]["data"], {"answer": "denied", "why": "timeout"})
+                self.assertEqual(_ended(running), attempts)
+                client.close()
+
+    def test_reread(self):
+        """RPCs taken keep their terms, later ones get the new; a bad file leaves the old in force and is said once."""
+        with Running((silent, silent), routes=self.ROUTE % (9000, 1), tape=True) as running:
+            client = running.client()
+            client.ask(1, program="pa")
+            self.assertTrue(until(lambda: running.desk.asks))
+            before = next(iter(running.desk.asks.values())).timing
+            for bad in (self.ROUTE % (200, 1), "(route", self.ROUTE % (9000, 9)):
+                said = running.said.getvalue().count("routes unusable")
+                running.route(bad)
+                self.assertTrue(until(lambda said=said: running.said.getvalue().count("routes unusable") == said + 1))
+            self.assertEqual(running.gateway.door.routes.find("idem", "p").terms.deadline, 9000)
+            running.route(self.ROUTE % (7000, 2))
+            self.assertTrue(until(lambda: running.gateway.door.routes.find("idem", "p").terms.deadline == 7000))
+            client.ask(2, program="pb")
+            answers = {each["id"]: each["error"]["data"]["why"] for each in (client.answer(), client.answer())}
+            self.assertEqual(answers, {1: "timeout", 2: "timeout"})
+            self.assertEqual((before.attempts, _ended(running)), (1, 3))
+            client.close()
+            running.gateway.tape.close()
+            with open(running.station.tape, "rb") as source:
+                self.assertIsNone(tape.replay(source)[1])
+
+
 def _fields(row):
     return {name: getattr(row, name) for name in row.__slots__}
 
--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -34,7 +34,7 @@
 class Files(unittest.TestCase):
     def test_bad(self):
         """(what a route states, ground) -> words of the one message."""
-        idem, side, tok = ('(route "r" (takes (method "%s")) ' % name for name in ("idem", "side", "tok"))
+        side, tok = (f'(route "r" (takes (method "{name}")) ' for name in ("side", "tok"))
         for text, ground, words in (
                 # past the deadline: queue + tick + n x (attempt + dial) + pauses + (n - 1) x tick + answer-way
                 ("(attempt 3831 ms)", STRICT, ("attempt 3831", "= 4001 ms", "4000 ms", "(attempt 3830 ms)")),
@@ -125,7 +125,7 @@
 
     def test_good(self):
         """(what a route states, ground): the near misses of the above, and plain ones."""
-        side, tok = ('(route "r" (takes (method "%s")) ' % name for name in ("side", "tok"))
+        side, tok = (f'(route "r" (takes (method "{name}")) ' for name in ("side", "tok"))
         for text, ground in (
                 ("", STRICT), ("(attempt 3830 ms)", STRICT), ("(attempt 3829 ms) (queue 1 ms)", STRICT),
                 ("(attempt 3 s) (queue 830 ms)", STRICT), ("(attempt 1840 ms) (attempts 2)", STRICT),
--- /dev/null
+++ b/wickdyke/cli/routes.py
@@ -0,0 +1,68 @@
+"""routes: what holds for an RPC."""
+
+import sys
+
+import click
+
+from wickdyke.gateway.serve import ground
+from wickdyke.proving.report import table
+from wickdyke.settings import routes as files
+from wickdyke.settings import station
+from wickdyke.settings.sexp import Unusable
+from wickdyke.timing.terms import shown, worst
+
+
+@click.group()
+def routes() -> None:
+    """What the routes of a gateway state."""
+
+
+@routes.command()
+@click.argument("file", type=click.Path())
+@click.argument("method")
+@click.argument("program")
+@click.option("--tenant", default="", help="The tenant of the RPC.")
+def show(file: str, method: str, program: str, tenant: str) -> None:
+    """Print what holds for an RPC under the gateway's settings FILE, and the line that each value comes from.
+
+    \b
+    Example:
+        wickdyke routes show deploy/gateway.sexp suggest-tags tags/agency-7
+    """
+    try:
+        made = station.read(file)
+        found = files.read(made.routes, made.methods, ground(made)) if made.routes else None
+    except Unusable as bad:
+        print(bad, file=sys.stderr)
+        raise SystemExit(2) from None
+    known = next((each for each in made.methods if each.name == method), None)
+    if known is None:
+        print(f"METHOD: found {method}, expected one of {', '.join(m.name for m in made.methods)}", file=sys.stderr)
+        raise SystemExit(2)
+    held = found.find(method, program, tenant) if found else None
+    if held is None:
+        print(f"no route takes it: soft deadline {known.soft:g} ms, deadline {known.deadline:g} ms; "
+              "the module goes by its own lights")
+        return
+    print(f'route "{held.route.name}", {held.route.spot}')
+    rows = []
+    for name, value in _values(held).items():
+        spot = held.origins.get(name)
+        rows.append([name, value, str(spot) if spot else f'method "{method}"' if "deadline" in name else "not stated"])
+    print(table(("field", "holds", "from"), rows))
+    print(f"longest course: {shown(worst(held.terms, ground(made)))} of {held.terms.deadline:g} ms")
+
+
+def _values(held: files.Held) -> dict[str, str]:
+    values = {}
+    for name in files.READERS:
+        stated = held.route.holds(name)
+        if stated is not None:
+            text = files.field_text(name, stated[0])
+            values[name] = text[len(name) + 2:-1]
+        else:
+            own = {"soft-deadline": f"{held.terms.soft:g} ms", "deadline": f"{held.terms.deadline:g} ms",
+                   "attempts": str(held.terms.attempts), "again": " ".join(sorted(held.terms.again)),
+                   "priority": str(held.terms.priority)}
+            values[name] = own.get(name, "-")
+    return values
--- a/wickdyke/cli/serve.py
+++ b/wickdyke/cli/serve.py
@@ -48,7 +48,7 @@
     log, scribe = logs.logger(sink, as_json, debug, gateway=made.name)
     try:
         gateway = Gateway(made, log)
-    except InUse as bad:
+    except (InUse, Unusable) as bad:
         _fail(str(bad))
     except OSError as bad:
         _fail(f"{bad.filename or made.listen}: {bad.strerror}")
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -182,7 +182,7 @@
         self.counts["taken"] += 1
         heapq.heappush(self.ends, (clock() + left, self.ident))
         self._inform("took", self.ident, left, ask.method, call.program, call.memory_mb, call.lanes,
-                     call.load_ms, call.work_ms, call.repeat)
+                     call.load_ms, call.work_ms, call.repeat, ask.timing)
 
     def _time_up(self, ident: int) -> None:
         ask = self.asks.get(ident)
@@ -191,7 +191,7 @@
         # The module reads the client's time as up at the same moment: it answers for good on what it is told here.
         self._at(clock() + self.station.answer_way / 2, self._left_open, ident)
         for call_out, order in list(ask.orders.items()):
-            if order.link is not None:
+            if order.link is not None and self.station.allowance.cancel:
                 order.link.cancel(order, lambda: None)
             self._ended(ask, call_out, "timeout")
         self.told = True
@@ -320,8 +320,9 @@
         call_out, call = rpc.call_outs[ask.sent], ask.call
         ask.sent += 1
         name = worker.listing.ident
-        run = back.Run(rpc.method.name, rpc.program.name, call.input, rpc.program.memory, rpc.program.lanes,
-                       max(0.0, rpc.ends - clock()), call.load_ms, call.token)
+        left = max(0.0, min(rpc.ends - clock(), rpc.ends if patience is None else patience))
+        run = back.Run(rpc.method.name, rpc.program.name, call.input, rpc.program.memory, rpc.program.lanes, left,
+                       call.load_ms, call.token)
         order = ask.orders[call_out] = Order("run", call_out, "run", jsonrpc.encode(run))
         link = order.link = self.links.get(name)
         if link is None:
@@ -333,7 +334,10 @@
 
     def _patience_up(self, ask: Ask, call_out: CallOut) -> None:
         if call_out in ask.orders:
-            self._withdraw(ask, call_out, "timeout")
+            if self.station.allowance.cancel:
+                self._withdraw(ask, call_out, "timeout")
+            else:  # it is out no more as far as the module goes; the check of routes has seen to the rest
+                self._ended(ask, call_out, "timeout")
 
     def _cancel(self, call_out: CallOut) -> None:
         ask = self.asks.get(call_out.rpc.ident)
--- a/wickdyke/gateway/door.py
+++ b/wickdyke/gateway/door.py
@@ -13,10 +13,11 @@
 from collections.abc import Callable, Iterable
 
 from wickdyke.gateway.outbox import Outbox, Parcel, Unread
-from wickdyke.interface import Method
+from wickdyke.interface import Method, Timing
 from wickdyke.protocol import front, jsonrpc
 from wickdyke.protocol.lines import Lines, TooLong
 from wickdyke.settings import address as addresses
+from wickdyke.settings.routes import Routes
 from wickdyke.settings.station import Bounds, Station
 
 CHUNK = 1 << 18  # bytes read at a time
@@ -47,11 +48,13 @@
 class Ask:
     """One call of a client, checked. The desk answers it once, or drops it when the client has left."""
 
-    __slots__ = ("client", "ident", "method", "call", "left", "batch", "rpc", "sent", "done", "orders", "told")
+    __slots__ = ("client", "ident", "method", "call", "left", "batch", "timing", "rpc", "sent", "done", "orders",
+                 "told")
 
     def __init__(self, client: "Client", ident: jsonrpc.Ident, method: Method, call: front.Call, left: float,
-                 batch: Batch | None) -> None:
+                 batch: Batch | None, timing: Timing | None) -> None:
         self.client, self.ident, self.method, self.call, self.left = client, ident, method, call, left
+        self.timing = timing  # as the routes are now; a file read later is for those that come later
         self.batch, self.rpc, self.sent, self.done, self.orders, self.told = batch, None, 0, False, {}, None
 
     def answer(self, body: bytes) -> None:
@@ -183,8 +186,10 @@
             call.lanes = stated.lanes if stated else 1
         if call.load_ms is None and stated:
             call.load_ms = stated.load
-        left = min(call.time_left_ms or method.deadline, method.deadline, least or method.deadline)
-        ask = Ask(self, ident, method, call, left, batch)
+        held = self.door.routes.find(call.method, call.program, call.tenant) if self.door.routes else None
+        most = held.terms.deadline if held else method.deadline
+        left = min(call.time_left_ms or most, most, least or most)
+        ask = Ask(self, ident, method, call, left, batch, held.timing if held else None)
         with self.lock:
             if ident in self.asks:
                 # answered without the id: an error under it would pass for the final answer of the other
@@ -206,6 +211,7 @@
         self.desk, self.busy, self.said = desk, busy, said
         self.methods = {method.name: method for method in station.methods}
         self.stated = station.stated
+        self.routes: Routes | None = None
         self.counts: Counter[str] = Counter()
         self.clients: set[Client] = set()
         self.lock = threading.Lock()
@@ -227,7 +233,8 @@
             except jsonrpc.Fault:
                 return most
             method = self.methods.get(call.method)
-            return min(call.time_left_ms or most, method.deadline if method else most)
+            held = self.routes.find(call.method, call.program, call.tenant) if self.routes and method else None
+            return min(call.time_left_ms or most, held.terms.deadline if held else method.deadline if method else most)
         return most
 
     def refuses(self, client: Client) -> str:
--- a/wickdyke/gateway/serve.py
+++ b/wickdyke/gateway/serve.py
@@ -12,20 +12,24 @@
 from wickdyke.gateway.desk import Desk, clock
 from wickdyke.gateway.door import Door
 from wickdyke.gateway.tape import Tape
-from wickdyke.settings import roll
+from wickdyke.logic import TICK
+from wickdyke.settings import roll, routes
 from wickdyke.settings.sexp import Unusable
 from wickdyke.settings.station import Station
+from wickdyke.timing.terms import Ground
 
 
 class Watcher:
-    """Reads the worker list whenever its file changes. What can't be used is said once and changes nothing."""
+    """Reads a file whenever it changes. What can't be used is said once and leaves the last good one in force.
 
-    def __init__(self, station: Station, desk: Callable[[tuple], None], log) -> None:
-        self.path, self.every, self.desk, self.log = station.workers, station.reread / 1000, desk, log
-        self.zones, self.kinds = station.zones, station.kinds
+    `read(path)` gives what it holds or raises Unusable; `use(it)` puts it in force and gives figures for the log.
+    """
+
+    def __init__(self, what: str, path: str, every: float, read: Callable, use: Callable[..., dict], log) -> None:
+        self.what, self.path, self.every, self.read, self.use, self.log = what, path, every / 1000, read, use, log
         self.mark: tuple | None = ()
         self.ended = threading.Event()
-        self.thread = threading.Thread(target=self._watch, name="list", daemon=True)
+        self.thread = threading.Thread(target=self._watch, name=what, daemon=True)
 
     def open(self) -> None:
         """Reads it once, then follows it."""
@@ -48,20 +52,25 @@
             return
         self.mark = mark
         try:
-            rows = roll.read(self.path, self.zones, self.kinds)
+            it = self.read(self.path)
         except Unusable as bad:
             first, more = str(bad.troubles[0]), len(bad.troubles) - 1
-            self.log.warning("list unusable", why=first + (f" (and {more} more)" if more else ""),
+            self.log.warning(f"{self.what} unusable", why=first + (f" (and {more} more)" if more else ""),
                              kept="the last good one")
             return
-        self.log.info("list read", workers=len(rows), ready=sum(row.state == "ready" for row in rows))
-        self.desk(("rows", rows))
+        self.log.info(f"{self.what} read", **self.use(it))
 
     def _watch(self) -> None:
         while not self.ended.wait(self.every):
             self.look()
 
 
+def ground(station: Station) -> Ground:
+    """What routes are checked against: the deployment's figures, and how often the module looks."""
+    allowance = station.allowance
+    return Ground(allowance.overlap, allowance.cancel, allowance.dial, station.answer_way, TICK, allowance.call_outs)
+
+
 class Gateway:
     """All parts of one gateway. `open` begins, `stop` ends it as a drain: what is held gets its answer."""
 
@@ -74,7 +83,20 @@
         self.tape = Tape(station.tape) if station.tape else None
         self.desk = Desk(station, seed, log, self.tape)
         self.door = Door(station, self.desk.take, self.desk.busy, log.warning)
-        self.watcher = Watcher(station, self.desk.take, log)
+        self.watchers = [Watcher("list", station.workers, station.reread, lambda path: roll.read(
+            path, station.zones, station.kinds), self._listed, log)]
+        if station.routes is not None:
+            self.watchers.append(Watcher("routes", station.routes, station.routes_reread, lambda path: routes.read(
+                path, station.methods, ground(station)), self._routed, log))
+            self.door.routes = routes.read(station.routes, station.methods, ground(station))  # none to fall back on
+
+    def _listed(self, rows: list[roll.Row]) -> dict:
+        self.desk.take(("rows", rows))
+        return {"workers": len(rows), "ready": sum(row.state == "ready" for row in rows)}
+
+    def _routed(self, found: routes.Routes) -> dict:
+        self.door.routes = found
+        return {"routes": len(found.routes)}
 
     def open(self) -> None:
         """Begins to serve."""
@@ -82,7 +104,8 @@
         gc.collect()
         gc.freeze()
         self.desk.open()
-        self.watcher.open()
+        for watcher in self.watchers:
+            watcher.open()
         self.door.open()
         self.log.info("serving", socket=self.station.listen, seat=f"{self.station.seat.number}/{self.station.seat.of}")
 
@@ -101,7 +124,8 @@
 
     def close(self) -> None:
         """Ends all threads at once."""
-        self.watcher.close()
+        for watcher in self.watchers:
+            watcher.close()
         self.desk.end()
         self.door.hang_up()
         if self.tape is not None:
--- a/wickdyke/gateway/tape.py
+++ b/wickdyke/gateway/tape.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from wickdyke.interface import Allowance, Directory, Listing, Method, Ration, Seat, Stock, Tariff, Warmup
+from wickdyke.interface import Allowance, Directory, Listing, Method, Ration, Seat, Stock, Tariff, Timing, Warmup
 from wickdyke.logic import FrontEnd
 
 WAITING = 200000  # entries; a recording that can't be written as fast stops, and says so at its end
@@ -41,7 +41,7 @@
 def _plain(value: object) -> object:
     if isinstance(value, Method):
         return value.name
-    if isinstance(value, Listing):
+    if isinstance(value, Listing | Timing):
         return asdict(value)
     if isinstance(value, (list, tuple)):
         return [_plain(each) for each in value]
@@ -115,7 +115,7 @@
     named = {method.name: method for method in known}
     front_end = FrontEnd(now, seed, known, **{name: msgspec.convert(parts[name], kind)
                                               for name, kind in PARTS.items()})
-    alike, said, now = 0, [], 0.0
+    alike, said, timings = 0, [], {}
 
     def check(want: list) -> str | None:
         nonlocal said
@@ -142,6 +142,9 @@
             args = [[Listing(**row) for row in args[0]], args[1]]
         elif name == "took":
             args[2] = named[args[2]]
+            if args[-1] is not None:  # equal ones are one object
+                key = msgspec.json.encode(args[-1])
+                args[-1] = timings.setdefault(key, msgspec.convert(args[-1], Timing))
         elif name in ("ended", "probed") and args[-1] is not None:
             args[-1] = tuple(args[-1])
         getattr(front_end, name)(*args)
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -99,6 +99,34 @@
     by_work: bool
 
 
+@dataclass(slots=True, frozen=True, eq=False)
+class Timing:
+    """What a route states of an RPC's attempts; without one the module goes by its own lights.
+
+    `pause` is (first, growth, most, spread), `second` (after, at once, share of RPCs), `budget` (window,
+    share, floor). Equal ones are to be one object: what they may still spend hangs on it.
+    """
+
+    soft: float
+    attempt: float | None
+    attempts: int
+    pause: tuple[float, float, float, float]
+    again: frozenset[str]
+    second: tuple[float, int, float] | None
+    budget: tuple[float, float, float] | None
+    queue: float | None
+    priority: int
+
+
+@dataclass(slots=True, eq=False, repr=False)
+class Purse:
+    """What a route's RPCs may still spend: its RPCs and further attempts of late, second copies saved up."""
+
+    taken: deque = field(default_factory=deque)
+    paid: deque = field(default_factory=deque)
+    seconds: float = 0.0
+
+
 @dataclass(slots=True, frozen=True)
 class Listing:
     """One line of the worker list; `state` is ready, draining or gone."""
@@ -194,6 +222,9 @@
     soft: float
     work: float | None
     repeat: bool
+    timing: Timing | None = None
+    purse: Purse | None = None
+    not_before: float = 0.0
     call_outs: list["CallOut"] = field(default_factory=list)
     closed: bool = False
     queued: bool = False
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -13,7 +13,7 @@
 
 from wickdyke.chance import Chance, draw, mark
 from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place
-from wickdyke.interface import Program, Ration, Seat, Stock, Tariff, Warmup, Worker
+from wickdyke.interface import Program, Purse, Ration, Seat, Stock, Tariff, Timing, Warmup, Worker
 from wickdyke.interface import begin, empty, end, forget, place_of
 
 KEPT, KEPT_CALLS, KEPT_RATIOS = 16, 64, 40  # samples kept of most things; calls; latencies of a worker
@@ -397,6 +397,33 @@
     return may_wait(rpc) or rpc.method.effect == "tokened" and rpc.method.scope == "all"
 
 
+SAVED = 4.0  # second copies of a route saved up at most
+
+
+def spend(rpc: RPC, outcome: str, chance: Chance, now: float) -> None:  # when the next attempt may go
+    first, growth, most, spread = rpc.timing.pause
+    wait = min(most, first * growth ** (len(rpc.call_outs) - 1)) * (1 + spread * chance.part())
+    rpc.not_before = now + (0.0 if outcome == "cancelled" else wait)  # taken back: it has waited enough
+
+
+def may_pay(rpc: RPC, outcome: str | None, now: float) -> bool:  # a further attempt is wanted, and paid for
+    # Danger: retries multiply an overload. Also catches failing workers. Hurts if it is far too small.
+    if (timing := rpc.timing) is None or not rpc.call_outs:
+        return True
+    if outcome not in timing.again | {"cancelled"}:
+        return False
+    if timing.budget is None:
+        return True
+    (window, share, floor), purse = timing.budget, rpc.purse
+    trim(purse.taken, now - window)
+    trim(purse.paid, now - window)
+    return len(purse.paid) + 1 <= floor + share * len(purse.taken)
+
+
+def most_of(rpc: RPC, allowance: Allowance) -> int:  # call-outs that it may have in all
+    return min(allowance.call_outs, rpc.timing.attempts) if rpc.timing else allowance.call_outs
+
+
 COLD_MARGIN, BUSY_LEAST, RATION_KEPT = 0.6, 0.3, 0.34  # of what the cold stand; least busy share; of holds
 CARRIED, FADE = 5000.0, 0.9  # ms over which what we carry is counted; of a fleet's size left a survey later
 
@@ -454,6 +481,7 @@
             method.times = deque(maxlen=KEPT)
         self.workers, self.programs, self.rpcs = {}, {}, {}
         self.notes, self.todo, self.waiting, self.stuck = deque(), deque(), [], set()
+        self.purses: dict[Timing, Purse] = {}
         self.orders, self.acts, self.chance = deque(), deque(), Chance(seed)
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
         self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration, seed, seat.of)
@@ -481,14 +509,19 @@
             self.rota, self.fill.known, self.ready = deque(ready), ready, ready
 
     def took(self, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
-             load: float | None, work: float | None, repeat: bool) -> None:
+             load: float | None, work: float | None, repeat: bool, timing: Timing | None = None) -> None:
         now, few = self.now, (deque(maxlen=many) for many in (KEPT_CALLS, KEPT, KEPT, KEPT))
         program = self.programs.get(name) or Program(name, method, memory, lanes, load or 0, *few, mark(name))
         self.programs[name], program.called, self.probes = program, now, min(PROBES, self.probes + PROBE_PART)
         program.calls.append(now)
         self.fresh += 1
-        soft = now + min(left, method.soft + method.soft_stretch * (work or 0.0))
-        rpc = self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat)
+        wanted = timing.soft if timing else method.soft
+        soft = now + min(left, wanted + method.soft_stretch * (work or 0.0))
+        rpc = self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat, timing)
+        if timing:
+            rpc.purse = purse = self.purses.setdefault(timing, Purse())
+            purse.taken.extend([(now,)] if timing.budget else ())
+            purse.seconds = min(SAVED, purse.seconds + (timing.second[2] if timing.second else 0.0))
         self.guards.taken.append((now,))
         self.todo.append(rpc)
         self.wake_at = min(self.wake_at, now + TICK)
@@ -534,6 +567,8 @@
                 worker.crammed, place.standing, place.used = now + CRAMMED, 0, 0.0
         self.health.saw(worker, outcome, now)
         self.latency.reported(worker, report, now)
+        if rpc.timing and outcome != "ok":
+            spend(rpc, outcome, self.chance, now)
         if rpc.closed:
             self.close(rpc)
         elif not rpc.queued:
@@ -600,7 +635,10 @@
         for _ in range(ceil(len(self.rota) * TICK / PROBE_EVERY) if self.probes > PROBES / 2 else 0):
             self.rota.rotate(-1)
             self.probe(self.rota[0], PROBE_EVERY, now)
-        self.waiting.sort(key=lambda r: -r.method.gain / (1 if self.seat.by_work else self.latency.cost(r)))
+        self.waiting.sort(key=lambda r: (-(r.timing.priority if r.timing else 0), -r.method.gain / (
+            1 if self.seat.by_work else self.latency.cost(r))))
+        for rpc in dict.fromkeys(co.rpc for co in self.whole.out if co.rpc.timing) if self.purses else ():
+            self.hedge(rpc, now)
         self.todo, self.waiting = deque([*self.todo, *self.waiting]), []
         if now >= self.next_fill:  # by chance, so that front ends fall out of step; later where little is new
             wait = PERIOD * min(LAZY, max(1.0, FEW / (1 + self.fresh)))
@@ -626,8 +664,8 @@
         # elsewhere. Should also catch lost answers. Could hurt where a worker is only slow: work is wasted.
         for call_out in worker.out if self.allowance.cancel else ():
             rpc, silent = call_out.rpc, worker.heard <= call_out.sent
-            if (rpc.closed or call_out.fled or rpc.method.effect != "idempotent"
-                    or len(rpc.call_outs) >= self.allowance.call_outs):
+            if (rpc.closed or call_out.fled or rpc.method.effect != "idempotent" or not may_pay(
+                    rpc, "cancelled", now) or len(rpc.call_outs) >= most_of(rpc, self.allowance)):
                 continue
             if (lost := self.health.given_up(call_out, now)) and not silent:  # it answers some, loses others
                 self.health.saw(worker, "lost", now)
@@ -642,30 +680,57 @@
             forget(list(program.places))
             del self.programs[program.name]
 
+    def hedge(self, rpc: RPC, now: float) -> None:
+        # Danger: a worker is slow or loses answers, and an RPC sits there. Hurts under load, as work is
+        # doubled: only what a route states and has saved up. The first answer counts, the rest is cancelled.
+        if (second := rpc.timing.second) is None or not self.allowance.overlap or rpc.purse.seconds < 1:
+            return
+        out = [co for co in rpc.call_outs if co.outcome is None]
+        if rpc.closed or not 0 < len(out) < second[1] or now - out[-1].sent < second[0]:
+            return
+        if place := self.place_for(rpc, {co.place.worker for co in out}, now):
+            rpc.purse.seconds -= 1
+            self.call(rpc, place, now)
+
+    def place_for(self, rpc: RPC, besides: set[Worker], now: float) -> Place | None:
+        most = most_of(rpc, self.allowance)
+        if not now < rpc.ends - 2 * TICK or working(self.whole, now) >= self.whole.limit:
+            return None
+
+        def able(worker: Worker) -> bool:
+            return (worker not in besides and worker.shun_until <= now
+                    and not (worker.shuns and (worker.out or worker.mute))
+                    and self.guards.may_call(worker, rpc, now) and may_repeat(rpc, worker, most, now))
+
+        # Danger: to look at thousands that wait takes longer than the time between two looks. The first
+        # to find no place tells for all like it, until something is heard. Hurts nowhere: all would fail.
+        like, place = (rpc.program, rpc.method, not rpc.call_outs), None
+        if like not in self.stuck:
+            place = choose(rpc, able, self.health, self.fill, self.chance, now)
+            self.stuck.update({like} if place is None and not rpc.call_outs else ())
+        return place
+
     def settle(self, rpc: RPC, now: float) -> None:
         rpc.queued = False
         if rpc.closed or any(co.outcome is None for co in rpc.call_outs):
             return
-        most = self.allowance.call_outs
-        if now < rpc.ends - 2 * TICK and working(self.whole, now) < self.whole.limit:
-            def able(worker: Worker) -> bool:
-                return (worker.shun_until <= now and not (worker.shuns and (worker.out or worker.mute))
-                        and self.guards.may_call(worker, rpc, now) and may_repeat(rpc, worker, most, now))
-
-            # Danger: to look at thousands that wait takes longer than the time between two looks. The first
-            # to find no place tells for all like it, until something is heard. Hurts nowhere: all would fail.
-            like, place = (rpc.program, rpc.method, not rpc.call_outs), None
-            if like not in self.stuck:
-                place = choose(rpc, able, self.health, self.fill, self.chance, now)
-                self.stuck.update({like} if place is None and not rpc.call_outs else ())
-            if place:
+        timing, most = rpc.timing, most_of(rpc, self.allowance)
+        more = not timing or (len(rpc.call_outs) < most
+                              and may_pay(rpc, rpc.call_outs[-1].outcome if rpc.call_outs else None, now))
+        if more and now >= rpc.not_before:
+            if place := self.place_for(rpc, set(), now):
                 if (self.stock.loads_on_call or self.latency.stands(place, now)
                         or place.ordered is not None and place.ordered < now):
+                    if timing and timing.budget and rpc.call_outs:
+                        rpc.purse.paid.append((now,))
                     return self.call(rpc, place, now)
                 if place.ordered is None:  # a call-out would miss, and might overtake the hold
                     self.order(place, 1, False, now)
-        if now < rpc.ends - 2 * TICK:
+        if more and now < rpc.ends - 2 * TICK:
             late = now + self.latency.cost(rpc) * self.latency.average >= rpc.soft
+            if timing:  # in its pause it is not late; before its first place it is by its queueing time
+                late = (late and now >= rpc.not_before or not rpc.call_outs and timing.queue is not None
+                        and now - rpc.taken >= timing.queue)
             if not late and len(rpc.call_outs) < most and may_wait(rpc):
                 rpc.queued = True
                 return self.waiting.append(rpc)
@@ -684,7 +749,7 @@
             gate.at_work += 1
         if self.guards.cold(worker, now):
             worker.sends.append((now, self.guards.weight(rpc)))
-        self.acts.append(("call", rpc, worker, None))
+        self.acts.append(("call", rpc, worker, rpc.timing.attempt if rpc.timing else None))
         place.used, place.loading = (now, place.loading) if warm else (place.used, place.loading or now)
 
     def order(self, place: Place, copies: int, renewal: bool, now: float) -> None:
--- a/wickdyke/protocol/front.py
+++ b/wickdyke/protocol/front.py
@@ -24,6 +24,7 @@
     work_ms: Positive | None = None
     token: Annotated[str, msgspec.Meta(max_length=256)] | None = None
     repeat: bool = False
+    tenant: Annotated[str, msgspec.Meta(max_length=256)] = ""
 
 
 class Cancel(msgspec.Struct, forbid_unknown_fields=True):
--- a/wickdyke/settings/routes.py
+++ b/wickdyke/settings/routes.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from wickdyke.interface import Method
+from wickdyke.interface import Method, Timing
 from wickdyke.settings import check, sexp
 from wickdyke.settings.check import Field, Notes, choice, count, number, record, span, text
 from wickdyke.settings.sexp import Atom, Form, Spot
-from wickdyke.timing import check as timing
+from wickdyke.timing import check as sums
 from wickdyke.timing import terms as arithmetic
 from wickdyke.timing.routes import ANY, Pattern, Table, covers, ties
 from wickdyke.timing.terms import NEVER_RAN, OUTCOMES, Budget, Ground, Pause, Second, Terms
@@ -37,6 +37,7 @@
     route: Route
     terms: Terms
     origins: dict[str, Spot]
+    timing: Timing
 
 
 @dataclass(slots=True)
@@ -148,9 +149,10 @@
             notes.add(origins["second"], "(second ...) with " + ("neither" if after is None else "both"),
                       "either (after TIME) or (after-share SHARE)")
         second = Second(after if after is not None else soft * (share or 0.0), at_once, part)
-    return Held(route, Terms(soft, deadline, attempt, linger, values.get("attempts", 1), values.get("pause", Pause()),
-                             values.get("again", NEVER_RAN), second, values.get("budget"), values.get("queue"),
-                             values.get("priority", 0)), origins)
+    terms = Terms(soft, deadline, attempt, linger, values.get("attempts", 1), values.get("pause", Pause()),
+                  values.get("again", NEVER_RAN), second, values.get("budget"), values.get("queue"),
+                  values.get("priority", 0))
+    return Held(route, terms, origins, timing(terms))
 
 
 def build(forms: list[Form], path: str, methods: list[Method], ground: Ground) -> Routes:
@@ -165,19 +167,19 @@
     for one, other, both in ties([route.takes for route in routes]):
         _tie(routes[one], routes[other], both, notes)
     held: dict[tuple[str, str], Held] = {}
+    said: set[tuple[Spot, sums.Refusal]] = set()
     for route in routes:
         mine = [method for method in methods if covers(route.takes.method, method.name)]
         if not mine:
             notes.add(route.spot, f'route "{route.name}" for method "{route.takes.method}", which no RPC can have',
                       "one of " + ", ".join(method.name for method in methods))
-        said: set[tuple[Spot, str]] = set()
         for method in mine:
             one = held[route.name, method.name] = _terms(route, method, notes)
             known = arithmetic_method(method)
-            for refusal in timing.check(one.terms, known, ground):
+            for refusal in sums.check(one.terms, known, ground):
                 at = one.origins.get(refusal.field, route.spot)
-                if (at, refusal.field) not in said:
-                    said.add((at, refusal.field))
+                if (at, refusal) not in said:  # a line that many routes inherit is wrong once
+                    said.add((at, refusal))
                     notes.add(at, f'in route "{route.name}" {refusal.found}', refusal.expected, fix(refusal))
     notes.troubles = list(dict.fromkeys(notes.troubles))
     notes.done()
@@ -189,7 +191,7 @@
     return arithmetic.Method(method.name, method.effect, method.scope, method.window)
 
 
-def fix(refusal: timing.Refusal) -> str:
+def fix(refusal: sums.Refusal) -> str:
     """The nearest that passes, and the course that shows the harm."""
     parts = [f"nearest: {refusal.nearest}"] if refusal.nearest else []
     if refusal.schedule:
@@ -208,6 +210,19 @@
     return build(sexp.read(path), path, methods, ground)
 
 
+_timings: dict[tuple, Timing] = {}
+
+
+def timing(terms: Terms) -> Timing:
+    """The terms as the module takes them; equal ones are one object, also from a file read anew, so that what its
+    RPCs may still spend goes on."""
+    pause, second, budget = terms.pause, terms.second, terms.budget
+    figures = (terms.soft, terms.attempt, terms.attempts, (pause.first, pause.growth, pause.most, pause.spread),
+               terms.again, (second.after, second.at_once, second.share) if second else None,
+               (budget.window, budget.share, budget.floor) if budget else None, terms.queue, terms.priority)
+    return _timings.setdefault(figures, Timing(*figures))
+
+
 # ---- as text ----
 
 
--- a/wickdyke/settings/station.py
+++ b/wickdyke/settings/station.py
@@ -44,6 +44,8 @@
     listen: str
     workers: str
     reread: float
+    routes: str | None
+    routes_reread: float
     log: str | None
     tape: str | None
     seed: int | None
@@ -89,8 +91,8 @@
     memory=Field(size(0)), lanes=Field(count(1, 4096), 1), load=Field(span(), None))
 KIND = record(lambda spot, name, memory: (name, memory, spot), named=True, memory=Field(size()))
 LISTEN = record(lambda spot, json_rpc: json_rpc, json_rpc=Field(address.read))
-WORKERS = record(lambda spot, file, reread: (file, reread), file=Field(text),
-                 reread=Field(span(5.0, 60000.0), 100.0))
+FOLLOWED = record(lambda spot, file, reread: (file, reread), file=Field(text),
+                  reread=Field(span(5.0, 60000.0), 100.0))
 SEAT = record(lambda spot, number, of: (number, of, spot), number=Field(count(0, 100000)),
               of=Field(count(1, 100000)))
 CALL_OUTS = record(
@@ -110,7 +112,8 @@
                 unread=Field(size(0.001, 4096), 32.0), events=Field(count(10, 10**7), 100000))
 GATEWAY = record(
     lambda spot, **values: (spot, values), name=Field(text, "gateway"), listen=Field(LISTEN),
-    workers=Field(WORKERS), log=Field(text, None), tape=Field(text, None), seed=Field(count(0, 2**53), None),
+    workers=Field(FOLLOWED), routes=Field(FOLLOWED, (None, 100.0)), log=Field(text, None), tape=Field(text, None),
+    seed=Field(count(0, 2**53), None),
     zone=Field(record(lambda spot, name: (name, spot), named=True), None, many=True), at=Field(text, None),
     kind=Field(KIND, None, many=True), method=Field(METHOD, many=True),
     program=Field(PROGRAM, None, many=True), seat=Field(SEAT, (0, 1, None)),
@@ -174,6 +177,7 @@
     bounds = got["bounds"]
     return Station(
         name=got["name"], listen=listen, workers=beside(got["workers"][0]), reread=got["workers"][1],
+        routes=beside(got["routes"][0]), routes_reread=got["routes"][1],
         log=beside(got["log"]), tape=beside(got["tape"]), seed=got["seed"], zones=zones,
         kinds=tuple(kind for kind, _, _ in got["kind"]), methods=[method for method, _ in got["method"]],
         programs=got["program"],
--- a/wickdyke/timing/check.py
+++ b/wickdyke/timing/check.py
@@ -92,8 +92,8 @@
             found.append(Refusal("second", f"a second copy after {second.after:g} ms", "one before the attempt's time "
                                  f"is up, {terms.attempt:g} ms", f"(after {terms.attempt - 1:g} ms)"))
         elif second.after >= terms.deadline - ground.answer_way:
-            found.append(Refusal("second", f"a second copy after {second.after:g} ms", "one before the client gives up, "
-                                 f"{terms.deadline:g} ms"))
+            found.append(Refusal("second", f"a second copy after {second.after:g} ms",
+                                 f"one before the client gives up, {terms.deadline:g} ms"))
     tried = terms.attempts > 1 and "timeout" in terms.again and terms.attempt is not None
     if ground.overlap or ground.cancel or not tried:
         return
