--- a/tests/test_prove.py
+++ b/tests/test_prove.py
@@ -9,7 +9,7 @@
 
 from wickdyke.proving import script as scripts
 from wickdyke.proving import trace
-from wickdyke.proving.director import Director
+from wickdyke.proving.director import Director, Failed
 from wickdyke.proving.judge import Judge
 from wickdyke.settings.sexp import Unusable
 
@@ -25,6 +25,34 @@
   (on (call-out "w4" 15) (die "w4")))"""
 
 
+FORCED = """(script "forced" (length 5 s) (gateways 1) (workers 4) (rate 60) (cancel no)
+  (method "idem" (effect idempotent) (soft-deadline 750 ms) (deadline 4 s) (work 20 ms) (programs 4) (load 50 ms))
+  (route "r" (attempt 300 ms%s) (attempts 3) (pause (first %s ms)) (again timeout full))
+  (at 1 s (hang "w1" (for 3 s))) (at 2 s (hang "w2" (for 2 s))))"""
+
+
+class Forced(unittest.TestCase):
+    def test_past_the_check(self):
+        """A file that the check refuses, forced past it, breaks the rule that the check keeps; a good one does not."""
+        with tempfile.TemporaryDirectory(prefix="wd-") as folder:
+            for name, figures, mistake, rules in (("bad", ("", 1), "checks no routes", {2}),
+                                                  ("refused", ("", 1), "none", None)):
+                with self.subTest(case=name):
+                    path = os.path.join(folder, f"{name}.sexp")
+                    with open(path, "w") as sink:
+                        sink.write(FORCED % figures)
+                    director = Director(scripts.read(path), os.path.join(folder, name),
+                                        (sys.executable, "-m", "tests.wrong", mistake, "serve"))
+                    if rules is None:
+                        with self.assertRaises(Failed):
+                            director.run()
+                        with open(os.path.join(folder, name, "g1.err")) as said:
+                            self.assertIn("does not cancel", said.read())
+                        continue
+                    judge = Judge(trace.read(director.run()))
+                    self.assertEqual({finding.rule for finding in judge.findings}, rules)
+
+
 class Mistakes(unittest.TestCase):
     def test_found(self):
         """(mistake) -> the rule that the judge must find broken; with none, all are kept."""
--- a/tests/wrong.py
+++ b/tests/wrong.py
@@ -8,6 +8,7 @@
 from wickdyke.gateway.desk import Desk
 from wickdyke.gateway.door import Ask
 from wickdyke.gateway.roster import Roster
+from wickdyke.settings import routes
 from wickdyke.settings.roll import Row
 
 _turn = itertools.count(1)
@@ -58,6 +59,8 @@
             Roster.rows, Roster.draining = _deaf, _draining
         case "blind to the cold":
             logic.Guards.cold = lambda guards, worker, now: False
+        case "checks no routes":
+            routes.sums.check = lambda terms, method, ground: []
         case "orders at will":
             logic.Guards.may_hold = lambda guards, worker, renewal, now: worker.listing.state == "ready"
         case _:
--- a/wickdyke/proving/director.py
+++ b/wickdyke/proving/director.py
@@ -87,7 +87,9 @@
         f"  (seed {script.seed * 1000 + number})", f'  (kind "k" (memory {script.memory:g} MB))',
         *[f'  (zone "z{zone}")' for zone in range(1, script.zones + 1)],
         f'  (at "z{(number - 1) % script.zones + 1}")', "  (report busy held queue)",
-        f"  (call-outs (most {script.call_outs}) (overlap {'yes' if script.overlap else 'no'}))",
+        f"  (call-outs (most {script.call_outs}) (overlap {'yes' if script.overlap else 'no'})"
+        f" (cancel {'yes' if script.cancel else 'no'}))",
+        *(['  (routes (file "routes.sexp") (reread 50 ms))'] if script.routes else []),
         f"  (stock (idle-life {script.idle_life:g} ms))",
         f"  (warmup (start-share {warmup['start_share']:g}) (ramp {warmup['ramp']:g} ms)"
         f" (multiple {warmup['multiple']:g}) (window {warmup['window']:g} ms))",
@@ -150,6 +152,11 @@
         self.record("told", before if row.state == "ready" else None, worker=row.name, state=row.state,
                     start=row.start)
 
+    def _route(self, text: str) -> None:
+        with open(self._path("routes.new"), "w", encoding="utf-8") as sink:
+            sink.write(f"(routes {text})\n")
+        os.replace(self._path("routes.new"), self._path("routes.sexp"))
+
     def _replace(self) -> None:
         with open(self._path("workers.new"), "w", encoding="utf-8") as sink:
             sink.write(roll.written([row for row in self.told.values() if row.state != "gone"]))
@@ -197,6 +204,8 @@
             child.wait_ready((name,))
         self.told = dict(self.rows)
         self._replace()
+        if script.routes:
+            self._route(script.routes)
         for name in self.rows:
             self.record("told", worker=name, state="ready", start=self.rows[name].start)
         for number in range(1, script.gateways + 1):
@@ -240,6 +249,8 @@
                 for name in trouble.who:
                     self.workers[name].tell(fault="age", value=values["factor"], **{"for": values["for"]})
                     self._at(values["for"], self._kill_worker, name, values["back"])
+            case "reroute":
+                self._route(trouble.text)
             case "release":
                 for child in self.workers.values():
                     child.tell(fault="release")
--- a/wickdyke/proving/script.py
+++ b/wickdyke/proving/script.py
@@ -39,6 +39,7 @@
     event: str | None = None
     event_worker: str | None = None
     nth: int = 0
+    text: str = ""
 
 
 @dataclass(slots=True)
@@ -69,6 +70,8 @@
     warmup: dict[str, float]
     ration: dict[str, float]
     methods: list[MethodTraffic]
+    cancel: bool = True
+    routes: str = ""
     troubles: list[Trouble] = field(default_factory=list)
 
 
@@ -93,6 +96,7 @@
     "stall": ("none", {"for": (span(), 3000.0)}),
     "kill-gateway": ("gateway", {"back": (span(), 2000.0)}),
     "lose-zone": ("zone", {"back": (span(), 4000.0)}),
+    "reroute": ("routes", {}),
 }
 ON_EVENT = ("die", "hang", "slow", "fail", "lose", "neighbour", "late")
 
@@ -102,6 +106,9 @@
         notes.add(form.spot, f"({form.name} ...)", "a trouble: " + ", ".join(KINDS))
         return None
     whom, figures = KINDS[form.name]
+    if whom == "routes":  # its forms are the new file, whatever they hold: bad ones are a trouble as well
+        text = " ".join(sexp.written(item) if isinstance(item, Form) else item.text for item in form.items)
+        return Trouble(form.name, (), {}, form.spot, text=text, **when)
     names = tuple(str(item.value) for item in form.items if isinstance(item, Atom) and item.kind == "string")
     if (whom == "none") != (not names):
         notes.add(form.spot, f"({form.name} with {len(names)} names)",
@@ -158,8 +165,13 @@
                 ramp=Field(span(), 6000.0), multiple=Field(number(1, 1000), 3.0), window=Field(span(1), 1500.0))
 RATION = record(lambda spot, **values: values, free=Field(number(0, 1e6), 0.0), share=Field(number(0, 1e6), 0.0),
                 window=Field(span(), 0.0))
+def _script(spot: Spot, at: list, on: list, method: list, route: list, **values) -> Script:
+    return Script(methods=method, troubles=[*at, *on], routes=" ".join(route), **values)
+
+
 SCRIPT = record(
-    lambda spot, at, on, method, **values: Script(methods=method, troubles=[*at, *on], **values), named=True,
+    _script, named=True, route=Field(lambda form, notes: sexp.written(form), None, many=True),
+    cancel=Field(flag, True),
     seed=Field(count(0, 2**31), 1), length=Field(span(100)), gateways=Field(count(1, 64), 2),
     workers=Field(count(1, 200), 6), zones=Field(count(1, 20), 1), cores=Field(count(1, 1000), 4),
     speed=Field(number(0.01, 100), 1.0), memory=Field(size(1), 24000.0), queue=Field(count(1, 10**6), 200),
--- a/wickdyke/settings/sexp.py
+++ b/wickdyke/settings/sexp.py
@@ -91,6 +91,12 @@
     return Form("", items, spot)
 
 
+def written(form: Form) -> str:
+    """A form as text that parses to the same."""
+    items = [written(item) if isinstance(item, Form) else item.text for item in form.items]
+    return "(" + " ".join([form.name, *items] if form.name else items) + ")"
+
+
 def _unclosed(text: str) -> tuple[int, int]:
     """Line and column of the innermost bracket that is never closed."""
     open_at: list[tuple[int, int]] = []
