--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -10,6 +10,7 @@
 import threading
 import time
 import unittest
+import unittest.mock
 
 from tests.rig import LONG, Client, Running, hello, lines_of, ok, until, willing
 from wickdyke.gateway import log as logs
@@ -295,6 +296,30 @@
             running.gateway.desk.end = lambda: None  # ended already
 
 
+    def test_slow_disk(self):
+        """A recording that can't be written as fast stops and says so; nobody waits for it."""
+        with tempfile.TemporaryDirectory(prefix="wd-") as folder, unittest.mock.patch.object(tape, "WAITING", 50):
+            path = os.path.join(folder, "fifo")
+            os.mkfifo(path)
+            reader = os.open(path, os.O_RDONLY | os.O_NONBLOCK)
+            made = tape.Tape(path)
+            for at in range(100000):
+                made.heard(float(at), "left", ("x" * 100,))
+                if made.broken:
+                    break
+            self.assertTrue(made.broken)
+            os.set_blocking(reader, True)
+            got: list[bytes] = []
+            drain = threading.Thread(target=lambda: got.extend(iter(lambda: os.read(reader, 1 << 16), b"")))
+            drain.start()
+            made.close()
+            drain.join(LONG)
+            os.close(reader)
+            lines = b"".join(got).splitlines(keepends=True)
+            self.assertEqual(lines[-1], b'["broken off"]\n')
+            self.assertEqual(len(list(tape.entries(lines))), len(lines) - 1)
+
+
 class Logs(unittest.TestCase):
     def test_full_pipe(self):
         """A log pipe that nobody reads costs lines and never an RPC's time."""
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -202,6 +202,21 @@
                 self.assertEqual((got["id"], got["error"]["data"]["why"]), (6, why))
                 client.close()
 
+    def test_overrun(self):
+        """Past the desk's queue of events an RPC is denied at once; those in it are answered when it goes on."""
+        with Running(more="(bounds (events 10))") as running:
+            go, asked = threading.Event(), running.desk.handlers["asked"]
+            running.desk.handlers["asked"] = lambda ask: (go.wait(LONG), asked(ask))
+            client = running.client()
+            for at in range(40):
+                client.ask(at)
+            first = client.answer()
+            self.assertEqual(first["error"]["data"]["why"], "overrun")
+            go.set()
+            got = {first["id"], *(client.answer()["id"] for _ in range(39))}
+            self.assertEqual(got, set(range(40)))
+            client.close()
+
     def test_client_that_reads_nothing(self):
         """It is hung up on once too much waits for it; what others ask is answered meanwhile."""
         def large(sock, number):
