An answer that a cancel overtook is not sent under an id that may be in use again

And where nothing may be cancelled, a call-out of an answered RPC could stay in the books for ever.

Change: an answer is sent only while its call is still open; at an RPC's time what is left of it is let go.

--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -122,6 +122,31 @@
                     client.ask("x")  # the id is free again
                 client.close()
 
+    def test_cancelled_on_the_way(self):
+        """An answer that a cancel overtook is not sent, since its id may be in use again."""
+        with Running((silent,)) as running:
+            client = running.client()
+            client.ask("x")
+            self.assertTrue(until(lambda: running.desk.asks))
+            first = next(iter(running.desk.asks.values()))
+            client.tell(jsonrpc.told_line("cancel", b'{"id":"x"}'))
+            client.ask("x")
+            self.assertTrue(until(lambda: any(ask is not first for ask in running.desk.asks.values())))
+            first.answer(b'{"wrong":1}')
+            client.sock.settimeout(0.2)
+            with self.assertRaises(TimeoutError):
+                client.answer()
+            client.close()
+
+    def test_no_cancel(self):
+        """Where nothing may be cancelled, a call-out that never ends is let go when its RPC's time is up."""
+        with Running((silent,), deadline="700 ms", soft="600 ms", more="(call-outs (cancel no))") as running:
+            client = running.client()
+            client.ask(1)
+            self.assertTrue(until(lambda: running.desk.asks))
+            client.close()
+            self.assertTrue(until(lambda: not running.desk.asks))
+
     def test_payload(self):
         """A payload of megabytes goes through as it is, to the worker and back."""
         def echo(sock, number):
@@ -361,13 +386,13 @@
 class Stopping(unittest.TestCase):
     def serve(self, folder, play, deadline="20 s"):
         """A gateway as a process, with one worker played here."""
-        from tests.rig import TERMS, Peer
+        from tests.rig import CALL_OUTS, TERMS, Peer
         peer = Peer(folder, "w0", play)
         self.addCleanup(peer.close)
         with open(os.path.join(folder, "workers.sexp"), "w") as out:
             out.write(written([Row("w0", peer.path, None, None, 0, 4.0, "ready", 0)]))
         with open(os.path.join(folder, "g.sexp"), "w") as out:
-            out.write(TERMS.format(soft="500 ms", deadline=deadline, way="100 ms", more=""))
+            out.write(TERMS.format(soft="500 ms", deadline=deadline, way="100 ms", more="", call_outs=CALL_OUTS))
         process = subprocess.Popen([sys.executable, "-m", "wickdyke.cli", "serve", os.path.join(folder, "g.sexp")],
                                    stdout=subprocess.PIPE, stderr=subprocess.PIPE)
         self.addCleanup(process.stdout.close)
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -186,9 +186,10 @@
 
     def _time_up(self, ident: int) -> None:
         ask = self.asks.get(ident)
-        if ask is None or ask.done:
+        if ask is None:
             return
         # The module reads the client's time as up at the same moment: it answers for good on what it is told here.
+        # Of one that is answered, only call-outs are left that could not be cancelled and may never end.
         self._at(clock() + self.station.answer_way / 2, self._left_open, ident)
         for call_out, order in list(ask.orders.items()):
             if order.link is not None and self.station.allowance.cancel:
--- a/wickdyke/gateway/door.py
+++ b/wickdyke/gateway/door.py
@@ -58,8 +58,10 @@
         self.batch, self.rpc, self.sent, self.done, self.orders, self.told = batch, None, 0, False, {}, None
 
     def answer(self, body: bytes) -> None:
-        """Sends the final answer."""
-        self.client.close_ask(self)
+        """Sends the final answer, unless the client has left the call."""
+        # Danger: a cancel read while the answer was on its way has freed the id, and it may be another call's by now.
+        if not self.client.close_ask(self):
+            return
         if self.batch is not None:
             self.batch.answer(body)
         else:
@@ -86,11 +88,13 @@
         except OSError:
             self.outbox.close()
 
-    def close_ask(self, ask: Ask) -> None:
-        """Its id may be used again."""
+    def close_ask(self, ask: Ask) -> bool:
+        """Its id may be used again; False where it was free already."""
         with self.lock:
-            if self.asks.get(ask.ident) is ask:
-                del self.asks[ask.ident]
+            if self.asks.get(ask.ident) is not ask:
+                return False
+            del self.asks[ask.ident]
+            return True
 
     def read(self) -> None:
         """The reader thread: until the client hangs up."""
