The judge tells call-outs of one RPC at one worker apart by their numbers

Cause: a run of the suite on a busy machine found two call-outs at once at the same worker, in a gateway without mistakes. Ends and cancels were put down to the last call-out there; one sent over a second connection before the cancel of the first was noted took that cancel for its own, and the first seemed never to end.

Change: stand-ins number what they hold, run, end and cancel carry the number, and the judge goes by it.

--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -194,6 +194,21 @@
                                 transit=50.0))
             self.assertEqual(sorted({f.rule for f in judge.findings}), rules)
 
+    def test_same_worker_again(self):
+        """A cancel noted just after the next call-out at the same worker belongs to the first, by its number."""
+        def numbered(event, job):
+            return *event[:3], {**event[3], "job": job}
+
+        one, two = numbered(ran(11), 1), numbered(ran(20), 2)
+        for name, events, rules in (
+                ("in order", [numbered(cancel(19), 1), two], []),
+                ("noted a little late", [two, numbered(cancel(25), 1)], []),
+                ("noted much late", [two, numbered(cancel(71), 1)], [2]),
+                ("the second cancelled, not the first", [two, numbered(cancel(25), 2)], [2])):
+            with self.subTest(case=name):
+                judge = Judge(trace(asked(10), one, *events, numbered(end(80), 2), answered(82), transit=50.0))
+                self.assertEqual(sorted({f.rule for f in judge.findings}), rules)
+
     def test_outcomes(self):
         judge = Judge(trace(
             asked(10, "a"), answered(20, mark="a"), asked(10, "b"), answered(700, mark="b"), asked(10, "c"),
--- a/wickdyke/proving/judge.py
+++ b/wickdyke/proving/judge.py
@@ -75,7 +75,9 @@
         self.findings.sort(key=lambda f: (f.t, f.rule, f.by, f.n))
 
     def _gather(self, trace: list[dict]) -> None:
-        open_runs: dict[tuple[str, str], list[Run]] = defaultdict(list)
+        # Danger: one RPC may be out at a worker a second time, over another connection, before the cancel of the
+        # first is noted there. Workers number what they hold, and an end or cancel belongs to its number.
+        open_runs: dict[tuple, list[Run]] = defaultdict(list)
         for entry in trace:
             match entry["what"]:
                 case "asked":
@@ -90,9 +92,9 @@
                 case "run":
                     run = Run(entry, entry["by"])
                     self.runs[entry["mark"]].append(run)
-                    open_runs[entry["by"], entry["mark"]].append(run)
+                    open_runs[entry["by"], entry["mark"], entry.get("job")].append(run)
                 case "end" | "cancel":
-                    for run in open_runs[entry["by"], entry["mark"]][-1:]:
+                    for run in open_runs[entry["by"], entry["mark"], entry.get("job")][-1:]:
                         if entry["what"] == "end" and run.how is None:
                             run.ended, run.how = entry["t"], entry["how"]
                         if entry["what"] == "cancel" or entry["how"] != "lost":
--- a/wickdyke/proving/standin.py
+++ b/wickdyke/proving/standin.py
@@ -64,8 +64,9 @@
 class Job:
     """A call-out that is held here."""
 
-    def __init__(self, wire: Wire, ident: int, run: back.Run, asked: Input, company: int) -> None:
+    def __init__(self, wire: Wire, ident: int, run: back.Run, asked: Input, company: int, number: int) -> None:
         self.wire, self.ident, self.run, self.asked, self.company = wire, ident, run, asked, company
+        self.number = number
         self.standing, self.copy, self.core, self.ended = "stood", None, False, False
 
 
@@ -171,11 +172,11 @@
         asked = msgspec.json.decode(run.input, type=Input)
         now = clock()
         self.record("run", now, mark=asked.mark, gateway=wire.who, program=run.program, work=asked.work_ms,
-                    token=run.token, start=self.build.start)
+                    token=run.token, start=self.build.start, job=self.seen["call-out"] + 1)
         self.seen["call-out"] += 1
         self._trigger("call-out")
         company = sum(job.run.program == run.program and not job.ended for job in self.jobs.values())
-        job = self.jobs[wire, request.ident] = Job(wire, request.ident, run, asked, company)
+        job = self.jobs[wire, request.ident] = Job(wire, request.ident, run, asked, company, self.seen["call-out"])
         if self._falls(now, asked.work_ms) or self._hangs():
             return
         if (late := self.faults.pop("late", None)) is not None:
@@ -220,7 +221,7 @@
     def _cancel(self, wire: Wire, request: jsonrpc.Request) -> None:
         job = self.jobs.get((wire, msgspec.json.decode(request.params, type=back.Cancel).id))
         if job is not None:
-            self.record("cancel", mark=job.asked.mark, gateway=wire.who)
+            self.record("cancel", mark=job.asked.mark, gateway=wire.who, job=job.number)
             if job.ended:
                 del self.jobs[wire, job.ident]
             else:
@@ -368,7 +369,7 @@
 
     def _end(self, job: Job, how: str, keep: bool = False) -> None:
         """The job gives back its lane and core; `keep` leaves it held, as far as the gateway can tell."""
-        self.record("end", mark=job.asked.mark, gateway=job.wire.who, how=how)
+        self.record("end", mark=job.asked.mark, gateway=job.wire.who, how=how, job=job.number)
         job.ended = True
         if not keep:
             self.jobs.pop((job.wire, job.ident), None)
