--- a/wickdyke/gateway/link.py
+++ b/wickdyke/gateway/link.py
@@ -125,15 +125,6 @@
                 return True
             return self.out.pop(order.number, None) is not None
 
-    def told(self, method: str, params: bytes) -> None:
-        """Sends a notification if there is a connection."""
-        with self.lock:
-            if self.outbox is not None:
-                try:
-                    self.outbox.put(Parcel(jsonrpc.told_line(method, params)))
-                except (Unread, OSError):
-                    self.outbox.close()
-
     def cut(self) -> None:
         """Ends the connection; what is out there ends as cut."""
         with self.lock:
