Attempts that are over count as late; a file that strands RPCs in flight is refused

With attempts short against the soft deadline, and time-outs that end nothing, the module's limits never learned: answers were never late, only over.

Change: a route's attempt that times out counts as one whole soft deadline in the limits. Budgets go by route, so that they go on when the file changes; a change that takes the income from RPCs in flight is refused, or waits for them (timing/change.py).

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -103,11 +103,44 @@
 
     def test_budgets_apart(self):
         """Each route pays for itself."""
-        fleet, poor, rich = Fleet(workers=8), timing(budget=(1e4, 0.0, 1.0)), timing(budget=(1e4, 0.0, 9.0))
+        fleet = Fleet(workers=8)
+        poor, rich = (timing(budget=(1e4, 0.0, floor), account=name) for name, floor in (("poor", 1.0), ("rich", 9.0)))
         for terms, calls in ((poor, 2), (poor, 1), (rich, 3), (poor, 1), (rich, 3)):
             rpc = first(fleet.take(timing=terms))[1]
             self.assertEqual(fail(fleet, rpc), calls)
 
+    def test_budget_goes_on(self):
+        """A file read anew: RPCs of the route as it stands now pay for one that was taken before, and it for them."""
+        fleet = Fleet(workers=8)
+        before, after = (timing(budget=(1e4, 0.5, 0.0), account=name, priority=at)
+                         for at, name in enumerate(("r", "r")))
+        old = first(fleet.take(timing=before))[1]
+        for _ in range(3):
+            fleet.end(first(fleet.take(timing=after))[1], "ok", final=True)
+        self.assertEqual(fail(fleet, old), 3)
+        self.assertEqual(fail(fleet, first(fleet.take(timing=after))[1]), 1)
+
+    def test_time_outs_lower_the_limits(self):
+        """(outcome, terms, busy share, standing) -> whether the limits on our call-outs fall: a route's attempts that
+        are over say that answers are late, though none was; a cancel, an RPC's own end and a load say nothing."""
+        for outcome, terms, busy, lowered in (
+                ("timeout", timing(attempts=1), 0.95, True), ("timeout", timing(attempts=3), 0.95, True),
+                ("timeout", timing(attempts=1), 0.5, False), ("cancelled", timing(attempts=1), 0.95, False),
+                ("error", timing(attempts=1), 0.95, False), ("timeout", None, 0.95, False),
+                ("timeout", timing(attempts=1, attempt=None), 0.95, False)):
+            with self.subTest(outcome=outcome, terms=terms, busy=busy):
+                fleet = Fleet(workers=1)
+                fleet.serve(calls=8)
+                worker = fleet.fe.workers["a"]
+                before = worker.limit, fleet.fe.whole.limit
+                for _ in range(12):
+                    fleet.fe.probed("a", "ok", (busy, 4.0))
+                    called = [d[1] for d in fleet.take(timing=terms) if d[0] == "call"]
+                    while called and not called[0].closed:
+                        fleet.clock += 120.0
+                        fleet.end(called[0], outcome, final=terms is None)
+                self.assertEqual((worker.limit < before[0], fleet.fe.whole.limit < before[1]), (lowered, lowered))
+
     def test_second_copies(self):
         """(overlap, effect, second, time passed) -> call-outs out; never more than saved up, never at one worker."""
         for overlap, effect, second, ms, out in (
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -289,6 +289,30 @@
                 self.assertIsNone(tape.replay(source)[1])
 
 
+    def test_change_that_strands(self):
+        """A budget that lives by its share is not taken from RPCs in flight: first a floor, then, once they are
+        answered, the file that waited is read without being written again."""
+        bare = ('(route "r" (takes (method "idem")) (deadline 2 s) (soft-deadline 300 ms) (attempt 300 ms) '
+                "(attempts 2) (again timeout) (budget (window 9 s) (share 0.1)%s))")
+        other = '(route "s" (takes (method "idem")) (deadline 7 s))'
+        with Running((silent, silent), routes=bare % "", more="(call-outs (most 3) (dial 200 ms))") as running:
+
+            def named():
+                return [route.name for route in running.gateway.door.routes.routes]
+
+            def said():
+                return running.said.getvalue().count("routes unusable")
+
+            running.route(other)
+            self.assertTrue(until(lambda: said() == 1))
+            self.assertIn('route \\"r\\" is gone', running.said.getvalue())
+            running.route(bare % " (floor 1)")
+            self.assertTrue(until(lambda: running.gateway.door.routes.routes[0].stated["budget"][0].floor == 1))
+            running.route(other)
+            self.assertTrue(until(lambda: named() == ["s"]))
+            self.assertLessEqual(said(), 2)
+
+
 def _fields(row):
     return {name: getattr(row, name) for name in row.__slots__}
 
--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -12,6 +12,7 @@
 from wickdyke.settings import routes, sexp
 from wickdyke.settings.sexp import Unusable
 from wickdyke.timing import check, proof
+from wickdyke.timing.change import Succession
 from wickdyke.timing.routes import Pattern, Table, ties
 from wickdyke.timing.terms import NEVER_RAN, OUTCOMES, Budget, Ground, Part, Pause, Second, Terms, total, worst
 
@@ -31,6 +32,69 @@
     return routes.build(sexp.parse(f"(routes {text})", "f"), "f", METHODS, ground)
 
 
+class Changes(unittest.TestCase):
+    """Changes of a file in force, by what RPCs in flight hang on."""
+
+    BARE = "(budget (window 10 s) (share 0.1))"
+    OLD = f'(route "r" (takes (method "idem")) (attempts 2) (attempt 1 s) {BARE})'
+
+    def test_one_change(self):
+        """(file in force, new file) -> words of the refusal; none where it may follow."""
+        old, bare = self.OLD, self.BARE
+        other = '(route "s" (takes (method "idem")) (attempts 2) (attempt 1 s))'
+        for was, new, words in (
+                (old, other, ('route "r" is gone', "floor 0", "(floor 1)", "4000 ms later")),
+                (old, '(route "r" (takes (method "idem")))', ("a budget no more",)),
+                (old, old.replace("(attempts 2)", "").replace(bare, ""), ("a budget no more",)),
+                (old, old.replace("10 s", "9 s"), ("over 9000 ms instead of 10000 ms",)),
+                (old, old.replace('"idem"', '"side"').replace("(attempts", "(again full) (attempts"),
+                 ("none of the RPCs",)),
+                (old.replace('"idem"', '"idem") (program "a*"'), old.replace('"idem"', '"idem") (program "b*"'),
+                 ("none of the RPCs",)),
+                (old.replace('"idem"', '"idem") (program "a/*"'),
+                 old + '(route "s" (takes (method "idem") (program "a*")))', ("leaves all the RPCs", 'route "r"')),
+                (old.replace("(share 0.1)", "(share 0.1) (floor 0.9)"), other, ("floor 0.9",)),
+                # near misses
+                (old.replace("(share 0.1)", "(share 0.1) (floor 1)"), other, ()),
+                (old.replace(bare, ""), other, ()),
+                (old, old, ()),
+                (old, old.replace("0.1", "0.2"), ()),
+                (old, old.replace("(share 0.1)", "(share 0.1) (floor 1)"), ()),
+                (old, old.replace("(attempts 2) (attempt 1 s)", "(attempts 3) (attempt 900 ms) (priority 3)"), ()),
+                (old.replace('"idem"', '"idem") (program "a*"'), old.replace('"idem"', '"idem") (program "ab*"'), ()),
+                (old, old + '(route "s" (takes (method "idem") (program "a*")))', ()),
+                (other, old, ())):
+            with self.subTest(was=was, new=new):
+                held = Succession()
+                held.follow(read(was).payers(), 0.0)
+                found = []
+                try:
+                    routes.may_follow(read(new), "f", held, 1.0)
+                except sexp.Unusable as bad:
+                    found = [str(trouble) for trouble in bad.troubles]
+                    self.assertNotIsInstance(bad, sexp.NotYet)
+                self.assertEqual(len(found), bool(words), found)
+                for word in words:
+                    self.assertIn(word, found[0])
+
+    def test_two_changes(self):
+        """In two steps a budget may go; the second waits for those taken before the first, to the moment."""
+        floor = self.OLD.replace("(share 0.1)", "(share 0.1) (floor 1)")
+        other = '(route "s" (takes (method "idem")) (attempts 2) (attempt 1 s))'
+        held = Succession()
+        held.follow(read(self.OLD).payers(), 0.0)
+        routes.may_follow(read(floor), "f", held, 1000.0)
+        held.follow(read(floor).payers(), 1000.0)
+        for now, passes in ((1000.0, False), (4999.0, False), (5000.0, True)):
+            with self.subTest(now=now):
+                if passes:
+                    routes.may_follow(read(other), "f", held, now)
+                else:
+                    with self.assertRaises(sexp.NotYet) as caught:
+                        routes.may_follow(read(other), "f", held, now)
+                    self.assertIn(f"pass in {5000 - now:.0f} ms", str(caught.exception))
+
+
 class Files(unittest.TestCase):
     def test_bad(self):
         """(what a route states, ground) -> words of the one message."""
--- a/wickdyke/gateway/serve.py
+++ b/wickdyke/gateway/serve.py
@@ -14,8 +14,9 @@
 from wickdyke.gateway.tape import Tape
 from wickdyke.logic import TICK
 from wickdyke.settings import roll, routes
-from wickdyke.settings.sexp import Unusable
+from wickdyke.settings.sexp import NotYet, Unusable
 from wickdyke.settings.station import Station
+from wickdyke.timing.change import Succession
 from wickdyke.timing.terms import Ground
 
 
@@ -28,6 +29,7 @@
     def __init__(self, what: str, path: str, every: float, read: Callable, use: Callable[..., dict], log) -> None:
         self.what, self.path, self.every, self.read, self.use, self.log = what, path, every / 1000, read, use, log
         self.mark: tuple | None = ()
+        self.said: tuple | None = ()
         self.ended = threading.Event()
         self.thread = threading.Thread(target=self._watch, name=what, daemon=True)
 
@@ -54,10 +56,16 @@
         try:
             it = self.read(self.path)
         except Unusable as bad:
+            if isinstance(bad, NotYet):  # it will do later, as it is: looked at again, said once
+                self.mark = ()
+            if self.said == mark:
+                return
+            self.said = mark
             first, more = str(bad.troubles[0]), len(bad.troubles) - 1
             self.log.warning(f"{self.what} unusable", why=first + (f" (and {more} more)" if more else ""),
                              kept="the last good one")
             return
+        self.said = ()
         self.log.info(f"{self.what} read", **self.use(it))
 
     def _watch(self) -> None:
@@ -85,17 +93,24 @@
         self.door = Door(station, self.desk.take, self.desk.busy, log.warning)
         self.watchers = [Watcher("list", station.workers, station.reread, lambda path: roll.read(
             path, station.zones, station.kinds), self._listed, log)]
+        self.succession = Succession()
         if station.routes is not None:
-            self.watchers.append(Watcher("routes", station.routes, station.routes_reread, lambda path: routes.read(
-                path, station.methods, ground(station)), self._routed, log))
-            self.door.routes = routes.read(station.routes, station.methods, ground(station))  # none to fall back on
+            self.watchers.append(Watcher("routes", station.routes, station.routes_reread, self._read_routes,
+                                         self._routed, log))
+            self.door.routes = self._read_routes(station.routes)  # none to fall back on
 
     def _listed(self, rows: list[roll.Row]) -> dict:
         self.desk.take(("rows", rows))
         return {"workers": len(rows), "ready": sum(row.state == "ready" for row in rows)}
 
+    def _read_routes(self, path: str) -> routes.Routes:
+        found = routes.read(path, self.station.methods, ground(self.station))
+        routes.may_follow(found, path, self.succession, clock())
+        return found
+
     def _routed(self, found: routes.Routes) -> dict:
         self.door.routes = found
+        self.succession.follow(found.payers(), clock())
         return {"routes": len(found.routes)}
 
     def open(self) -> None:
--- a/wickdyke/gateway/tape.py
+++ b/wickdyke/gateway/tape.py
@@ -115,7 +115,7 @@
     named = {method.name: method for method in known}
     front_end = FrontEnd(now, seed, known, **{name: msgspec.convert(parts[name], kind)
                                               for name, kind in PARTS.items()})
-    alike, said, timings = 0, [], {}
+    alike, said = 0, []
 
     def check(want: list) -> str | None:
         nonlocal said
@@ -142,9 +142,8 @@
             args = [[Listing(**row) for row in args[0]], args[1]]
         elif name == "took":
             args[2] = named[args[2]]
-            if args[-1] is not None:  # equal ones are one object
-                key = msgspec.json.encode(args[-1])
-                args[-1] = timings.setdefault(key, msgspec.convert(args[-1], Timing))
+            if args[-1] is not None:
+                args[-1] = msgspec.convert(args[-1], Timing)
         elif name in ("ended", "probed") and args[-1] is not None:
             args[-1] = tuple(args[-1])
         getattr(front_end, name)(*args)
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -116,6 +116,7 @@
     budget: tuple[float, float, float] | None
     queue: float | None
     priority: int
+    account: str = ""
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -320,9 +320,11 @@
 SILENT, SILENT_ONE, MUTE, SILENT_LEAST = 26.0, 6.0, 9.0, 80.0  # dues: in all, one RPC, one probe; ms of one
 
 
-def paced(worker: Worker, call_out: CallOut, beside: int, now: float) -> None:
+def paced(worker: Worker, call_out: CallOut, beside: int, now: float, late: bool) -> None:
     # Danger: a full queue makes all late. Also catches slow workers. Hurts if late otherwise.
-    worker.spent.append(((now - call_out.sent) / call_out.rpc.method.soft, beside))
+    # Danger: a route's attempts shorter than that are never late, only over: limits grow, and workers drown
+    # in what was given up. Also catches a time too short. Hurts where answers are lost at a full worker.
+    worker.spent.append((max(late, (now - call_out.sent) / call_out.rpc.method.soft), beside))
     spent = mean([share for share, _ in worker.spent], 0.0)
     full = not worker.reports or worker.reports[-1][1].get("busy", 1.0) >= FULL_CORES
     if len(worker.spent) == JUDGED and spent > EARLY and full:  # else it was lanes or loads that kept them
@@ -481,7 +483,7 @@
             method.times = deque(maxlen=KEPT)
         self.workers, self.programs, self.rpcs = {}, {}, {}
         self.notes, self.todo, self.waiting, self.stuck = deque(), deque(), [], set()
-        self.purses: dict[Timing, Purse] = {}
+        self.purses: dict[str, Purse] = {}
         self.orders, self.acts, self.chance = deque(), deque(), Chance(seed)
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
         self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration, seed, seat.of)
@@ -519,7 +521,7 @@
         soft = now + min(left, wanted + method.soft_stretch * (work or 0.0))
         rpc = self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat, timing)
         if timing:
-            rpc.purse = purse = self.purses.setdefault(timing, Purse())
+            rpc.purse = purse = self.purses.setdefault(timing.account, Purse())
             purse.taken.extend([(now,)] if timing.budget else ())
             purse.seconds = min(SAVED, purse.seconds + (timing.second[2] if timing.second else 0.0))
         self.guards.taken.append((now,))
@@ -540,9 +542,10 @@
             rest(call_out, (worker, self.whole), now)
             call_out.warm = False
         near, far = (worker, call_out.beside), (self.whole, call_out.among)
+        late = outcome == "timeout" and rpc.timing is not None and rpc.timing.attempt is not None
         for gate, beside in (near, far)[:2 - (call_out.beside > 0)]:
-            if outcome == "ok" and call_out.warm and call_out.sent >= gate.lowered:  # not before the last cut
-                paced(gate, call_out, beside, now)  # that on all where nothing of ours was beside it there
+            if (outcome == "ok" or late) and call_out.warm and call_out.sent >= gate.lowered:  # not before
+                paced(gate, call_out, beside, now, late)  # on all only where nothing of ours was beside it
         rest(call_out, (worker, self.whole), now)
         if call_out.outcome is None:
             self.whole.out.remove(call_out)
--- a/wickdyke/settings/routes.py
+++ b/wickdyke/settings/routes.py
@@ -9,6 +9,7 @@
 from wickdyke.settings.sexp import Atom, Form, Spot
 from wickdyke.timing import check as sums
 from wickdyke.timing import terms as arithmetic
+from wickdyke.timing.change import Payer, Succession
 from wickdyke.timing.routes import ANY, Pattern, Table, covers, ties
 from wickdyke.timing.terms import NEVER_RAN, OUTCOMES, Budget, Ground, Pause, Second, Terms
 
@@ -48,6 +49,14 @@
     table: Table
     held: dict[tuple[str, str], Held]
 
+    def payers(self) -> list[Payer]:
+        """The routes as far as their budgets go."""
+        found: dict[str, Payer] = {}
+        for (name, _), held in self.held.items():
+            lives = max(held.terms.deadline, found[name].lives if name in found else 0.0)
+            found[name] = Payer(name, held.route.takes, held.terms.budget, held.terms.attempts, lives)
+        return list(found.values())
+
     def find(self, method: str, program: str, tenant: str = "") -> Held | None:
         """The terms of the most specific route that takes the RPC."""
         route = self.table.find(method, program, tenant)
@@ -152,7 +161,7 @@
     terms = Terms(soft, deadline, attempt, linger, values.get("attempts", 1), values.get("pause", Pause()),
                   values.get("again", NEVER_RAN), second, values.get("budget"), values.get("queue"),
                   values.get("priority", 0))
-    return Held(route, terms, origins, timing(terms))
+    return Held(route, terms, origins, timing(terms, route.name))
 
 
 def build(forms: list[Form], path: str, methods: list[Method], ground: Ground) -> Routes:
@@ -210,18 +219,31 @@
     return build(sexp.read(path), path, methods, ground)
 
 
-_timings: dict[tuple, Timing] = {}
-
-
-def timing(terms: Terms) -> Timing:
-    """The terms as the module takes them; equal ones are one object, also from a file read anew, so that what its
-    RPCs may still spend goes on."""
+def timing(terms: Terms, account: str) -> Timing:
+    """The terms as the module takes them. What a route's RPCs may still spend goes by its name, so that it goes on in
+    a file read anew, also for those taken under the earlier one."""
     pause, second, budget = terms.pause, terms.second, terms.budget
     most = min(pause.most, terms.deadline)  # a recording has no word for the infinite, and longer is never over
-    figures = (terms.soft, terms.attempt, terms.attempts, (pause.first, pause.growth, most, pause.spread),
-               terms.again, (second.after, second.at_once, second.share) if second else None,
-               (budget.window, budget.share, budget.floor) if budget else None, terms.queue, terms.priority)
-    return _timings.setdefault(figures, Timing(*figures))
+    return Timing(terms.soft, terms.attempt, terms.attempts, (pause.first, pause.growth, most, pause.spread),
+                  terms.again, (second.after, second.at_once, second.share) if second else None,
+                  (budget.window, budget.share, budget.floor) if budget else None, terms.queue, terms.priority, account)
+
+
+def may_follow(new: Routes, path: str, succession: Succession, now: float) -> None:
+    """Raises Unusable where the file would strand RPCs of an earlier one, with when it would not any more."""
+    notes = Notes()
+    named = {route.name: route.spot for route in new.routes}
+    stranded = succession.strands(new.payers(), now)
+    for each in stranded:
+        payer, budget = each.payer, each.payer.budget
+        fix = (f"nearest: first (budget (window {budget.window:g} ms) (share {budget.share:g}) (floor 1)), and this "
+               f"{payer.lives:g} ms later" if each.until is None else f"this will pass in {each.until - now:.0f} ms")
+        notes.add(named.get(payer.name, Spot(path, 1, 1)), f'route "{payer.name}" {each.why}, and its RPCs in flight '
+                  f"pay for further attempts from its share alone (floor {budget.floor:g})",
+                  "a change that leaves them a budget", fix)
+    if stranded and all(each.until is not None for each in stranded):
+        raise sexp.NotYet(notes.troubles)
+    notes.done()
 
 
 # ---- as text ----
--- a/wickdyke/settings/sexp.py
+++ b/wickdyke/settings/sexp.py
@@ -40,6 +40,10 @@
         super().__init__("\n".join(map(str, self.troubles)))
 
 
+class NotYet(Unusable):
+    """A file that can't be used now and can be in a while, as it stands."""
+
+
 @dataclass(slots=True, frozen=True)
 class Atom:
     """A number, a string or a word."""
