--- a/bench/answerer.py
+++ b/bench/answerer.py
@@ -4,7 +4,7 @@
 import threading
 
 from wickdyke.protocol import back, jsonrpc
-from wickdyke.proving.peer import Server, Wire
+from wickdyke.wire.server import Server, Wire
 
 STANDING = jsonrpc.encode(back.Standing(back.VERSION, "answerer", 1, 1e9))
 RAN = b'{"output":null,"standing":"stood","company":1,"report":{"busy":0.3,"held":1}}'
--- a/bench/ordinary.py
+++ b/bench/ordinary.py
@@ -1,5 +1,5 @@
-"""What an RPC's ordinary path costs in the module alone, in us of CPU: taken, placed, answered ok, no sockets. One round
-a call; run in turn in two checkouts, or with and without a route, the rounds give pairs.
+"""What an RPC's ordinary path costs in the module alone, in us of CPU: taken, placed, answered ok, no sockets. Run in
+turn in two checkouts, or with and without a route, the rounds give pairs.
 
     python -m bench.ordinary --rounds 9 --beside ../earlier
 """
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from wickdyke.gateway.outbox import Outbox, Parcel
+from wickdyke.wire.outbox import Outbox, Parcel
 from wickdyke.protocol import back, front, jsonrpc
 from wickdyke.protocol.lines import Lines
 
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -15,7 +15,7 @@
 from tests.rig import LONG, Client, Running, hello, lines_of, ok, until, willing
 from wickdyke.gateway import log as logs
 from wickdyke.gateway import tape
-from wickdyke.gateway.door import InUse, listener
+from wickdyke.wire.server import InUse, listener
 from wickdyke.protocol import back, jsonrpc
 from wickdyke.settings.roll import Row, written
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -9,7 +9,7 @@
 
 from tests.rig import Peer, Told, hello, lines_of, ok, until
 from wickdyke.gateway.link import Link, Order
-from wickdyke.gateway.outbox import Outbox, Parcel, Unread
+from wickdyke.wire.outbox import Outbox, Parcel, Unread
 from wickdyke.protocol import back, jsonrpc
 
 BIG = b'"' + b"x" * (8 << 20) + b'"'
--- a/wickdyke/cli/__init__.py
+++ b/wickdyke/cli/__init__.py
@@ -2,7 +2,7 @@
 
 import click
 
-from wickdyke.cli import call, check, prove, routes, serve
+from wickdyke.cli import call, check, prove, routes, serve, worker
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
@@ -11,5 +11,6 @@
     """A gateway that sends RPCs to workers which load programs on demand."""
 
 
-for _command in (serve.serve, serve.up, check.check, call.call, prove.prove, prove.judge, prove.replay, routes.routes):
+for _command in (serve.serve, serve.up, check.check, call.call, prove.prove, prove.judge, prove.replay, routes.routes,
+                 worker.worker, worker.pack):
     main.add_command(_command)
--- a/wickdyke/cli/serve.py
+++ b/wickdyke/cli/serve.py
@@ -8,12 +8,12 @@
 import click
 
 from wickdyke.gateway import log as logs
-from wickdyke.gateway.door import InUse
 from wickdyke.gateway.serve import Gateway, until_signal
 from wickdyke.proving import script as scripts
 from wickdyke.proving.director import Director, Failed
 from wickdyke.settings import station
 from wickdyke.settings.sexp import Unusable
+from wickdyke.wire.server import InUse
 
 BAD = 2  # exit code of input that can't be used
 
--- /dev/null
+++ b/wickdyke/cli/worker.py
@@ -0,0 +1,94 @@
+"""worker and pack."""
+
+import os
+import signal
+import sys
+import threading
+
+import click
+
+from wickdyke.gateway import log as logs
+from wickdyke.proving.trace import Recorder
+from wickdyke.settings import workshop
+from wickdyke.settings.sexp import Unusable
+from wickdyke.wire.server import InUse
+from wickdyke.worker import package
+from wickdyke.worker.runtime import Worker
+from wickdyke.worker.source import Folder
+
+BAD = 2
+
+
+@click.command()
+@click.argument("file", type=click.Path())
+@click.option("--log", "log_file", type=click.Path(), help="Append the log to this file (else standard error).")
+@click.option("--json", "as_json", is_flag=True, help="Log JSON lines instead of logfmt.")
+@click.option("--trace", type=click.Path(), help="Write what passes, for the judge, to this file.")
+def worker(file: str, log_file: str | None, as_json: bool, trace: str | None) -> None:
+    """Run a worker as FILE states, until SIGTERM.
+
+    The first line on standard output is `ready` and the socket's path. On SIGTERM or SIGINT nothing new is begun,
+    calls finish, and the exit code is 0; a second signal ends it at once.
+
+    \b
+    Example:
+        wickdyke worker deploy/worker.sexp
+    """
+    try:
+        shop = workshop.read(file)
+    except Unusable as bad:
+        _fail(str(bad))
+    path = log_file or shop.log
+    try:
+        sink = open(path, "a", encoding="utf-8") if path else logs.standard_error()  # noqa: SIM115
+    except OSError as bad:
+        _fail(f"{path}: found no file to append to ({bad.strerror}), expected one")
+    log, scribe = logs.logger(sink, as_json, worker=shop.name)
+    trace = trace or shop.trace
+    ended = threading.Event()
+
+    def asked(number: int, frame: object) -> None:
+        if ended.is_set():
+            os._exit(1)
+        ended.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, asked)
+    try:
+        made = Worker(shop, Folder(shop.folder), log, Recorder(trace, shop.name) if trace else None)
+        made.open()
+    except InUse as bad:
+        _fail(str(bad))
+    except OSError as bad:
+        _fail(f"{bad.filename or shop.listen}: {bad.strerror}")
+    print(f"ready {shop.listen}", flush=True)
+    while not ended.wait(3600):
+        pass
+    made.drain(shop.run_time + 1000)
+    made.close()
+    scribe.close()
+    os._exit(0)  # threads may hang in a full pipe; all that is owed is done
+
+
+@click.command()
+@click.argument("folder", type=click.Path())
+@click.option("--into", default=".", type=click.Path(), help="The folder of the store.")
+def pack(folder: str, into: str) -> None:
+    """Check the package in FOLDER and write it as an archive, the same bytes for the same files.
+
+    \b
+    Example:
+        wickdyke pack packages/tags --into store
+    """
+    try:
+        made, path = package.pack(folder, into)
+    except Unusable as bad:
+        _fail(str(bad))
+    except OSError as bad:
+        _fail(f"{bad.filename or into}: {bad.strerror}")
+    print(f"{path} {package.file_digest(path)} {made.memory:g} MB, {made.lanes} lanes")
+
+
+def _fail(text: str) -> None:
+    print(text, file=sys.stderr)
+    raise SystemExit(BAD)
--- a/wickdyke/gateway/door.py
+++ b/wickdyke/gateway/door.py
@@ -4,29 +4,22 @@
 is well formed, names a known method, and has all its figures.
 """
 
-import fcntl
 import os
 import socket
-import stat
 import threading
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
-from wickdyke.gateway.outbox import Outbox, Parcel, Unread
+from wickdyke.wire.outbox import Outbox, Parcel, Unread
+from wickdyke.wire.server import listener
 from wickdyke.interface import Method, Timing
 from wickdyke.protocol import front, jsonrpc
 from wickdyke.protocol.lines import Lines, TooLong
-from wickdyke.settings import address as addresses
 from wickdyke.settings.routes import Routes
 from wickdyke.settings.station import Bounds, Station
 
 CHUNK = 1 << 18  # bytes read at a time
 STACK = 512 * 1024  # bytes of a thread's stack: the decoder's greatest nesting was tried in it
-BACKLOG = 512
-
-
-class InUse(Exception):
-    """Somebody listens there already."""
 
 
 class Batch:
@@ -313,37 +306,3 @@
             clients = list(self.clients)
         for client in clients:
             client.outbox.close()
-
-
-def listener(address: str) -> tuple[socket.socket, Iterable]:
-    """(listening socket, what must be kept while it is used); raises InUse where a live gateway has it.
-
-    A lock beside the socket's file tells a live owner from a file that a killed one left behind.
-    """
-    family, where = addresses.parse(address)
-    held = None
-    if family == socket.AF_UNIX:
-        os.makedirs(os.path.dirname(address) or ".", exist_ok=True)
-        held = open(address + ".lock", "w")  # noqa: SIM115 - kept open as long as the socket
-        try:
-            fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            held.close()
-            raise InUse(f"{address}: a live gateway listens there, expected a free one") from None
-        try:
-            if not stat.S_ISSOCK(os.lstat(address).st_mode):
-                held.close()
-                raise InUse(f"{address}: a file that is no socket stands there, expected none")
-            os.unlink(address)  # nobody holds the lock: it is left over
-        except FileNotFoundError:
-            pass
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    if family != socket.AF_UNIX:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind(where)
-        sock.listen(BACKLOG)
-    except OSError as bad:
-        sock.close()
-        raise InUse(f"{address}: {bad.strerror}, expected a free one") from None
-    return sock, held
--- a/wickdyke/gateway/link.py
+++ b/wickdyke/gateway/link.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from wickdyke.gateway.outbox import Outbox, Parcel, Unread
+from wickdyke.wire.outbox import Outbox, Parcel, Unread
 from wickdyke.protocol import back, jsonrpc
 from wickdyke.protocol.lines import Lines, TooLong
 from wickdyke.settings import address as addresses
--- a/wickdyke/proving/standin.py
+++ b/wickdyke/proving/standin.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from wickdyke.protocol import back, jsonrpc
-from wickdyke.proving.peer import Server, Wire
+from wickdyke.wire.server import Server, Wire
 from wickdyke.proving.trace import Recorder, clock
 
 
--- a/wickdyke/proving/store.py
+++ b/wickdyke/proving/store.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from wickdyke.protocol import jsonrpc
-from wickdyke.proving.peer import Server, Wire
+from wickdyke.wire.server import Server, Wire
 from wickdyke.proving.trace import Recorder, clock
 
 
--- /dev/null
+++ b/wickdyke/settings/workshop.py
@@ -0,0 +1,74 @@
+"""The settings file of a worker, as checked values."""
+
+import os
+from dataclasses import dataclass
+
+from wickdyke.settings import address, check, sexp
+from wickdyke.settings.check import Field, Notes, count, number, record, size, span, text
+from wickdyke.settings.sexp import Spot
+from wickdyke.worker.schedule import Ramp
+
+
+@dataclass(slots=True)
+class Workshop:
+    """All that a worker's file states. Memory is MB, times are ms."""
+
+    name: str
+    listen: str
+    folder: str | None
+    service: str | None
+    cache: str
+    cache_most: float
+    memory: float
+    calls_at_once: int
+    loads_at_once: int
+    queue: int
+    idle_life: float
+    run_time: float
+    stop_within: float
+    measure: float
+    ramp: Ramp
+    log: str | None
+    trace: str | None
+    spot: Spot
+
+
+RAMP = record(lambda spot, **values: Ramp(**values), start_share=Field(number(0.001, 1), 0.25), ramp=Field(span(), 0.0))
+STORE = record(lambda spot, **values: (spot, values), folder=Field(text, None), service=Field(address.read, None))
+CACHE = record(lambda spot, **values: values, folder=Field(text), most=Field(size(1), 1024.0))
+
+
+def _workshop(store: tuple, cache: dict, **values) -> Workshop:
+    return Workshop(folder=store[1]["folder"], service=store[1]["service"], cache=cache["folder"],
+                    cache_most=cache["most"], **values)
+
+
+WORKSHOP = record(
+    _workshop, name=Field(text), listen=Field(address.read), store=Field(STORE), cache=Field(CACHE),
+    memory=Field(size(16)), calls_at_once=Field(count(1, 4096), 2 * (os.cpu_count() or 1)),
+    loads_at_once=Field(count(1, 256), 4), queue=Field(count(1, 10**6), 200), idle_life=Field(span(10), 30000.0),
+    run_time=Field(span(1), 60000.0), stop_within=Field(span(1), 1000.0), measure=Field(span(10), 250.0),
+    ramp=Field(RAMP, Ramp()), log=Field(text, None), trace=Field(text, None))
+
+
+def read(path: str) -> Workshop:
+    """Reads and checks a file; its paths are relative to where it stands. Raises Unusable with all that is wrong."""
+    notes = Notes()
+    form = check.only_form(sexp.read(path), "worker", path, notes)
+    made = WORKSHOP(form, notes) if form is not None else None
+    if made is not None and (made.folder is None) == (made.service is None):
+        notes.add(made.spot, "(store ...) with " + ("neither" if made.folder is None else "both"),
+                  "either (folder PATH) or (service ADDRESS)")
+    notes.done()
+    base = os.path.dirname(os.path.abspath(path))
+    made.cache = os.path.join(base, made.cache)
+    made.folder = made.folder and os.path.join(base, made.folder)
+    made.log, made.trace = (each and os.path.join(base, each) for each in (made.log, made.trace))
+    made.listen, made.service = (_placed(each, base) for each in (made.listen, made.service))
+    return made
+
+
+def _placed(where: str | None, base: str) -> str | None:
+    if where is None or (":" in where and "/" not in where):
+        return where
+    return os.path.join(base, where)
