Workers of our own under scripts and judge: mass restart, replacement, killed copies

Change: (runtime yes) in scripts; the director packs what the methods call and starts wickdyke worker; two scripts; a worker asked to end is waited for.

--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -468,7 +468,7 @@
         """A live owner is left alone; what a killed one left behind is replaced; a file is not touched."""
         with tempfile.TemporaryDirectory(prefix="wd-") as folder:
             process, path = self.serve(folder, silent)
-            with self.assertRaisesRegex(InUse, "live gateway"):
+            with self.assertRaisesRegex(InUse, "somebody live"):
                 listener(path)
             process.kill()
             process.wait()
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -13,12 +13,17 @@
 import unittest
 import warnings
 import zipfile
+from collections import Counter
 
 import msgspec
 import psutil
 
 from tests.rig import until
 from wickdyke.gateway import log as logs
+from wickdyke.proving import script as scripts
+from wickdyke.proving import trace
+from wickdyke.proving.director import Director
+from wickdyke.proving.judge import Judge
 from wickdyke.settings import workshop
 from wickdyke.settings.sexp import Unusable
 from wickdyke.worker import meter, package
@@ -323,8 +328,8 @@
 
 
 class Working(Folders):
-    def worker(self, memory=400, idle=60, cache=50, more=""):
-        write(self.path("f"))
+    def worker(self, memory=400, idle=60, cache=50, more="", takes=64):
+        write(self.path("f"), memory=takes)
         package.pack(self.path("f"), self.path("store"))
         with open(self.path("w.sexp"), "w") as sink:
             sink.write(SHOP.format(memory=memory, idle=idle, cache=cache, more=more))
@@ -340,7 +345,7 @@
 
     def test_calls(self):
         """(what a call asks) -> (code, words); the copy, its next call and the other lane are unharmed or anew."""
-        _, gate = self.worker()
+        _, gate = self.worker(takes=200)  # the output that is too long takes 80 MB while it is made
         first = gate.run()[1]["pid"]
         for asked, left, code, words, same in (
                 ({}, 20000, None, "", True), ({"fail": 1}, 20000, -32012, "ValueError: asked to", True),
@@ -501,6 +506,38 @@
     return [child.pid for child in psutil.Process(pid).children()]
 
 
+class Real(unittest.TestCase):
+    def test_script(self):
+        """Workers of our own under gateways, one killed, one replaced, a copy killed: no rule breaks."""
+        text = """(script "real" (length 5 s) (gateways 2) (workers 3) (cores 4) (rate 40) (memory 400 MB) (runtime yes)
+          (warmup (start-share 0.5) (ramp 1 s))
+          (method "idem" (effect idempotent) (soft-deadline 2 s) (deadline 8 s) (work 10 ms) (memory 40 MB)
+            (load 50 ms) (programs 6))
+          (method "side" (effect side-effecting) (soft-deadline 2 s) (deadline 8 s) (work 10 ms) (memory 40 MB)
+            (load 50 ms) (programs 2))
+          (at 1500 ms (die "w1" (back 200 ms))) (at 2 s (drain "w2" (for 1 s))) (at 2500 ms (kill-copy "w3")))"""
+        with tempfile.TemporaryDirectory(prefix="wd-") as folder:
+            with open(os.path.join(folder, "s.sexp"), "w") as sink:
+                sink.write(text)
+            judge = Judge(trace.read(Director(scripts.read(sink.name), os.path.join(folder, "run")).run()))
+        self.assertEqual([str(finding) for finding in judge.findings], [])
+        totals = sum(judge.outcomes().values(), Counter())
+        self.assertEqual(totals["lost"], 0)
+        self.assertGreater(totals["ok in time"], 0.3 * totals["asked"])  # wide: cold workers take their time
+
+    def test_only_real_troubles(self):
+        """(runtime, trouble) -> words of the refusal: faults of stand-ins are not asked of workers of our own."""
+        for runtime, trouble, words in (("yes", '(at 1 s (hang "w1"))', "kill-copy"),
+                                        ("yes", '(on (call-out "w1" 3) (die "w1"))', "can have"),
+                                        ("no", '(at 1 s (kill-copy "w1"))', "stand-ins have no copies")):
+            with self.subTest(trouble=trouble), tempfile.TemporaryDirectory(prefix="wd-") as folder:
+                with open(os.path.join(folder, "s.sexp"), "w") as sink:
+                    sink.write(f"""(script "s" (length 1 s) (runtime {runtime}) (method "m" (effect idempotent)
+                        (soft-deadline 1 s) (deadline 2 s) (work 1 ms)) {trouble})""")
+                with self.assertRaisesRegex(Unusable, words):
+                    scripts.read(sink.name)
+
+
 class Memory(Folders):
     def test_pages_shared(self):
         """What the meter says of a copy that shares pages adds up with what others have of them."""
--- a/wickdyke/cli/prove.py
+++ b/wickdyke/cli/prove.py
@@ -1,6 +1,7 @@
 """prove, judge and replay."""
 
 import os
+import shutil
 import sys
 import tempfile
 from collections.abc import Callable
@@ -67,14 +68,10 @@
     if judge.findings or folder:
         print(f"traces and logs: {made}")
     else:
-        _remove(made)
+        shutil.rmtree(made, ignore_errors=True)
     return bool(judge.findings)
 
 
-def _remove(folder: str) -> None:
-    for name in os.listdir(folder):
-        os.unlink(os.path.join(folder, name))
-    os.rmdir(folder)
 
 
 @click.command()
--- a/wickdyke/cli/worker.py
+++ b/wickdyke/cli/worker.py
@@ -24,7 +24,8 @@
 @click.option("--log", "log_file", type=click.Path(), help="Append the log to this file (else standard error).")
 @click.option("--json", "as_json", is_flag=True, help="Log JSON lines instead of logfmt.")
 @click.option("--trace", type=click.Path(), help="Write what passes, for the judge, to this file.")
-def worker(file: str, log_file: str | None, as_json: bool, trace: str | None) -> None:
+@click.option("--start", type=click.IntRange(1), help="The number of this start, where who starts it lists it too.")
+def worker(file: str, log_file: str | None, as_json: bool, trace: str | None, start: int | None) -> None:
     """Run a worker as FILE states, until SIGTERM.
 
     The first line on standard output is `ready` and the socket's path. On SIGTERM or SIGINT nothing new is begun,
@@ -55,7 +56,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, asked)
     try:
-        made = Worker(shop, Folder(shop.folder), log, Recorder(trace, shop.name) if trace else None)
+        made = Worker(shop, Folder(shop.folder), log, Recorder(trace, shop.name) if trace else None, start)
         made.open()
     except InUse as bad:
         _fail(str(bad))
--- a/wickdyke/proving/director.py
+++ b/wickdyke/proving/director.py
@@ -7,11 +7,13 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 from collections.abc import Callable, Sequence
 
 import msgspec
+import psutil
 
 from wickdyke.proving import caller, standin, store
 from wickdyke.proving import script as scripts
@@ -19,6 +21,7 @@
 from wickdyke.proving.trace import Recorder, clock
 from wickdyke.settings import roll
 from wickdyke.settings.roll import Row
+from wickdyke.worker import package
 
 GATEWAY = (sys.executable, "-m", "wickdyke.cli", "serve")
 START_WITHIN = 30.0  # s until a process must be ready; generous, machines are busy
@@ -103,6 +106,35 @@
     return "\n".join(lines) + ")\n"
 
 
+def worker_text(script: Script, name: str) -> str:
+    """The settings of one worker of our own in a script."""
+    return (f'(worker (name "{name}") (listen "{name}.sock") (store (folder "store"))\n'
+            f'  (cache (folder "{name}.cache") (most 200 MB)) (memory {script.memory:g} MB) (queue {script.queue})\n'
+            f"  (calls-at-once {script.cores}) (idle-life {script.idle_life:g} ms) (stop-within 300 ms)\n"
+            f"  (ramp (start-share {script.warmup['start_share']:g}) (ramp {script.warmup['ramp']:g} ms)))\n")
+
+
+PACKAGE = """import time
+time.sleep({load} / 1000)
+def run(asked):
+    time.sleep(asked["work_ms"] / 1000)
+    return {{"mark": asked["mark"]}}
+"""
+
+
+def write_packages(script: Script, store: str) -> None:
+    """The packages that a script's methods call: work is time slept, as is the load."""
+    with tempfile.TemporaryDirectory(prefix="wd-") as folder:
+        for method in script.methods:
+            for at in range(method.programs):
+                with open(os.path.join(folder, "main.py"), "w", encoding="utf-8") as sink:
+                    sink.write(PACKAGE.format(load=method.load))
+                with open(os.path.join(folder, package.MANIFEST), "w", encoding="utf-8") as sink:
+                    sink.write(f'(package "{method.name}/{at}" (version "1") (entry "main:run")'
+                               f" (memory {method.memory:g} MB) (lanes {method.lanes}))")
+                package.pack(folder, store)
+
+
 class Director:
     """One run of a script in a folder of its own."""
 
@@ -172,12 +204,19 @@
         build = standin.Build(name, self._path(f"{name}.sock"), trace, self._path("store.sock"), start,
                       script.seed * 7919 + start, script.cores, script.speed, script.memory, script.idle_life,
                       queue_most=script.queue, cold=cold, **script.warmup)
+        self.rows[name] = Row(name, build.socket, scripts.zone_of(script, name), "k", int(name[1:]) % 3,
+                              float(script.cores) * script.speed, "ready", start)
         if name in self.workers:
             self.workers[name].end()
+        if script.runtime:
+            with open(self._path(f"{name}.sexp"), "w", encoding="utf-8") as sink:
+                sink.write(worker_text(script, name))
+            self.workers[name] = Child((sys.executable, "-m", "wickdyke.cli", "worker", self._path(f"{name}.sexp"),
+                                        "--trace", trace, "--start", str(start), "--log", self._path(f"{name}.log")),
+                                       self._path(f"{name}.err"), ready=False)
+            return
         self.workers[name] = Child((sys.executable, "-m", "wickdyke.proving.standin",
                                     msgspec.json.encode(build).decode()), self._path(f"{name}.err"), ready=False)
-        self.rows[name] = Row(name, build.socket, scripts.zone_of(script, name), "k", int(name[1:]) % 3,
-                              float(script.cores) * script.speed, "ready", start)
 
     def _start_gateway(self, name: str) -> None:
         self.record("gateway-started", gateway=name)
@@ -198,6 +237,8 @@
         self.store = Child((sys.executable, "-m", "wickdyke.proving.store", msgspec.json.encode(store.Build(
             self._path("store.sock"), self._path("store.trace"), script.store_pace)).decode()),
             self._path("store.err"))
+        if script.runtime:
+            write_packages(script, self._path("store"))
         for name in scripts.worker_names(script):
             self._start_worker(name, cold=False)
         for name, child in self.workers.items():
@@ -251,6 +292,9 @@
                     self._at(values["for"], self._kill_worker, name, values["back"])
             case "reroute":
                 self._route(trouble.text)
+            case "kill-copy":
+                for name in trouble.who:
+                    self._kill_copy(name)
             case "release":
                 for child in self.workers.values():
                     child.tell(fault="release")
@@ -301,10 +345,33 @@
         self._at(lasts, self._replaced, name)
 
     def _replaced(self, name: str) -> None:
-        if name not in self.down:
+        if name in self.down:
+            return
+        if self.script.runtime:
+            self.down.add(name)
+            self.workers[name].process.send_signal(signal.SIGTERM)
+            self._at(500.0, self._ended, name)
+        else:
             self.workers[name].tell(fault="drain")  # what still comes is turned away, what it holds ends
             self._at(500.0, self._kill_worker, name, 0.0)
 
+    def _ended(self, name: str) -> None:
+        """A worker that was asked to end: it is let finish what it holds."""
+        if (code := self.workers[name].process.poll()) is None:
+            self._at(50.0, self._ended, name)
+            return
+        if code:
+            raise Failed(f"worker {name} ended with code {code}, expected 0; see {self._path(name)}.err")
+        self.record("worker-killed", worker=name)
+        self._list(name, "gone")
+        self._at(0.0, self._worker_back, name)
+
+    def _kill_copy(self, name: str) -> None:
+        """Kills one copy of a worker: a child of its parent process."""
+        for parent in psutil.Process(self.workers[name].process.pid).children():
+            for copy in parent.children()[:1]:
+                copy.kill()
+
     def _kill_gateway(self, name: str, back: float) -> None:
         self.gateways[name].kill()
         self.record("gateway-killed", gateway=name)
--- a/wickdyke/proving/script.py
+++ b/wickdyke/proving/script.py
@@ -71,6 +71,7 @@
     ration: dict[str, float]
     methods: list[MethodTraffic]
     cancel: bool = True
+    runtime: bool = False
     routes: str = ""
     troubles: list[Trouble] = field(default_factory=list)
 
@@ -97,7 +98,9 @@
     "kill-gateway": ("gateway", {"back": (span(), 2000.0)}),
     "lose-zone": ("zone", {"back": (span(), 4000.0)}),
     "reroute": ("routes", {}),
+    "kill-copy": ("workers", {}),
 }
+OF_STANDINS = ("hang", "slow", "fail", "lose", "neighbour", "age", "late", "release", "once", "stall")
 ON_EVENT = ("die", "hang", "slow", "fail", "lose", "neighbour", "late")
 
 
@@ -171,7 +174,7 @@
 
 SCRIPT = record(
     _script, named=True, route=Field(lambda form, notes: sexp.written(form), None, many=True),
-    cancel=Field(flag, True),
+    cancel=Field(flag, True), runtime=Field(flag, False),
     seed=Field(count(0, 2**31), 1), length=Field(span(100)), gateways=Field(count(1, 64), 2),
     workers=Field(count(1, 200), 6), zones=Field(count(1, 20), 1), cores=Field(count(1, 1000), 4),
     speed=Field(number(0.01, 100), 1.0), memory=Field(size(1), 24000.0), queue=Field(count(1, 10**6), 200),
@@ -206,6 +209,11 @@
             for name in trouble.who:
                 if name not in known[KINDS[trouble.kind][0]]:
                     notes.add(trouble.spot, f'"{name}"', "one of " + ", ".join(known[KINDS[trouble.kind][0]]))
+            if script.runtime and (trouble.event or trouble.kind in OF_STANDINS):
+                notes.add(trouble.spot, f"({trouble.kind} ...)", "a trouble that workers of our own can have: "
+                          + ", ".join(kind for kind in KINDS if kind not in OF_STANDINS))
+            elif not script.runtime and trouble.kind == "kill-copy":
+                notes.add(trouble.spot, "(kill-copy ...)", "it with (runtime yes): stand-ins have no copies")
         for method in script.methods:
             if method.soft >= method.deadline:
                 notes.add(form.spot, f'method "{method.name}" with a soft deadline of {method.soft:g} ms',
--- a/wickdyke/worker/runtime.py
+++ b/wickdyke/worker/runtime.py
@@ -73,10 +73,10 @@
 class Worker:
     """`open` begins to serve, `drain` and `close` end it."""
 
-    def __init__(self, shop: Workshop, store, log, record=None) -> None:
+    def __init__(self, shop: Workshop, store, log, record=None, start: int | None = None) -> None:
         self.shop, self.store, self.log, self.tracing = shop, store, log, record is not None
         self.record = record or (lambda what, **more: None)
-        self.start = random.SystemRandom().getrandbits(48)
+        self.start = start or random.SystemRandom().getrandbits(48)
         self.born = clock()
         self.cache = Cache(shop.cache, shop.cache_most)
         self.schedule = Schedule(self.born, shop.memory, shop.calls_at_once, shop.loads_at_once, shop.queue,
