--- a/deploy/gateway.sexp
+++ b/deploy/gateway.sexp
@@ -30,5 +30,8 @@
   (drain-grace 1 s)                             ; nothing new to a draining worker later than this
   (tariff (waste 0) (late 0) (fetch 0) (probe 0) (crossing 0) (idle-memory 0)) ; *
   (answer-way 20 ms)                            ; * kept back of each client's time for the answer's way
+  (isolation                                    ; * what is kept from being tried (docs/oncall.md)
+    (loads (workers 2) (window 30 s) (first 1 s) (most 1 min))   ; programs that fail to load at so many workers
+    (calls (copies 3) (window 1 min) (first 10 s) (most 10 min))) ; calls under which so many copies ended
   (probe-wait 250 ms)                           ; * a probe without an answer by then counts as timed out
   (bounds (connections 1024) (open-rpcs 32768) (open-each 4096) (line 16 MB) (unread 32 MB) (events 100000))) ; *
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -1,5 +1,6 @@
 """The desk and its parts together: times, losses, lists, logs, stopping, and recordings played again."""
 
+import functools
 import io
 import os
 import signal
@@ -11,6 +12,7 @@
 import time
 import unittest
 import unittest.mock
+from collections import Counter
 
 from tests.rig import LONG, Client, Running, hello, lines_of, ok, until, willing
 from wickdyke.gateway import log as logs
@@ -310,6 +312,112 @@
             self.assertLessEqual(said(), 2)
 
 
+class Isolated(unittest.TestCase):
+    """Programs that load nowhere and calls that end copies, through the real desk."""
+
+    @staticmethod
+    def worker(sock, number, seen, refuse):
+        """Refuses what `refuse` gives a code for, answers the rest; counts call-outs by program and input."""
+        source = lines_of(sock)
+        hello(sock, source)
+        for asked in source:
+            if asked["method"] == "run":
+                run = asked["params"]
+                seen[run["program"], run["input"]["n"]] += 1
+                code = refuse(run)
+                sock.sendall(jsonrpc.problem(asked["id"], code, "no", b'{"inside":1}' if code == back.ENDED else b"{}")
+                             + b"\n" if code else ok(asked["id"]))
+            elif asked["method"] == "hold":
+                sock.sendall(jsonrpc.problem(asked["id"], back.FULL, "no") + b"\n")
+            elif asked["method"] == "probe":
+                sock.sendall(jsonrpc.result(asked["id"], b"{}") + b"\n")
+
+    def running(self, seen, refuse, more):
+        peer = functools.partial(self.worker, seen=seen, refuse=refuse)
+        return Running((peer, peer, peer), soft="1 s", deadline="5 s", more=more)
+
+    def test_program(self):
+        """One that loads nowhere is denied at once with when to come back, tried now and then, and is back once it
+        loads; others go on meanwhile."""
+        seen, broken = Counter(), threading.Event()
+        broken.set()
+
+        def refuse(run):
+            return back.MISS if run["program"] == "pbad" and broken.is_set() else None
+
+        with self.running(seen, refuse, "(isolation (loads (first 400 ms) (most 400 ms)))") as running:
+            client = running.client()
+            for ident in range(40):
+                client.ask(ident, program="pbad")
+                said = client.answer()["error"]["data"]
+                self.assertEqual(said["answer"], "denied")
+                if said["why"] == "load-failed":
+                    self.assertLessEqual(0, said["retry_after_ms"])
+            self.assertGreater(running.desk.counts["turned_away_load-failed"], 20)
+            self.assertLess(sum(seen.values()), 20)
+            client.ask("other", program="pgood")
+            self.assertEqual(client.answer()["result"]["answer"], "ok")
+            broken.clear()
+
+            def back_again():
+                client.ask("again", program="pbad")
+                return "result" in client.answer()
+
+            self.assertTrue(until(back_again))
+            self.assertIn("program back", running.said.getvalue())
+            client.close()
+
+    def test_call(self):
+        """(method, copies) -> call-outs that a poison call gets before it is denied; others of its program go on."""
+        for method, copies, most in (("idem", 2, 2), ("idem", 4, 4), ("side", 2, 2)):
+            seen = Counter()
+            with self.subTest(method=method, copies=copies), self.running(
+                    seen, lambda run: back.ENDED if run["input"]["n"] == "bad" else None,
+                    f"(isolation (calls (copies {copies}) (first 1 min)))") as running:
+                client = running.client()
+                answers = []
+                for ident in range(8):
+                    client.ask(ident, method, program="p", input={"n": "bad"})
+                    answers.append(client.answer()["error"]["data"])
+                self.assertEqual(seen["p", "bad"], most)
+                self.assertEqual((answers[-1]["answer"], answers[-1]["why"]), ("denied", "poison"))
+                self.assertGreater(answers[-1]["retry_after_ms"], 1000)
+                if method == "side":  # its first ones ran, and are told so
+                    self.assertEqual([each["answer"] for each in answers[:2]], ["aborted", "aborted"])
+                client.ask("fine", method, program="p", input={"n": "fine"})
+                self.assertEqual(client.answer()["result"]["answer"], "ok")
+                client.close()
+
+    def test_workers_that_go_down(self):
+        """A call whose worker ends under it gathers blame; one whose connection only ended does not.
+        (whether the worker has a new start after) -> barred"""
+        for restarts, barred in ((True, True), (False, False)):
+            with self.subTest(restarts=restarts):
+
+                def play(sock, number, restarts=restarts):
+                    source = lines_of(sock)
+                    hello(sock, source, start=1 + (number if restarts else 0))
+                    for asked in source:
+                        if asked["method"] == "run" and asked["params"]["input"]["n"] == "bad":
+                            return sock.shutdown(socket.SHUT_RDWR)
+                        if asked["method"] == "run":
+                            sock.sendall(ok(asked["id"]))
+                        elif asked["method"] == "probe":
+                            sock.sendall(jsonrpc.result(asked["id"], b"{}") + b"\n")
+
+                with Running((play, play), soft="500 ms", deadline="3 s",
+                             more="(isolation (calls (copies 2) (first 1 min)))") as running:
+                    client = running.client()
+                    for ident in range(3):
+                        client.ask(ident, "side", input={"n": "bad"})
+                        self.assertEqual(client.answer()["error"]["data"]["answer"], "aborted")
+                        self.assertTrue(until(lambda running=running: not running.desk.ward.cuts))
+                        if "p" in running.desk.ward.calls.barred:
+                            break
+                    self.assertEqual("p" in running.desk.ward.calls.barred, barred)
+                    client.close()
+
+
 def _fields(row):
     return {name: getattr(row, name) for name in row.__slots__}
 
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -17,10 +17,12 @@
 import msgspec
 
 from wickdyke.gateway import log as logs
+from wickdyke.gateway import ward as wards
 from wickdyke.gateway.door import Ask
 from wickdyke.gateway.link import Link, Order
 from wickdyke.gateway.roster import Roster
 from wickdyke.gateway.tape import Tape
+from wickdyke.gateway.ward import Ward
 from wickdyke.interface import CallOut, Program, Worker
 from wickdyke.logic import FrontEnd
 from wickdyke.protocol import back, front, jsonrpc
@@ -31,6 +33,9 @@
 ROUND = 512  # events told to the module before its decisions are pulled, at most
 
 
+WENT_DOWN = 1000.0  # ms after a connection ended by which it is back, or its worker went down
+
+
 def clock() -> float:
     """Monotonic time in ms."""
     return time.monotonic() * 1000
@@ -60,6 +65,7 @@
         if tape is not None:
             tape.start(now, seed, station.methods, parts)
         self.front_end = FrontEnd(now, seed, station.methods, **parts)
+        self.ward = Ward(station.isolation, station.seat.of, log)
         self.thread = threading.Thread(target=self._run, name="desk", daemon=True)
         self.verbs = {"call": self._call, "cancel": self._cancel, "deny": self._deny, "abort": self._abort,
                       "hold": self._hold, "probe": self._probe, "follow_list": self._follow, "note": self._note}
@@ -176,6 +182,11 @@
         if left <= 0:
             ask.answer(front.denied(ask.ident, "no-time"))
             return
+        if (away := self.ward.turned_away(ask.call.program, ask.call.input, clock())) is not None:
+            why, wait = away
+            self.counts[f"turned_away_{why}"] += 1
+            ask.answer(front.denied(ask.ident, why, wait))
+            return
         self.ident += 1
         ask.told, call = self.ident, ask.call
         self.asks[self.ident] = ask
@@ -261,6 +272,10 @@
             worker, program, at = order.key
             raw = result if result is not None else data
             held = _read(back.Held, raw)
+            if outcome == "error":
+                self.ward.load_failed(program, worker, clock())
+            elif outcome == "ok" and held and held.copies:
+                self.ward.stood(program)
             self._inform("held", worker, program, outcome, held.copies if held else 0, clock() - at)
         elif order.kind == "probe":
             probed = _read(back.Probed, result)
@@ -279,13 +294,41 @@
             if ran is None:  # it ran, and what it said can't be read
                 self._ended(ask, call_out, "error")
                 return
+            self.ward.stood(call_out.rpc.program.name)
             if not ask.done:
+                self.ward.ran(call_out.rpc.program.name, ask.call.input)
                 self._final(ask, front.ok(ask.ident, bytes(ran.output), len(call_out.rpc.call_outs)), "ok")
             self._ended(ask, call_out, "ok", ran.standing, ran.company, back.report(ran.report, names))
             return
         told = _read(back.Told, data)
         self._ended(ask, call_out, outcome, None, told.company if told else 0,
                     back.report(told.report, names) if told else None)
+        self._harmed(ask, call_out, outcome, told.inside if told else 0)
+
+    def _harmed(self, ask: Ask, call_out: CallOut, outcome: str, inside: int) -> None:
+        """A call-out did not come to its answer: what that says of its program, or of the call."""
+        program, worker = call_out.rpc.program.name, call_out.place.worker.listing.ident
+        if outcome == "miss" and self.station.stock.loads_on_call:
+            self.ward.load_failed(program, worker, clock())
+        if ask.done or not (inside or outcome == "cut"):
+            return
+        mark = wards.digest(ask.call.input)
+        if inside:
+            self.ward.copy_ended(program, mark, inside, clock())
+        else:
+            seen = self.roster.seen.get(worker)
+            if self.ward.cut(worker, seen.start if seen else 0, program, mark):
+                self._at(clock() + WENT_DOWN, self._settle, worker)
+        # Danger: taken before the bar, it goes on from copy to copy by its attempts. Idempotent: denied is as good.
+        rpc = call_out.rpc
+        if rpc.method.effect == "idempotent" and not rpc.closed and self.ward.is_barred(program, mark):
+            self._final(ask, front.denied(ask.ident, "poison", self.ward.calls.pauses.first), "denied")
+            self._inform("left", ask.told)
+            self._forget(ask)
+
+    def _settle(self, worker: str) -> None:
+        seen, link = self.roster.seen.get(worker), self.links.get(worker)
+        self.ward.settle(worker, seen.start if seen and link and link.up else None, clock())
 
     def _ended(self, ask: Ask, call_out: CallOut, outcome: str, standing: str | None = None, company: int = 0,
                report: tuple[float, ...] | None = None) -> None:
--- a/wickdyke/gateway/link.py
+++ b/wickdyke/gateway/link.py
@@ -60,6 +60,11 @@
         self.thread = threading.Thread(target=self._serve, name=f"link-{name}", daemon=True)
         self.thread.start()
 
+    @property
+    def up(self) -> bool:
+        """Whether there is a connection."""
+        return self.outbox is not None
+
     def send(self, order: Order) -> None:
         """Sends it, or has it sent once connected; its end comes by `tell` in each case."""
         failed = None
--- a/wickdyke/protocol/back.py
+++ b/wickdyke/protocol/back.py
@@ -5,8 +5,8 @@
 from wickdyke.protocol import jsonrpc
 
 VERSION = 1
-FULL, MISS, FAILED, DRAINING, OUT_OF_TIME = -32010, -32011, -32012, -32013, -32014
-OUTCOMES = {FULL: "full", MISS: "miss", FAILED: "error", DRAINING: "full", OUT_OF_TIME: "timeout",
+FULL, MISS, FAILED, DRAINING, OUT_OF_TIME, ENDED = -32010, -32011, -32012, -32013, -32014, -32015
+OUTCOMES = {FULL: "full", MISS: "miss", FAILED: "error", DRAINING: "full", OUT_OF_TIME: "timeout", ENDED: "error",
             jsonrpc.NO_METHOD: "full", jsonrpc.BAD_PARAMS: "full", jsonrpc.INVALID: "full"}
 
 
@@ -84,11 +84,12 @@
 
 
 class Told(msgspec.Struct):
-    """What errors of `run` carry in their data."""
+    """What errors of `run` carry in their data; `inside` is how many calls were in a copy that ended."""
 
     company: int = 0
     report: dict[str, float] | None = None
     draining: bool = False
+    inside: int = 0
 
 
 def run_line(number: int, run: Run) -> bytes:
--- a/wickdyke/settings/station.py
+++ b/wickdyke/settings/station.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from wickdyke.interface import Allowance, Directory, Method, Ration, Seat, Stock, Tariff, Warmup
+from wickdyke.quarantine.bars import Isolation
 from wickdyke.settings import address, check, sexp
 from wickdyke.settings.check import Field, Notes, choice, count, flag, number, record, size, span, text, words
 from wickdyke.settings.sexp import Spot
@@ -63,6 +64,7 @@
     bounds: Bounds
     answer_way: float
     probe_wait: float
+    isolation: Isolation = Isolation()
 
     def stated(self, program: str) -> Stated | None:
         """What is stated of a program: the exact name before the longest beginning."""
@@ -110,6 +112,22 @@
 BOUNDS = record(_part(Bounds), connections=Field(count(1, 60000), 1024), open_rpcs=Field(count(1, 10**7), 32768),
                 open_each=Field(count(1, 10**6), 4096), line=Field(size(0.001, 1024), 16.0),
                 unread=Field(size(0.001, 4096), 32.0), events=Field(count(10, 10**7), 100000))
+LOADS = record(
+    _part(dict), workers=Field(count(1, 1000), 2), window=Field(span(1.0), 30000.0),
+    first=Field(span(1.0), 1000.0), most=Field(span(1.0), 60000.0))
+CALLS = record(
+    _part(dict), copies=Field(number(1, 1000), 3.0), window=Field(span(1.0), 60000.0),
+    first=Field(span(1.0), 10000.0), most=Field(span(1.0), 600000.0))
+
+
+def _isolation(spot: Spot, loads: dict, calls: dict) -> Isolation:
+    return Isolation(loads["workers"], loads["window"], loads["first"], loads["most"], calls["copies"],
+                     calls["window"], calls["first"], calls["most"])
+
+
+ISOLATION = record(
+    _isolation, loads=Field(LOADS, {"workers": 2, "window": 30000.0, "first": 1000.0, "most": 60000.0}),
+    calls=Field(CALLS, {"copies": 3.0, "window": 60000.0, "first": 10000.0, "most": 600000.0}))
 GATEWAY = record(
     lambda spot, **values: (spot, values), name=Field(text, "gateway"), listen=Field(LISTEN),
     workers=Field(FOLLOWED), routes=Field(FOLLOWED, (None, 100.0)), log=Field(text, None), tape=Field(text, None),
@@ -122,7 +140,8 @@
     warmup=Field(WARMUP), ration=Field(RATION, Ration(0.0, 0.0, 0.0)), drain_grace=Field(span()),
     tariff=Field(TARIFF, Tariff(0, 0, 0, 0, 0, 0)), bounds=Field(BOUNDS, Bounds(
         1024, 32768, 4096, 16.0, 32.0, 100000)),
-    answer_way=Field(span(0.0, 60000.0), 20.0), probe_wait=Field(span(1.0, 60000.0), 250.0))
+    answer_way=Field(span(0.0, 60000.0), 20.0), probe_wait=Field(span(1.0, 60000.0), 250.0),
+    isolation=Field(ISOLATION, Isolation()))
 
 
 def _contradictions(spot: Spot, got: dict, notes: Notes) -> None:
@@ -188,4 +207,4 @@
         tariff=got["tariff"],
         bounds=Bounds(bounds.connections, bounds.open_rpcs, bounds.open_each, round(bounds.line * 2**20),
                       round(bounds.unread * 2**20), bounds.events),
-        answer_way=got["answer_way"], probe_wait=got["probe_wait"])
+        answer_way=got["answer_way"], probe_wait=got["probe_wait"], isolation=got["isolation"])
--- a/wickdyke/worker/runtime.py
+++ b/wickdyke/worker/runtime.py
@@ -26,9 +26,10 @@
 from wickdyke.worker.schedule import Call, Copy, Hold, Schedule
 
 CODES = {schedule.FULL: back.FULL, schedule.MISS: back.MISS, schedule.FAILED: back.FAILED,
-         schedule.DRAINING: back.DRAINING, schedule.OUT_OF_TIME: back.OUT_OF_TIME}
-WORDS = {schedule.FULL: "full", schedule.MISS: "the load failed", schedule.FAILED: "its copy ended",
-         schedule.DRAINING: "draining", schedule.OUT_OF_TIME: "its time is up"}
+         schedule.DRAINING: back.DRAINING, schedule.OUT_OF_TIME: back.OUT_OF_TIME, schedule.ENDED: back.ENDED}
+WORDS = {schedule.FULL: "full", schedule.MISS: "the load failed", schedule.FAILED: "failed",
+         schedule.DRAINING: "draining", schedule.OUT_OF_TIME: "its time is up",
+         schedule.ENDED: "its copy ended"}
 COMPANY = 30  # told at most
 START_WITHIN = 30.0  # s for a package to be imported
 OUTPUT, EVERY = 1 << 16, 0.05  # bytes of what a copy prints that are read, and how often in s: a flood waits
@@ -257,7 +258,8 @@
         if run is None:
             return
         self._note_end(run, call.key[0], "ok" if outcome == "failed" and why else outcome)
-        told = jsonrpc.encode(back.Told(min(COMPANY, call.company), self._report(), self.schedule.draining))
+        told = jsonrpc.encode(back.Told(min(COMPANY, call.company), self._report(), self.schedule.draining,
+                                        call.inside))
         call.key[0].say(jsonrpc.problem(call.key[1], CODES[outcome], why or WORDS[outcome], told))
 
     def _hand(self, call: Call, copy: Copy) -> None:
--- a/wickdyke/worker/schedule.py
+++ b/wickdyke/worker/schedule.py
@@ -14,7 +14,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-FULL, FAILED, MISS, DRAINING, OUT_OF_TIME = "full", "failed", "miss", "draining", "out-of-time"
+FULL, FAILED, MISS, DRAINING, OUT_OF_TIME, ENDED = "full", "failed", "miss", "draining", "out-of-time", "ended"
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -68,6 +68,7 @@
     began: float | None = None
     done: bool = False
     number: int = 0  # the host's
+    inside: int = 0  # calls in the copy that ended with it
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -211,8 +212,8 @@
         calls, copy.calls = copy.calls, []
         for call in calls:
             self.running -= 1
-            call.copy = None
-            self._refuse(call, FAILED)
+            call.copy, call.inside = None, len(calls) + copy.stuck
+            self._refuse(call, ENDED)
         self.running -= copy.stuck
         copy.stuck = 0
         self._forget(copy)
