--- a/bench/ordinary.py
+++ b/bench/ordinary.py
@@ -83,7 +83,8 @@
     for name, figures in rows.items():
         ratios = sorted(figure / first for figure, first in zip(figures, base, strict=True))
         print(f"{name}: {statistics.median(figures):.1f} us an RPC; over {next(iter(rows))} "
-              f"{statistics.median(ratios):.2f} ({ratios[0]:.2f} to {ratios[-1]:.2f})")
+              f"{statistics.median(ratios):.2f} ({ratios[0]:.2f} to {ratios[-1]:.2f}), of the least of each "
+              f"{min(figures) / min(base):.2f}")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/deploy/store.sexp
@@ -0,0 +1,6 @@
+; A store that workers fetch packages from. Paths are relative to this file.
+(store
+  (listen "run/store.sock")
+  (folder "run/store")      ; archives, as `wickdyke pack` writes them
+  (pace 100 MB)             ; a second, for all readers together
+  (readers 64))             ; more are turned away, and their loads fail for now
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -1,6 +1,8 @@
 """The worker: packages that lie, a cache that is killed, copies that misbehave, orphans, and a gateway before it."""
 
+import contextlib
 import io
+import itertools
 import os
 import shutil
 import signal
@@ -28,8 +30,10 @@
 from wickdyke.settings.sexp import Unusable
 from wickdyke.worker import meter, package
 from wickdyke.worker.cache import PART, Cache, NoRoom
+from wickdyke.worker.fetch import Service
 from wickdyke.worker.runtime import Worker
 from wickdyke.worker.source import Folder, Unknown
+from wickdyke.worker.store import Pace, Store
 
 MANIFEST = '(package "{name}" (version "{version}") (entry "main:run") (memory {memory} MB) (lanes {lanes})' \
     ' (run-time 5 s) (environment (set "WORD" "sea")))'
@@ -285,6 +289,177 @@
         self.assertGreater(total, 10)
 
 
+class Stores(Folders):
+    """The store service under its client: what it reads is whole and right, or it is told why not."""
+
+    def setUp(self):
+        super().setUp()
+        write(self.path("f"), code=CODE + "#" + "".join(f"{at:x}" for at in range(200_000)))
+        _, path = package.pack(self.path("f"), self.path("s"))
+        with open(path, "rb") as source:
+            self.whole = source.read()
+        self.archive = path
+
+    def store(self, pace=1e9, readers=8):
+        made = Store(self.path("s.sock"), self.path("s"), pace, readers, None)
+        self.addCleanup(made.close)
+        return made
+
+    def between(self, play):
+        """A middleman between client and store: `play(client, store, nth)` for each connection; its address."""
+        listens = socket.socket(socket.AF_UNIX)
+        listens.bind(self.path("m.sock"))
+        listens.listen(8)
+        self.addCleanup(listens.close)
+        self.addCleanup(listens.shutdown, socket.SHUT_RDWR)
+        turn = itertools.count()
+
+        def one(client):
+            with client, socket.socket(socket.AF_UNIX) as store, contextlib.suppress(OSError):
+                store.settimeout(20)
+                store.connect(self.path("s.sock"))
+                asked = client.recv(4096)
+                store.sendall(asked)
+                if b'"find"' in asked:
+                    client.sendall(store.recv(4096))
+                else:
+                    play(client, store, next(turn))
+
+        def serve():
+            while True:
+                try:
+                    client, _ = listens.accept()
+                except OSError:
+                    return
+                threading.Thread(target=one, args=(client,), daemon=True).start()
+
+        threading.Thread(target=serve, daemon=True).start()
+        return self.path("m.sock")
+
+    def fetched(self, service):
+        found = service.find("p")
+        service.fetch(found, self.path("got"))
+        with open(self.path("got"), "rb") as source:
+            return source.read()
+
+    def test_plain(self):
+        self.store()
+        self.assertEqual(self.fetched(Service(self.path("s.sock"))), self.whole)
+        for program, words in (("q", "no package q"), ("p@2", "no package p@2"), ("../s/p", "names no package")):
+            with self.subTest(program=program), self.assertRaisesRegex(Unknown, words):
+                Service(self.path("s.sock")).find(program)
+
+    def test_breaks(self):
+        """(bytes let through on each connection) -> it reads on where it stopped, and what it has is right."""
+        self.store()
+        for let in (20_000, 50_001, 100_000):
+            with self.subTest(let=let):
+                seen = []
+
+                def play(client, store, nth, let=let, seen=seen):
+                    left = let
+                    while left > 0 and (data := store.recv(min(left, 65536))):
+                        client.sendall(data)
+                        left -= len(data)
+                    seen.append(nth)
+
+                with contextlib.suppress(FileNotFoundError):
+                    os.unlink(self.path("m.sock"))
+                self.assertEqual(self.fetched(Service(self.between(play))), self.whole)
+                self.assertGreaterEqual(len(seen), len(self.whole) // let)
+
+    def test_nothing_comes(self):
+        """(what the store does) -> the fetch ends with its reason, after so many breaks without a byte more."""
+        self.store()
+        for how, words in (("hang up", "ended the connection"), ("stall", "timed out"), ("lie", "can't be read")):
+            with self.subTest(how=how):
+                tries = []
+
+                def play(client, store, nth, how=how, tries=tries):
+                    tries.append(nth)
+                    if how == "lie":
+                        client.sendall(b"so what\n")
+                    elif how == "stall":
+                        client.recv(1)
+
+                with contextlib.suppress(FileNotFoundError):
+                    os.unlink(self.path("m.sock"))
+                service = Service(self.between(play), quiet=100.0)
+                found = Service(self.path("s.sock")).find("p")
+                with self.assertRaisesRegex(OSError, words):
+                    service.fetch(found, self.path("got"))
+                self.assertEqual(len(tries), 4)
+
+    def test_wrong_bytes(self):
+        """A store that gives other bytes: refused by the digest, nothing left behind."""
+        self.store()
+
+        def play(client, store, nth):
+            while data := store.recv(65536):
+                client.sendall(data.replace(b"\x00\x00", b"\x00\x01"))
+
+        service = Service(self.between(play))
+        found = service.find("p")
+        cache = Cache(self.path("c"), 10.0)
+        with self.assertRaisesRegex(Unusable, "as the store said"):
+            cache.take(found.digest, lambda to: service.fetch(found, to))
+        self.assertEqual(os.listdir(self.path("c")), [])
+
+    def test_replaced_while_read(self):
+        """The archive is another one when it is read on: told so, not mixed. A store started anew goes on."""
+        first = self.store()
+        service = Service(self.path("s.sock"))
+        found = service.find("p")
+        first.close()
+        self.store()
+        service.fetch(found, self.path("got"))
+        with open(self.path("got"), "rb") as source:
+            self.assertEqual(source.read(), self.whole)
+        write(self.path("f"), code=CODE + "# other")
+        package.pack(self.path("f"), self.path("s"))
+        with self.assertRaisesRegex(Unknown, "any more"):
+            service.fetch(found, self.path("got"))
+
+    def test_crowded(self):
+        """More readers than stated are turned away, and come again."""
+        self.store(pace=4 * len(self.whole), readers=1)
+        service, done = Service(self.path("s.sock")), []
+        found = service.find("p")
+        readers = [threading.Thread(target=lambda at=at: done.append(service.fetch(found, self.path(f"got{at}"))))
+                   for at in range(2)]
+        for reader in readers:
+            reader.start()
+        for reader in readers:
+            reader.join(30)
+        self.assertEqual(done, [None, None])
+
+    def test_pace(self):
+        """(sizes asked at once, then after a rest) -> when each may go."""
+        pace = Pace(1000.0)
+        self.assertEqual([pace.wait(0.0, size) for size in (100, 200, 50)], [0.0, 100.0, 300.0])
+        self.assertEqual([pace.wait(at, 100) for at in (340.0, 1000.0)], [10.0, 0.0])
+
+    def test_worker(self):
+        """A worker whose store is a service: loads through it; a store that is away is a miss, and then it is back."""
+        made = self.store()
+        with open(self.path("w.sexp"), "w") as sink:
+            sink.write(SHOP.format(memory=400, idle=60, cache=50, more="").replace(
+                '(folder "store")', '(service "s.sock")'))
+        shop = workshop.read(self.path("w.sexp"))
+        worker = Worker(shop, Service(shop.service), logs.logger(io.StringIO(), False)[0])
+        worker.open()
+        self.addCleanup(worker.close)
+        gate = Gate(shop.listen)
+        self.addCleanup(gate.close)
+        self.assertIsNone(gate.run()[0])
+        made.close()
+        self.assertEqual(gate.run("q")[0], -32011)
+        write(self.path("q"), name="q")
+        package.pack(self.path("q"), self.path("s"))
+        self.store()
+        self.assertIsNone(gate.run("q")[0])
+
+
 class Gate:
     """A gateway's side of one connection to a worker."""
 
--- a/wickdyke/cli/__init__.py
+++ b/wickdyke/cli/__init__.py
@@ -12,5 +12,5 @@
 
 
 for _command in (serve.serve, serve.up, check.check, call.call, prove.prove, prove.judge, prove.replay, routes.routes,
-                 worker.worker, worker.pack):
+                 worker.worker, worker.pack, worker.store):
     main.add_command(_command)
--- a/wickdyke/cli/serve.py
+++ b/wickdyke/cli/serve.py
@@ -40,11 +40,10 @@
         _fail(str(bad))
     if tape:
         made.tape = tape
-    path = log_file or made.log
     try:
-        sink = open(path, "a", encoding="utf-8") if path else logs.standard_error()  # noqa: SIM115
+        sink = logs.opened(log_file or made.log)
     except OSError as bad:
-        _fail(f"{path}: found no file to append to ({bad.strerror}), expected one")
+        _fail(f"{bad.filename}: found no file to append to ({bad.strerror}), expected one")
     log, scribe = logs.logger(sink, as_json, debug, gateway=made.name)
     try:
         gateway = Gateway(made, log)
--- a/wickdyke/cli/worker.py
+++ b/wickdyke/cli/worker.py
@@ -1,9 +1,7 @@
-"""worker and pack."""
+"""worker, pack and store."""
 
 import os
-import signal
 import sys
-import threading
 
 import click
 
@@ -11,10 +9,13 @@
 from wickdyke.proving.trace import Recorder
 from wickdyke.settings import workshop
 from wickdyke.settings.sexp import Unusable
+from wickdyke.wire import ending
 from wickdyke.wire.server import InUse
 from wickdyke.worker import package
+from wickdyke.worker.fetch import Service
 from wickdyke.worker.runtime import Worker
 from wickdyke.worker.source import Folder
+from wickdyke.worker.store import Store
 
 BAD = 2
 
@@ -39,32 +40,23 @@
         shop = workshop.read(file)
     except Unusable as bad:
         _fail(str(bad))
-    path = log_file or shop.log
     try:
-        sink = open(path, "a", encoding="utf-8") if path else logs.standard_error()  # noqa: SIM115
+        sink = logs.opened(log_file or shop.log)
     except OSError as bad:
-        _fail(f"{path}: found no file to append to ({bad.strerror}), expected one")
+        _fail(f"{bad.filename}: found no file to append to ({bad.strerror}), expected one")
     log, scribe = logs.logger(sink, as_json, worker=shop.name)
     trace = trace or shop.trace
-    ended = threading.Event()
-
-    def asked(number: int, frame: object) -> None:
-        if ended.is_set():
-            os._exit(1)
-        ended.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, asked)
+    ended = ending.asked()
     try:
-        made = Worker(shop, Folder(shop.folder), log, Recorder(trace, shop.name) if trace else None, start)
+        source = Folder(shop.folder) if shop.folder else Service(shop.service)
+        made = Worker(shop, source, log, Recorder(trace, shop.name) if trace else None, start)
         made.open()
     except InUse as bad:
         _fail(str(bad))
     except OSError as bad:
         _fail(f"{bad.filename or shop.listen}: {bad.strerror}")
     print(f"ready {shop.listen}", flush=True)
-    while not ended.wait(3600):
-        pass
+    ending.wait(ended)
     made.drain(shop.run_time + 1000)
     made.close()
     scribe.close()
@@ -90,6 +82,38 @@
     print(f"{path} {package.file_digest(path)} {made.memory:g} MB, {made.lanes} lanes")
 
 
+@click.command()
+@click.argument("file", type=click.Path())
+@click.option("--log", "log_file", type=click.Path(), help="Append the log to this file (else standard error).")
+def store(file: str, log_file: str | None) -> None:
+    """Serve a folder of archives to workers as FILE states, until SIGTERM.
+
+    The first line on standard output is `ready` and the address. What workers were reading they read on later.
+
+    \b
+    Example:
+        wickdyke store deploy/store.sexp
+    """
+    try:
+        depot = workshop.read_depot(file)
+    except Unusable as bad:
+        _fail(str(bad))
+    try:
+        sink = logs.opened(log_file)
+    except OSError as bad:
+        _fail(f"{bad.filename}: found no file to append to ({bad.strerror}), expected one")
+    log, scribe = logs.logger(sink, False, store=depot.listen)
+    ended = ending.asked()
+    try:
+        made = Store(depot.listen, depot.folder, depot.pace * (1 << 20), depot.readers, log)
+    except InUse as bad:
+        _fail(str(bad))
+    print(f"ready {depot.listen}", flush=True)
+    ending.wait(ended)
+    made.close()
+    scribe.close()
+
+
 def _fail(text: str) -> None:
     print(text, file=sys.stderr)
     raise SystemExit(BAD)
--- a/wickdyke/gateway/log.py
+++ b/wickdyke/gateway/log.py
@@ -70,6 +70,6 @@
     return (f"worker {found[2]}", {"worker": found[1]}) if found else (note, {})
 
 
-def standard_error() -> TextIO:
-    """Where logs go by default; never standard output."""
-    return sys.stderr
+def opened(path: str | None) -> TextIO:
+    """Where logs go: the end of a file, or standard error; never standard output. Raises OSError."""
+    return open(path, "a", encoding="utf-8") if path else sys.stderr
--- a/wickdyke/gateway/serve.py
+++ b/wickdyke/gateway/serve.py
@@ -3,7 +3,6 @@
 import gc
 import os
 import random
-import signal
 import sys
 import threading
 from collections.abc import Callable
@@ -18,6 +17,7 @@
 from wickdyke.settings.station import Station
 from wickdyke.timing.change import Succession
 from wickdyke.timing.terms import Ground
+from wickdyke.wire import ending
 
 
 class Watcher:
@@ -149,18 +149,9 @@
 
 def until_signal(gateway: Gateway, ready: Callable[[], None]) -> int:
     """Serves until SIGTERM or SIGINT; a second signal ends it at once. `ready` is called once it serves."""
-    ended = threading.Event()
-
-    def asked(number: int, frame: object) -> None:
-        if ended.is_set():
-            os._exit(1)
-        ended.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, asked)
+    ended = ending.asked()
     gateway.open()
     ready()
-    while not ended.wait(3600):
-        pass
+    ending.wait(ended)
     gateway.stop()
     return 0
--- a/wickdyke/proving/director.py
+++ b/wickdyke/proving/director.py
@@ -93,7 +93,7 @@
         f"  (call-outs (most {script.call_outs}) (overlap {'yes' if script.overlap else 'no'})"
         f" (cancel {'yes' if script.cancel else 'no'}))",
         *(['  (routes (file "routes.sexp") (reread 50 ms))'] if script.routes else []),
-        f"  (stock (idle-life {script.idle_life:g} ms))",
+        f"  (stock (idle-life {script.idle_life:g} ms) (may-hold {'yes' if script.holds else 'no'}))",
         f"  (warmup (start-share {warmup['start_share']:g}) (ramp {warmup['ramp']:g} ms)"
         f" (multiple {warmup['multiple']:g}) (window {warmup['window']:g} ms))",
         f"  (ration (free {ration['free']:g}) (share {ration['share']:g}) (window {ration['window']:g} ms))",
--- a/wickdyke/proving/script.py
+++ b/wickdyke/proving/script.py
@@ -72,6 +72,7 @@
     methods: list[MethodTraffic]
     cancel: bool = True
     runtime: bool = False
+    holds: bool = True
     routes: str = ""
     troubles: list[Trouble] = field(default_factory=list)
 
@@ -174,7 +175,7 @@
 
 SCRIPT = record(
     _script, named=True, route=Field(lambda form, notes: sexp.written(form), None, many=True),
-    cancel=Field(flag, True), runtime=Field(flag, False),
+    cancel=Field(flag, True), runtime=Field(flag, False), holds=Field(flag, True),
     seed=Field(count(0, 2**31), 1), length=Field(span(100)), gateways=Field(count(1, 64), 2),
     workers=Field(count(1, 200), 6), zones=Field(count(1, 20), 1), cores=Field(count(1, 1000), 4),
     speed=Field(number(0.01, 100), 1.0), memory=Field(size(1), 24000.0), queue=Field(count(1, 10**6), 200),
--- a/wickdyke/settings/workshop.py
+++ b/wickdyke/settings/workshop.py
@@ -51,6 +51,31 @@
     ramp=Field(RAMP, Ramp()), log=Field(text, None), trace=Field(text, None))
 
 
+@dataclass(slots=True)
+class Depot:
+    """All that a store's file states. `pace` is MB a second for all readers together."""
+
+    listen: str
+    folder: str
+    pace: float
+    readers: int
+
+
+DEPOT = record(lambda spot, **values: Depot(**values), listen=Field(address.read), folder=Field(text),
+               pace=Field(size(0.001), 100.0), readers=Field(count(1, 10000), 64))
+
+
+def read_depot(path: str) -> Depot:
+    """Reads and checks a store's file, `(store ...)`; its paths are relative to where it stands."""
+    notes = Notes()
+    form = check.only_form(sexp.read(path), "store", path, notes)
+    made = DEPOT(form, notes) if form is not None else None
+    notes.done()
+    base = os.path.dirname(os.path.abspath(path))
+    made.folder, made.listen = os.path.join(base, made.folder), _placed(made.listen, base)
+    return made
+
+
 def read(path: str) -> Workshop:
     """Reads and checks a file; its paths are relative to where it stands. Raises Unusable with all that is wrong."""
     notes = Notes()
