--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -704,7 +704,7 @@
         """(runtime, trouble) -> words of the refusal: faults of stand-ins are not asked of workers of our own."""
         for runtime, trouble, words in (("yes", '(at 1 s (hang "w1"))', "kill-copy"),
                                         ("yes", '(on (call-out "w1" 3) (die "w1"))', "can have"),
-                                        ("no", '(at 1 s (kill-copy "w1"))', "stand-ins have no copies")):
+                                        ("no", '(at 1 s (kill-copy "w1"))', "stand-ins have no such")):
             with self.subTest(trouble=trouble), tempfile.TemporaryDirectory(prefix="wd-") as folder:
                 with open(os.path.join(folder, "s.sexp"), "w") as sink:
                     sink.write(f"""(script "s" (length 1 s) (runtime {runtime}) (method "m" (effect idempotent)
--- a/wickdyke/proving/director.py
+++ b/wickdyke/proving/director.py
@@ -89,7 +89,7 @@
         '  (workers (file "workers.sexp") (reread 50 ms))', f"  (seat (number {number - 1}) (of {script.gateways}))",
         f"  (seed {script.seed * 1000 + number})", f'  (kind "k" (memory {script.memory:g} MB))',
         *[f'  (zone "z{zone}")' for zone in range(1, script.zones + 1)],
-        f'  (at "z{(number - 1) % script.zones + 1}")', "  (report busy held queue)",
+        f'  (at "z{(number - 1) % script.zones + 1}")', f"  (report busy held queue{' pinned' if script.runtime else ''})",
         f"  (call-outs (most {script.call_outs}) (overlap {'yes' if script.overlap else 'no'})"
         f" (cancel {'yes' if script.cancel else 'no'}))",
         *(['  (routes (file "routes.sexp") (reread 50 ms))'] if script.routes else []),
@@ -108,7 +108,7 @@
 
 def worker_text(script: Script, name: str) -> str:
     """The settings of one worker of our own in a script."""
-    return (f'(worker (name "{name}") (listen "{name}.sock") (store (folder "store"))\n'
+    return (f'(worker (name "{name}") (listen "{name}.sock") (store (service "store.sock"))\n'
             f'  (cache (folder "{name}.cache") (most 200 MB)) (memory {script.memory:g} MB) (queue {script.queue})\n'
             f"  (calls-at-once {script.cores}) (idle-life {script.idle_life:g} ms) (stop-within 300 ms)\n"
             f"  (ramp (start-share {script.warmup['start_share']:g}) (ramp {script.warmup['ramp']:g} ms)))\n")
@@ -223,6 +223,21 @@
         self.gateways[name] = Child((*self.gateway, self._path(f"{name}.sexp"), "--log",
                                      self._path(f"{name}.log")), self._path(f"{name}.err"), ready=False)
 
+    def _start_store(self) -> None:
+        script = self.script
+        if script.runtime:
+            if not os.path.exists(self._path("store")):
+                write_packages(script, self._path("store"))
+            with open(self._path("store.sexp"), "w", encoding="utf-8") as sink:
+                sink.write('(store (listen "store.sock") (folder "store"))')
+            self.store = Child((sys.executable, "-m", "wickdyke.cli", "store", self._path("store.sexp")),
+                               self._path("store.err"))
+            return
+        self.trace_files.append(self._path("store.trace"))
+        self.store = Child((sys.executable, "-m", "wickdyke.proving.store", msgspec.json.encode(store.Build(
+            self._path("store.sock"), self._path("store.trace"), script.store_pace)).decode()),
+            self._path("store.err"))
+
     def start(self, traffic: bool = True) -> None:
         """Begins everything; returns when all are ready."""
         script = self.script
@@ -233,12 +248,7 @@
                     workers={name: {"zone": scripts.zone_of(script, name), "cell": int(name[1:]) % 3,
                                     "capacity": script.cores * script.speed}
                              for name in scripts.worker_names(script)})
-        self.trace_files.append(self._path("store.trace"))
-        self.store = Child((sys.executable, "-m", "wickdyke.proving.store", msgspec.json.encode(store.Build(
-            self._path("store.sock"), self._path("store.trace"), script.store_pace)).decode()),
-            self._path("store.err"))
-        if script.runtime:
-            write_packages(script, self._path("store"))
+        self._start_store()
         for name in scripts.worker_names(script):
             self._start_worker(name, cold=False)
         for name, child in self.workers.items():
@@ -304,8 +314,14 @@
             case "kill-gateway":
                 for name in trouble.who:
                     self._kill_gateway(name, values["back"])
+            case "stall" if self.script.runtime:
+                self.store.process.send_signal(signal.SIGSTOP)
+                self._at(values["for"], self.store.process.send_signal, signal.SIGCONT)
             case "stall":
                 self.store.tell(**{"for": values["for"]})
+            case "store-down":
+                self.store.kill()
+                self._at(values["back"], self._start_store)
             case "burst" | "hot" | "once" | "short":
                 self._traffic(trouble.kind, values)
             case _:
--- a/wickdyke/proving/script.py
+++ b/wickdyke/proving/script.py
@@ -100,8 +100,10 @@
     "lose-zone": ("zone", {"back": (span(), 4000.0)}),
     "reroute": ("routes", {}),
     "kill-copy": ("workers", {}),
+    "store-down": ("none", {"back": (span(), 2000.0)}),
 }
-OF_STANDINS = ("hang", "slow", "fail", "lose", "neighbour", "age", "late", "release", "once", "stall")
+OF_STANDINS = ("hang", "slow", "fail", "lose", "neighbour", "age", "late", "release", "once")
+OF_RUNTIME = ("kill-copy", "store-down")
 ON_EVENT = ("die", "hang", "slow", "fail", "lose", "neighbour", "late")
 
 
@@ -213,8 +215,8 @@
             if script.runtime and (trouble.event or trouble.kind in OF_STANDINS):
                 notes.add(trouble.spot, f"({trouble.kind} ...)", "a trouble that workers of our own can have: "
                           + ", ".join(kind for kind in KINDS if kind not in OF_STANDINS))
-            elif not script.runtime and trouble.kind == "kill-copy":
-                notes.add(trouble.spot, "(kill-copy ...)", "it with (runtime yes): stand-ins have no copies")
+            elif not script.runtime and trouble.kind in OF_RUNTIME:
+                notes.add(trouble.spot, f"({trouble.kind} ...)", "it with (runtime yes): stand-ins have no such thing")
         for method in script.methods:
             if method.soft >= method.deadline:
                 notes.add(form.spot, f'method "{method.name}" with a soft deadline of {method.soft:g} ms',
--- a/wickdyke/worker/runtime.py
+++ b/wickdyke/worker/runtime.py
@@ -168,7 +168,8 @@
     def _report(self) -> dict[str, float]:
         self.schedule.woke(clock())
         figures = self.schedule.figures()
-        return {**figures, "memory": sum(self.measured.values()) / self.shop.memory,
+        taken = sum(mb for what, mb in self.measured.items() if what != "cache")  # that is on disk
+        return {**figures, "memory": taken / self.shop.memory,
                 **{f"{what}_mb": mb for what, mb in self.measured.items()}}
 
     def _run(self, wire: Wire, request: jsonrpc.Request) -> None:
