--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -1,9 +1,12 @@
 """Who is there: what the list and the workers' own word make together."""
 
+import os
+import tempfile
 import unittest
 
 from wickdyke.gateway.roster import Roster
 from wickdyke.protocol.back import Standing
+from wickdyke.settings import roll
 from wickdyke.settings.roll import Row
 
 
@@ -15,6 +18,18 @@
     return Standing(1, "w", start, up, draining)
 
 
+class Lists(unittest.TestCase):
+    def test_addresses_hang_on_the_file(self):
+        """(address as listed) -> where the gateway connects, wherever it was started."""
+        with tempfile.TemporaryDirectory(prefix="wd-") as folder:
+            for listed, want in (("run/w.sock", os.path.join(folder, "run/w.sock")), ("/run/w.sock", "/run/w.sock"),
+                                 ("127.0.0.1:70", "127.0.0.1:70"), ("localhost:70", "localhost:70")):
+                with self.subTest(listed=listed):
+                    with open(os.path.join(folder, "l.sexp"), "w") as sink:
+                        sink.write(f'(workers (worker "w" (address "{listed}")))')
+                    self.assertEqual(roll.read(sink.name)[0].address, want)
+
+
 class Views(unittest.TestCase):
     def test_one_worker(self):
         """(inputs at times) -> the (state, born) passed on by the last of them; None for nothing."""
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -502,6 +502,57 @@
   (memory {memory} MB) (idle-life {idle} s) (stop-within 200 ms) (measure 50 ms) (calls-at-once 8) {more})"""
 
 
+class Settings(Folders):
+    def test_bad_files(self):
+        """(file) -> words of the one trouble."""
+        good = SHOP.format(memory=400, idle=60, cache=50, more="")
+        for text, words in (
+                (good.replace('(folder "store")', ""), ("with neither", "(folder PATH) or (service ADDRESS)")),
+                (good.replace('(folder "store")', '(folder "store") (service "s.sock")'), ("with both",)),
+                (good.replace("400 MB", "400"), ("without a unit", "400 MB")),
+                (good.replace("400 MB", "1 MB"), ("1 MB", "16 to")),
+                (good.replace('"w1.sock"', '"10.0.0.1:80"'), ("10.0.0.1", "loopback")),
+                (good.replace("(name", "(nam"), ("did you mean name",)),
+                (good.replace("calls-at-once 8", "calls-at-once 0"), ("0", "1 to 4096")),
+                (good.replace("(calls-at-once 8)", "(ramp (start-share 0) (ramp 1 s))"), ("0.001 to 1",)),
+                ("", ("nothing", "(worker ...)"))):
+            with self.subTest(text=text):
+                with open(self.path("w.sexp"), "w") as sink:
+                    sink.write(text)
+                with self.assertRaises(Unusable) as caught:
+                    workshop.read(self.path("w.sexp"))
+                self.assertEqual(len(caught.exception.troubles), 1, caught.exception)
+                for word in words:
+                    self.assertIn(word, str(caught.exception))
+
+    def test_examples_by_hand(self):
+        """check, pack, worker: as a user would, up to a call through the worker."""
+        def command(*argv):
+            return subprocess.run([sys.executable, "-m", "wickdyke.cli", *argv], capture_output=True, text=True,
+                                  timeout=60)
+        write(self.path("f"))
+        with open(self.path("w.sexp"), "w") as sink:
+            sink.write(SHOP.format(memory=400, idle=60, cache=50, more=""))
+        checked = command("check", self.path("w.sexp"), self.path("f", "package.sexp"))
+        self.assertEqual((checked.returncode, checked.stdout.count(": good")), (0, 2), checked.stderr)
+        self.assertEqual(command("pack", self.path("f"), "--into", self.path("store")).returncode, 0)
+        self.assertEqual(command("pack", self.path("none")).returncode, 2)
+        process = subprocess.Popen([sys.executable, "-m", "wickdyke.cli", "worker", self.path("w.sexp")],
+                                   stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        try:
+            self.assertIn(b"ready", process.stdout.readline())
+            self.assertEqual(command("worker", self.path("w.sexp")).returncode, 2)  # a live one is there
+            gate = Gate(self.path("w1.sock"))
+            self.assertEqual(gate.run()[1]["word"], "sea")
+            gate.close()
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(process.wait(30), 0)
+        finally:
+            process.kill()
+            process.wait()
+            process.stdout.close()
+
+
 class Working(Folders):
     def worker(self, memory=400, idle=60, cache=50, more="", takes=64):
         write(self.path("f"), memory=takes)
--- a/wickdyke/cli/check.py
+++ b/wickdyke/cli/check.py
@@ -1,12 +1,14 @@
 """check."""
 
+import os
 import sys
 
 import click
 
 from wickdyke.gateway.serve import ground
 from wickdyke.proving import script as scripts
-from wickdyke.settings import roll, routes, sexp, station
+from wickdyke.settings import roll, routes, sexp, station, workshop
+from wickdyke.worker import package
 
 
 def _station(file: str) -> None:
@@ -15,10 +17,15 @@
         routes.read(made.routes, made.methods, ground(made))
 
 
+KINDS = {"workers": roll.read, "script": scripts.read, "worker": workshop.read, "store": workshop.read_depot,
+         "package": lambda file: package.from_folder(os.path.dirname(os.path.abspath(file)))}
+
+
 @click.command()
 @click.argument("files", nargs=-1, required=True, type=click.Path())
 def check(files: tuple[str, ...]) -> None:
-    """Say all that is wrong with settings (and their routes), worker lists or scripts; exit code 2 if anything is.
+    """Say all that is wrong with settings (and their routes) of gateways, workers and stores, with worker lists,
+    scripts and packages (their package.sexp); exit code 2 if anything is.
 
     \b
     Example:
@@ -29,7 +36,7 @@
         try:
             forms = sexp.read(file)
             kind = forms[0].name if forms else ""
-            {"workers": roll.read, "script": scripts.read}.get(kind, _station)(file)
+            KINDS.get(kind, _station)(file)
             print(f"{file}: good")
         except sexp.Unusable as unusable:
             bad = True
--- a/wickdyke/settings/address.py
+++ b/wickdyke/settings/address.py
@@ -31,6 +31,11 @@
     return (socket.AF_INET6 if ip.version == 6 else socket.AF_INET), (str(ip), int(port))
 
 
+def beside(address: str, folder: str) -> str:
+    """An address as stated in a file of that folder: a socket's path hangs on it, a loopback address does not."""
+    return address if ":" in address and "/" not in address else os.path.join(folder, address)
+
+
 def read(form: Form, notes: Notes) -> str | None:
     """Reads one address of a settings file."""
     address = read_text(form, notes)
--- a/wickdyke/settings/roll.py
+++ b/wickdyke/settings/roll.py
@@ -1,6 +1,7 @@
 """The worker list: a file of S-expressions, replaced whole by whoever writes it."""
 
-from dataclasses import dataclass
+import os
+from dataclasses import dataclass, replace
 
 from wickdyke.settings import address, check, sexp
 from wickdyke.settings.check import Field, Notes, choice, count, number, record, text
@@ -49,8 +50,10 @@
 
 
 def read(path: str, zones: tuple[str, ...] = (), kinds: tuple[str, ...] = ()) -> list[Row]:
-    """The rows of a file; raises Unusable with all that is wrong."""
-    return rows(sexp.read(path), path, zones, kinds)
+    """The rows of a file; raises Unusable with all that is wrong. Paths of sockets hang on its folder."""
+    folder = os.path.dirname(path)
+    return [replace(row, address=address.beside(row.address, folder))
+            for row in rows(sexp.read(path), path, zones, kinds)]
 
 
 def written(rows_: list[Row]) -> str:
--- a/wickdyke/settings/station.py
+++ b/wickdyke/settings/station.py
@@ -190,7 +190,7 @@
     def beside(name: str | None) -> str | None:
         return None if name is None else os.path.join(base, name)
 
-    listen = got["listen"] if ":" in got["listen"] else beside(got["listen"])
+    listen = address.beside(got["listen"], base)
     zones = tuple(zone for zone, _ in got["zone"])
     number_, of, _ = got["seat"]
     bounds = got["bounds"]
--- a/wickdyke/settings/workshop.py
+++ b/wickdyke/settings/workshop.py
@@ -72,7 +72,7 @@
     made = DEPOT(form, notes) if form is not None else None
     notes.done()
     base = os.path.dirname(os.path.abspath(path))
-    made.folder, made.listen = os.path.join(base, made.folder), _placed(made.listen, base)
+    made.folder, made.listen = os.path.join(base, made.folder), address.beside(made.listen, base)
     return made
 
 
@@ -89,11 +89,5 @@
     made.cache = os.path.join(base, made.cache)
     made.folder = made.folder and os.path.join(base, made.folder)
     made.log, made.trace = (each and os.path.join(base, each) for each in (made.log, made.trace))
-    made.listen, made.service = (_placed(each, base) for each in (made.listen, made.service))
+    made.listen, made.service = (each and address.beside(each, base) for each in (made.listen, made.service))
     return made
-
-
-def _placed(where: str | None, base: str) -> str | None:
-    if where is None or (":" in where and "/" not in where):
-        return where
-    return os.path.join(base, where)
