Worker: disk full, killed with loads under way, memory told where pages are shared, as tests

Measured: memory of a copy with two forked children within 5% of the kernel's own lines; both programs load after a kill in the middle of two fetches.

--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -1,6 +1,7 @@
 """The worker: packages that lie, a cache that is killed, copies that misbehave, orphans, and a gateway before it."""
 
 import contextlib
+import glob
 import io
 import itertools
 import os
@@ -612,6 +613,39 @@
         self.assertIsNone(gate.run("p", memory=150)[0])  # in the place of b
         self.assertIn("result", gate.answer(busy))
 
+    def test_disk_full(self):
+        """What does not fit into the cache beside what is in use is told full; it fits once that is given up."""
+        for name in "ab":
+            write(self.path(name), name=name, code=CODE + "#" + os.urandom(300_000).hex())
+            package.pack(self.path(name), self.path("store"))
+        worker, gate = self.worker(cache=1)
+        self.assertIsNone(gate.run("a")[0])
+        self.assertEqual(gate.run("b")[0], -32010)
+        self.assertTrue(until(lambda: "do not fit beside" in self.said.getvalue()))
+        self.assertIsNone(gate.run("a")[0])
+        gate.say("drop", program="a")
+        self.assertIsNone(gate.run("b")[0])
+        self.assertEqual(len(worker.cache.sizes), 1)
+
+    def test_memory_told(self):
+        """(what copies hold, whether a child shares it) -> told within 5% of the kernel's own lines, summed here."""
+        for name, mb in (("m1", 1), ("m20", 20), ("m60", 60)):
+            write(self.path(name), name=name, memory=200, code=CODE + f"held.append(os.urandom(1 << 20) * {mb})\n")
+            package.pack(self.path(name), self.path("store"))
+        worker, gate = self.worker(memory=900)
+        for name, forks in (("m1", 0), ("m20", 0), ("m60", 2)):
+            with self.subTest(name=name):
+                pid = gate.run(name)[1]["pid"]
+                for _ in range(forks):
+                    gate.run(name, fork=1)
+                self.assertTrue(until(lambda pid=pid, forks=forks: len(kids(pid)) == forks))
+                worker.measure()
+                told = next(house.copy.measured for house in worker.houses.values() if house.pid == pid)
+                real = sum(map(pss, [pid, *kids(pid)]))
+                self.assertLess(abs(told - real), 0.05 * real)
+                self.assertGreater(real, int(name[1:]))
+                self.assertLess(real, 1.5 * int(name[1:]) + 30)  # shared with children, and counted once
+
     def test_no_such_package(self):
         """(what is wrong with a package) -> miss, with the reason in the log, and others go on."""
         write(self.path("x"), name="x", code="raise RuntimeError('at import')")
@@ -728,11 +762,56 @@
                     process.stdout.close()
 
 
+def pss(pid):
+    """A process's proportional set size in MB, added up from all its mappings."""
+    with open(f"/proc/{pid}/smaps") as source:
+        return sum(int(line.split()[1]) for line in source if line.startswith("Pss:")) / 1024
+
+
 def kids(pid):
     """The processes forked by one, whichever thread did it."""
     return [child.pid for child in psutil.Process(pid).children()]
 
 
+class Loading(Folders):
+    def test_killed_with_loads_under_way(self):
+        """Killed in the middle of two fetches: nothing of them is left to mislead the next start, which loads both."""
+        for name in "ab":
+            write(self.path(name), name=name, code=CODE + "#" + os.urandom(200_000).hex())
+            package.pack(self.path(name), self.path("store"))
+        with open(self.path("w.sexp"), "w") as sink:
+            sink.write(SHOP.format(memory=400, idle=60, cache=50, more="").replace(
+                '(folder "store")', '(service "s.sock")'))
+        slow = Store(self.path("s.sock"), self.path("store"), 50_000.0, 8, None)
+        parts = []
+        for at in range(2):
+            process = subprocess.Popen([sys.executable, "-m", "wickdyke.cli", "worker", self.path("w.sexp")],
+                                       stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+            try:
+                self.assertIn(b"ready", process.stdout.readline())
+                if at:  # what the first left is swept before it serves
+                    self.assertEqual(os.listdir(self.path("cache")), [])
+                gate = Gate(self.path("w1.sock"))
+                if not at:
+                    for name in "ab":
+                        gate.send(name)
+                    self.assertTrue(until(lambda: sum(size > 0 for size in map(
+                        os.path.getsize, sorted(glob.glob(self.path("cache", PART + "*"))))) == 2))
+                    process.kill()
+                    parts = os.listdir(self.path("cache"))
+                    slow.close()
+                    fast = Store(self.path("s.sock"), self.path("store"), 1e9, 8, None)
+                    self.addCleanup(fast.close)
+                else:
+                    self.assertEqual([gate.run(name)[0] for name in "ab"], [None, None])
+                gate.close()
+            finally:
+                process.kill()
+                process.wait()
+                process.stdout.close()
+        self.assertEqual(len(parts), 2)
+
+
 class Real(unittest.TestCase):
     def test_script(self):
         """Workers of our own under gateways, one killed, one replaced, a copy killed: no rule breaks."""
