--- a/bench/worker.py
+++ b/bench/worker.py
@@ -149,8 +149,7 @@
         houses = {house.copy.program.name: (house.pid, house.copy.measured) for house in worker.houses.values()}
     for mb in sizes:
         pid, told = houses[f"m{mb}"]
-        with open(f"/proc/{pid}/smaps") as source:
-            real = sum(int(line.split()[1]) for line in source if line.startswith("Pss:")) / 1024
+        real = pss(pid)
         resident = psutil.Process(pid).memory_info().rss / (1 << 20)
         rows.append([f"a package that holds {mb} MB", f"told {told:.1f}, read {real:.1f} MB "
                      f"({100 * abs(told - real) / real:.1f}%); resident {resident:.1f}"])
@@ -194,12 +193,70 @@
             for holds, each in rows.items()]
 
 
+def pss(pid: int) -> float:
+    """A process's proportional set size in MB, added up from all its mappings; 0 where it is gone."""
+    try:
+        with open(f"/proc/{pid}/smaps") as source:
+            return sum(int(line.split()[1]) for line in source if line.startswith("Pss:")) / 1024
+    except OSError:
+        return 0.0
+
+
+def sample(director: Director, name: str, found: list[tuple[float, float]]) -> None:
+    """Asks a worker what its copies take, and reads the same from the kernel; only where no copy came or went
+    meanwhile, since what is told is up to a quarter of a second old."""
+    try:
+        with socket.socket(socket.AF_UNIX) as sock:
+            sock.settimeout(2)
+            sock.connect(director.rows[name].address)
+            parent = psutil.Process(director.workers[name].process.pid).children()[0]
+            before = {copy.pid for copy in parent.children()}
+            time.sleep(0.5)
+            real = sum(pss(pid) for pid in before)
+            sock.sendall(b'{"jsonrpc":"2.0","method":"probe","params":{},"id":1}\n')
+            told = msgspec.json.decode(sock.makefile("rb").readline())["result"]["report"]["copies_mb"]
+            if before and before == {copy.pid for copy in parent.children()}:
+                found.append((told, real))
+    except (OSError, KeyError, IndexError, psutil.Error, msgspec.MsgspecError):
+        pass  # it was killed just then, or is not there yet
+
+
+def throughout(file: str) -> list[list[str]]:
+    """What workers tell of their copies against the kernel, all through a script."""
+    found: list[tuple[float, float]] = []
+    with tempfile.TemporaryDirectory(prefix="wd-") as folder:
+        director = Director(scripts.read(file), os.path.join(folder, "run"))
+        ended = threading.Event()
+
+        def watch(name: str) -> None:
+            while not ended.wait(0.1):
+                sample(director, name, found)
+
+        watchers = [threading.Thread(target=watch, args=(name,)) for name in scripts.worker_names(director.script)]
+        for watcher in watchers:
+            watcher.start()
+        try:
+            director.run()
+        finally:
+            ended.set()
+            for watcher in watchers:
+                watcher.join()
+    off = sorted(abs(told - real) / real for told, real in found)
+    return [["readings", str(len(off))], ["off, median", f"{100 * statistics.median(off):.2f}%"],
+            ["off, 95 of 100", f"{100 * off[int(len(off) * 0.95)]:.2f}%"], ["off, greatest", f"{100 * off[-1]:.2f}%"],
+            ["within 5%", f"{sum(each <= 0.05 for each in off)} of {len(off)}"]]
+
+
 @click.command()
 @click.option("--rounds", default=7, help="Rounds of each figure.")
 @click.option("--recovery", "script", type=click.Path(), help="Measure recovery with this script instead.")
 @click.option("--seeds", default=3, help="Pairs of it.")
-def main(rounds: int, script: str | None, seeds: int) -> None:
+@click.option("--memory-in", type=click.Path(), help="Compare memory told and read all through this script instead.")
+def main(rounds: int, script: str | None, seeds: int, memory_in: str | None) -> None:
     """Measures a worker of our own."""
+    if memory_in:
+        print(report.table(("memory of copies", ""), throughout(memory_in)))
+        return
     if script:
         print(report.table(("recovery", "figures"), recover(script, seeds)))
         return
