--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -303,6 +303,20 @@
         placed = {p.worker for program in fleet.fe.programs.values() for p in program.places if p.placed}
         self.assertLessEqual(placed, opened)
 
+    def test_load_times_are_learnt(self):
+        """(hint, loads seen) -> how long a load is held to take; after four the hint counts no more."""
+        for hint, seen, want in ((5000.0, [], 5000.0), (5000.0, [100.0] * 3, 5000.0), (5000.0, [100.0] * 4, 100.0),
+                                 (200.0, [900.0], 900.0), (200.0, [900.0] * 9, 900.0), (0.0, [100.0], 100.0),
+                                 (5000.0, [10.0] * 9, 5000.0)):  # so short that a copy may have stood, unknown
+            with self.subTest(hint=hint, seen=seen):
+                fleet = Fleet()
+                fleet.take()
+                program = fleet.fe.programs["p"]
+                program.load_hint = hint
+                for took in seen:
+                    fleet.fe.latency.loaded(program, took)
+                self.assertEqual(fleet.fe.latency.load_time(program), want)
+
     def test_a_miss_site_gets_a_hold_before_the_call(self):
         fleet = Fleet(workers=3, loads_on_call=False, holds=None)
         self.assertEqual(verbs(fleet.take()), ["hold"])
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -587,6 +587,15 @@
                     self.assertIn("result", gate.answer(beside))
                 self.assertEqual(gate.run()[1]["pid"] == first, same)
 
+    def test_a_copy_that_does_not_read(self):
+        """One that is stopped costs the call in it; its copy is ended, and the next call has another."""
+        _, gate = self.worker()
+        first = gate.run()[1]["pid"]
+        os.kill(first, signal.SIGSTOP)
+        self.assertEqual(gate.run(left=300)[0], -32014)
+        self.assertTrue(until(lambda: not alive(first)))
+        self.assertNotEqual(gate.run()[1]["pid"], first)
+
     def test_more_memory_than_stated(self):
         """A copy that takes more than its manifest states costs its own calls and no others."""
         write(self.path("q"), name="q", memory=100)
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -41,6 +41,7 @@
 
 SAMPLE_AGE, PRIOR, FRESH = 15000.0, 6.0, 4000.0  # ms samples count; its kind's in a pace; ms reports fade
 LOAD_GUESS, LOAD_LEAST, COST_GUESS = 1000.0, 50.0, 0.25  # ms of a load unseen; least; work, of soft deadline
+LOADS_TOLD = 4  # loads seen of a program from which its hint counts no more
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
 OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
@@ -120,7 +121,10 @@
             loads.append(took)
 
     def load_time(self, program: Program) -> float:
-        return max(program.load_hint, mean(program.loads, program.load_hint or mean(self.loads, LOAD_GUESS)))
+        # Danger: a hint far too long keeps RPCs at silent workers for two such loads. Also catches packages
+        # that grow smaller. Hurts where the first few loads came from a cache.
+        hint = program.load_hint if len(program.loads) < LOADS_TOLD else 0.0
+        return max(hint, mean(program.loads, program.load_hint or mean(self.loads, LOAD_GUESS)))
 
     def stands(self, place: Place, now: float) -> bool:
         return place.standing > 0 and (place.out > 0 or now - place.used < self.idle_life)
