One listener for servers of lines and for the store

Cause: the store had the accept loop of wire/server.py a second time. Change: Listener, which both use.

--- a/wickdyke/wire/server.py
+++ b/wickdyke/wire/server.py
@@ -72,20 +72,18 @@
             self.box.close()
 
 
-class Server:
-    """Listens on an address. `heard(wire, request)` for each request, `gone(wire)` when one hangs up."""
+class Listener:
+    """Takes connections on an address; `serve(sock)` in a thread for each, which need not close it."""
 
-    def __init__(self, address: str, heard: Callable[[Wire, jsonrpc.Request], None],
-                 gone: Callable[[Wire], None], line: int = LINE) -> None:
-        self.heard, self.gone, self.line = heard, gone, line
+    def __init__(self, address: str, serve: Callable[[socket.socket], None]) -> None:
+        self.serve = serve
         self.sock, self.held = listener(address)
-        self.wires: set[Wire] = set()
-        self.thread = threading.Thread(target=self._accept, name="accept", daemon=True)
-        self.thread.start()
+        self.socks: set[socket.socket] = set()
+        threading.Thread(target=self._accept, name="accept", daemon=True).start()
 
     def close(self) -> None:
         """Takes no more connections and ends those there are."""
-        for sock in [self.sock, *[wire.sock for wire in list(self.wires)]]:
+        for sock in [self.sock, *list(self.socks)]:
             try:
                 sock.shutdown(socket.SHUT_RDWR)
             except OSError:
@@ -100,14 +98,32 @@
                 sock, _ = self.sock.accept()
             except OSError:
                 return
-            wire = Wire(sock)
-            self.wires.add(wire)
-            threading.Thread(target=self._read, args=(wire,), name="wire", daemon=True).start()
+            self.socks.add(sock)
+            threading.Thread(target=self._one, args=(sock,), name="connection", daemon=True).start()
+
+    def _one(self, sock: socket.socket) -> None:
+        try:
+            self.serve(sock)
+        except OSError:
+            pass
+        self.socks.discard(sock)
+        sock.close()
+
+
+class Server(Listener):
+    """Lines of JSON-RPC: `heard(wire, request)` for each request, `gone(wire)` when one hangs up."""
+
+    def __init__(self, address: str, heard: Callable[[Wire, jsonrpc.Request], None],
+                 gone: Callable[[Wire], None], line: int = LINE) -> None:
+        self.heard, self.gone, self.line = heard, gone, line
+        self.wires: set[Wire] = set()
+        super().__init__(address, self._read)
 
-    def _read(self, wire: Wire) -> None:
-        lines = Lines(self.line)
+    def _read(self, sock: socket.socket) -> None:
+        wire, lines = Wire(sock), Lines(self.line)
+        self.wires.add(wire)
         try:
-            while data := wire.sock.recv(1 << 18):
+            while data := sock.recv(1 << 18):
                 for line in lines.feed(data):
                     for request in jsonrpc.requests(line):
                         if isinstance(request, jsonrpc.Fault):
@@ -120,4 +136,3 @@
         self.wires.discard(wire)
         self.gone(wire)
         wire.box.close()
-        wire.sock.close()
--- a/wickdyke/worker/store.py
+++ b/wickdyke/worker/store.py
@@ -13,7 +13,7 @@
 
 from wickdyke.protocol import jsonrpc
 from wickdyke.protocol.lines import Lines, TooLong
-from wickdyke.wire.server import listener
+from wickdyke.wire.server import Listener
 from wickdyke.worker.source import Folder, Found, Unknown
 
 CHUNK, LINE = 1 << 16, 1 << 16
@@ -70,32 +70,16 @@
         self.paths: dict[str, Found] = {}
         self.reading = 0
         self.closed = threading.Event()
-        self.sock, self.held = listener(address)
-        self.socks: set[socket.socket] = set()
-        threading.Thread(target=self._accept, name="accept", daemon=True).start()
+        self.listener = Listener(address, self._serve)
 
     def close(self) -> None:
         """Ends all connections."""
         self.closed.set()
-        for sock in [self.sock, *self.socks]:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
-        if self.held is not None:
-            self.held.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.sock.accept()
-            except OSError:
-                return
-            self.socks.add(sock)
-            threading.Thread(target=self._serve, args=(sock,), name="reader", daemon=True).start()
+        self.listener.close()
 
     def _serve(self, sock: socket.socket) -> None:
         lines = Lines(LINE)
-        with sock, contextlib.suppress(OSError, TooLong):
+        with contextlib.suppress(TooLong):
             while data := sock.recv(CHUNK):
                 for line in lines.feed(data):
                     for request in jsonrpc.requests(line):
@@ -103,7 +87,6 @@
                             sock.sendall(jsonrpc.refusal(request) + b"\n")
                         else:
                             self._asked(sock, request)
-        self.socks.discard(sock)
 
     def _asked(self, sock: socket.socket, request: jsonrpc.Request) -> None:
         try:
