A load that a call-out is told to have begun counts, however short

Cause: loads under 50 ms taught the module nothing, as a copy may have stood unknown; workers of our own load in 15 ms and say that the call-out began it. Change: the word counts; a table.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -304,17 +304,20 @@
         self.assertLessEqual(placed, opened)
 
     def test_load_times_are_learnt(self):
-        """(hint, loads seen) -> how long a load is held to take; after four the hint counts no more."""
-        for hint, seen, want in ((5000.0, [], 5000.0), (5000.0, [100.0] * 3, 5000.0), (5000.0, [100.0] * 4, 100.0),
-                                 (200.0, [900.0], 900.0), (200.0, [900.0] * 9, 900.0), (0.0, [100.0], 100.0),
-                                 (5000.0, [10.0] * 9, 5000.0)):  # so short that a copy may have stood, unknown
+        """(hint, loads seen, whether a call-out is told to have begun them) -> how long a load is held to take; after
+        four the hint counts no more."""
+        for hint, seen, want, *told in (
+                (5000.0, [], 5000.0), (5000.0, [100.0] * 3, 5000.0), (5000.0, [100.0] * 4, 100.0),
+                (200.0, [900.0], 900.0), (200.0, [900.0] * 9, 900.0), (0.0, [100.0], 100.0),
+                (5000.0, [10.0] * 9, 5000.0),  # so short that a copy may have stood, unknown
+                (5000.0, [10.0] * 4, 10.0, True), (5000.0, [-3.0] * 4, 1.0, True)):
             with self.subTest(hint=hint, seen=seen):
                 fleet = Fleet()
                 fleet.take()
                 program = fleet.fe.programs["p"]
                 program.load_hint = hint
                 for took in seen:
-                    fleet.fe.latency.loaded(program, took)
+                    fleet.fe.latency.loaded(program, took, *told)
                 self.assertEqual(fleet.fe.latency.load_time(program), want)
 
     def test_a_miss_site_gets_a_hold_before_the_call(self):
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -116,9 +116,9 @@
             held = report["held"] if "held" in report else own * self.front_ends
             self.widths.append(max(1.0, held) / (share * worker.listing.size))
 
-    def loaded(self, program: Program, took: float) -> None:
-        for loads in (program.loads, self.loads) if took > LOAD_LEAST else ():  # else a copy stood, unknown
-            loads.append(took)
+    def loaded(self, program: Program, took: float, began: bool = False) -> None:
+        for loads in (program.loads, self.loads) if began or took > LOAD_LEAST else ():  # else one stood
+            loads.append(max(1.0, took))
 
     def load_time(self, program: Program) -> float:
         # Danger: a hint far too long keeps RPCs at silent workers for two such loads. Also catches packages
@@ -561,7 +561,8 @@
             rpc.program.company.extend([(worker, company)] if self.stock.tells_company else [])
             self.guards.carried.append((now, self.guards.weight(rpc)))
             if place.loading is not None and standing in ("began", None) and not call_out.warm:
-                self.latency.loaded(rpc.program, now - place.loading - self.latency.cost(rpc))
+                took = now - place.loading - self.latency.cost(rpc)
+                self.latency.loaded(rpc.program, took, standing == "began")
             place.standing, place.used, place.loading = max(1, place.standing), now, None
         elif outcome == "miss":
             place.standing, place.loading = 0, None
