--- a/wickdyke/chance.py
+++ b/wickdyke/chance.py
@@ -26,9 +26,9 @@
 
 
 def draw(*marks: int) -> float:
-    """A number above 0 and at most 1 that hangs on the marks alone."""
-    chance = Chance(0)
-    for each in marks:
-        chance.state ^= each ^ chance.state >> 33
-        chance.below(1)
-    return 1 - chance.part()
+    """A number above 0 and at most 1 that hangs on the marks alone; plain sums, as it is drawn for each pair."""
+    state = 0
+    for each in (*marks, None):
+        state = state if each is None else state ^ each ^ state >> 33
+        state = (state * 6364136223846793005 + 1442695040888963407) % 2**64
+    return 1 - (state >> 33) % 2**31 / 2**31
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -65,6 +65,7 @@
     probe: bool
     retry_after: float
     dial: float
+    idle_close: float = 15000.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,6 +89,14 @@
     idle_memory: float
 
 
+@dataclass(slots=True, frozen=True)
+class Shares:
+    """What the tenants are promised: RPCs a second of the whole fleet for each, and the gain beyond as a part."""
+
+    quotas: tuple[float, ...] = ()
+    beyond: float = 1.0
+
+
 @dataclass(slots=True, frozen=True)
 class Seat:
     """Where this front end sits among its like."""
@@ -207,6 +216,7 @@
     used: float = 0.0
     ordered: float | None = None
     loading: float | None = None
+    missed: float = float("-inf")
     full_until: float = 0.0
     out: int = 0
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -13,7 +13,7 @@
 
 from wickdyke.chance import Chance, draw, mark
 from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place
-from wickdyke.interface import Program, Purse, Ration, Seat, Stock, Tariff, Timing, Warmup, Worker
+from wickdyke.interface import Program, Purse, Ration, Seat, Shares, Stock, Tariff, Timing, Warmup, Worker
 from wickdyke.interface import begin, empty, end, forget, place_of
 
 KEPT, KEPT_CALLS, KEPT_RATIOS = 16, 64, 40  # samples kept of most things; calls; latencies of a worker
@@ -43,6 +43,7 @@
 LOAD_GUESS, LOAD_LEAST, COST_GUESS = 1000.0, 50.0, 0.25  # ms of a load unseen; least; work, of soft deadline
 LOADS_TOLD = 4  # loads seen of a program from which its hint counts no more
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
+PROMISED = 0.8  # of what a fleet can do is promised to its tenants
 OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
 
@@ -64,8 +65,8 @@
 
 
 class Latency:  # round trip plus run time as measured, against what the RPC takes on the average worker
-    def __init__(self, stock: Stock, seat: Seat) -> None:
-        self.idle_life, self.report, self.front_ends = stock.idle_life, seat.report, seat.of
+    def __init__(self, stock: Stock, seat: Seat, shares: Shares) -> None:
+        self.idle_life, self.report, self.promised = stock.idle_life, seat.report, sum(shares.quotas)
         self.average, self.width_each, self.kinds = 1.0, 0.0, {}
         self.loads, self.widths = deque(maxlen=KEPT), deque(maxlen=KEPT_WIDTHS)
 
@@ -93,7 +94,7 @@
     def width(self, worker: Worker) -> float:
         return max(1.0, self.width_each * worker.listing.size)
 
-    def survey(self, workers: list[Worker], now: float) -> None:
+    def survey(self, workers: list[Worker], each: float, now: float) -> None:  # each: ms of the usual RPC
         kinds = {worker.listing.kind: [0.0, 0.0] for worker in workers}
         for worker in (worker for worker in workers if worker.ratios):
             self.weigh(worker, now)
@@ -105,16 +106,23 @@
             self.kinds = {k: (ms + part * self.average) / (own + part) for k, (ms, own) in kinds.items()}
         size = mean([worker.listing.size for worker in workers], 1.0)
         widths = sorted(self.widths)  # waiting for lanes and loads holds RPCs but no core: low samples tell
-        self.width_each = widths[int(len(widths) * WIDTH_LOW)] if len(widths) > KEPT else WIDTH_GUESS / size
+        # Danger: reports of busy or of held alone tell nothing of cores. What tenants are promised does. Also
+        # catches the first seconds. Hurts where far less or more is promised than the fleet can do.
+        promised = self.promised / 1000 * each / PROMISED / max(1, len(workers))
+        self.width_each = (widths[int(len(widths) * WIDTH_LOW)] if len(widths) > KEPT
+                           else (promised or WIDTH_GUESS) / size)
 
     def reported(self, worker: Worker, values: tuple[float, ...] | None, now: float) -> None:
         report, own = dict(zip(self.report, values or (), strict=False)), len(worker.out)
+        if "held" in report and 0.15 < report.get("busy", 0.0) < 0.85:  # else queues, noise say little
+            self.widths.append(max(1.0, report["held"]) / (report["busy"] * worker.listing.size))
+        if "held" in report:  # each stands in for the other where only one is told
+            report.setdefault("busy", min(1.0, report["held"] / self.width(worker)))
+        elif "busy" in report:
+            report["held"] = report["busy"] * self.width(worker) + report.get("queue", 0.0)
         if report:
             worker.reports.append((now, report, own))
-            worker.busy = mean([r.get("busy", 0.0) for _, r, _ in worker.reports], 0.0)
-        if 0.15 < (share := report.get("busy", 0.0)) < 0.85:  # else queues, noise say little of cores
-            held = report["held"] if "held" in report else own * self.front_ends
-            self.widths.append(max(1.0, held) / (share * worker.listing.size))
+            worker.busy = mean([r["busy"] for _, r, _ in worker.reports if "busy" in r], 0.0)
 
     def loaded(self, program: Program, took: float, began: bool = False) -> None:
         for loads in (program.loads, self.loads) if began or took > LOAD_LEAST else ():  # else one stood
@@ -160,18 +168,24 @@
 GROWTH, SHRINK, KEEPERS = 1.25, 0.7, 3.0  # of budgets at holds, refusals; others' calls in an idle life
 
 
+YOUNG, LOCAL = 1000.0, 0.5  # ms a front end counts as old at least; part of a zone's workers to be well
+
+
 class Fill:  # places each program on the fewest lowest-latency workers its demand needs, within budgets
-    def __init__(self, latency: Latency, stock: Stock, seat: Seat) -> None:
+    def __init__(self, latency: Latency, stock: Stock, seat: Seat, tariff: Tariff, now: float) -> None:
+        self.zone, self.since = seat.zone if tariff.crossing > 0 else None, now
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
         self.opened, self.known, self.carries, self.unit, self.hot, self.part = {}, [], {}, 1.0, inf, 1.0
         self.front_ends, self.count, self.tells = seat.of, 10**6, stock.tells_company
+        self.asks = not stock.loads_on_call  # a call-out where no copy stands costs a round trip only
 
     def whole(self, listing: Listing) -> float:
         return (self.memory[listing.kind:] or self.memory or (0.0,))[0]
 
     def demand(self, program: Program, now: float) -> float:  # lanes busy on average
         recent = [at for at in program.calls if now - at < self.idle_life]
-        span = now - recent[0] if len(recent) == KEPT_CALLS else self.idle_life
+        # Danger: just started, few calls look like little demand, and all go to one home. Hurts nowhere.
+        span = now - recent[0] if len(recent) == KEPT_CALLS else min(self.idle_life, now - self.since + YOUNG)
         return len(recent) / max(span, 1.0) * max(self.latency.usual(program) * self.latency.average, 1e-9)
 
     def wide(self, program: Program, own: float, share: float) -> float:  # the fleet's lanes busy with it
@@ -200,20 +214,33 @@
         self.count = max(enough(load), min(self.count, len(order)))
         return order[:self.count]
 
-    def share(self, workers: list[Worker], own: float) -> float:  # our part of the fleet's load, in lanes
+    def share(self, workers: list[Worker], own: float, even: float) -> float:  # our part of their lanes busy
         held = [r["held"] for w in workers for _, r, _ in w.reports if "held" in r]
         part = min(1.0, own / max(mean(held, 0.0) * len(workers), own, 1e-9))  # few reports: an even part
-        return (part * len(held) + KEPT / self.front_ends) / (len(held) + KEPT)
+        return (part * len(held) + KEPT * even) / (len(held) + KEPT)
+
+    def near(self, workers: list[Worker]) -> list[Worker]:
+        # Danger: where crossing costs, homes all over make most RPCs cross. Each zone is a fleet of its own
+        # while half of its workers are well. Hurts where copies in each zone crowd memory or the store.
+        own = [w for w in workers if self.zone in (None, w.listing.zone)]
+        return own if sum(not w.shuns for w in own) > LOCAL * len(own) else workers
 
     def ring(self, program: Program) -> list[Worker]:
         if program.ringed is not self.known:
-            program.ring, program.ringed = sorted(self.known, key=lambda w: lot(program, w)), self.known
+            far = {w: self.zone not in (None, w.listing.zone) for w in self.known}
+            program.ring = sorted(self.known, key=lambda w: (far[w], lot(program, w)))
+            program.ringed = self.known
         return program.ring
 
     def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
-        self.latency.survey(workers, now)
-        taken = {p: self.demand(p, now) for p in programs if now - p.called < self.idle_life}
-        latency, share = self.latency, self.share(workers, sum(taken.values()))
+        used = [p for p in programs if now - p.called < self.idle_life]
+        many = sum(len(p.calls) for p in used)
+        work = sum(len(p.calls) * self.latency.usual(p) for p in used)
+        self.latency.survey(workers, work / max(1, many), now)
+        taken = {p: self.demand(p, now) for p in used}
+        everyone, workers = len(workers), self.near(workers)
+        even = min(1.0, everyone / len(workers) / self.front_ends)
+        latency, share = self.latency, self.share(workers, sum(taken.values()), even)
         busy = mean([w.busy for w in workers if w.reports], 0.0) * sum(map(latency.width, workers)) * share
         scale = busy / sum(taken.values()) if busy and taken else 1.0  # crowding swells lanes only
         wide = {p: max(self.wide(p, load, share), load) for p, load in taken.items()}
@@ -246,7 +273,8 @@
             others = (wide[program] - taken[program]) / latency.usual(program) * self.idle_life / len(chosen)
             for place in [place_of(program, worker) for worker in chosen] and program.places:
                 place.placed, place.wanted = place.worker in chosen, copies
-                if place.placed and place.used and others > KEEPERS and place.worker.crammed <= now:
+                if (place.placed and (place.used or self.asks) and others > KEEPERS
+                        and place.worker.crammed <= now and now - place.missed > latency.load_time(program)):
                     place.standing, place.used = max(1, place.standing), now  # they keep it warm
 
     def put(self, program: Program, load: float, memory: float, placed: list[Worker], part: dict, room: dict,
@@ -290,7 +318,8 @@
 
 
 def choose(rpc: RPC, able, health: "Health", fill: Fill, chance: Chance, now: float) -> Place | None:
-    program, latency, tried = rpc.program, fill.latency, {call_out.place.worker for call_out in rpc.call_outs}
+    program, latency = rpc.program, fill.latency  # one that only missed, where that asks, may get a hold now
+    tried = {co.place.worker for co in rpc.call_outs if co.outcome != "miss" or not fill.asks}
     fled = {call_out.place.worker for call_out in rpc.call_outs if call_out.fled}
     first = not rpc.call_outs and rpc.method.effect == "idempotent"
     if trial := [w for w in health.shunned if first and able(w)]:  # homes return after an answer
@@ -321,6 +350,7 @@
 LIMIT_START, LESS, NEAR = 8.0, 0.5, 0.7  # call-outs out to a worker; least a cut leaves; part used to grow
 SHUN, SHUN_MOST = 1500.0, 4000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
+WALL = 0.25  # of the workers met of late, unreached and none cut: it is the connections
 SILENT, SILENT_ONE, MUTE, SILENT_LEAST = 26.0, 6.0, 9.0, 80.0  # dues: in all, one RPC, one probe; ms of one
 
 
@@ -341,9 +371,29 @@
 
 class Health:  # whom not to send to, by symptom, whatever the cause: unreachable, failing or silent
     def __init__(self, note, latency: Latency) -> None:
-        self.note, self.latency, self.shunned = note, latency, {}
+        self.note, self.latency, self.shunned, self.met, self.walled = note, latency, {}, {}, False
+
+    def wall(self, now: float) -> bool:
+        # Danger: what hits many workers at once and cuts no connection is not the workers: new connections
+        # take too long. As restarts, all books would go. Also a break of the network. Hurts if many vanish.
+        self.met = {w: (at, outcome) for w, (at, outcome) in self.met.items() if now - at < BAD_AGE}
+        met = Counter(outcome for _, outcome in self.met.values())
+        walled = met["unreached"] >= BAD_LEAST and met["unreached"] > WALL * len(self.met) and not met["cut"]
+        if walled != self.walled:
+            said = "fail" if walled else "work again"
+            self.note(f"new connections {said}: {met['unreached']} of {len(self.met)}")
+        for worker in [w for w in self.shunned if walled and self.met.get(w, (0, ""))[1] == "unreached"]:
+            self.shunned.pop(worker)
+            worker.shuns, worker.cold_from = 0, worker.listing.born
+        self.walled = walled
+        return walled
 
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
+        if outcome in ("unreached", "cut", "ok", "error", "full", "miss"):
+            self.met[worker] = now, outcome
+        if (outcome == "unreached" or self.walled) and self.wall(now) and outcome == "unreached":
+            worker.shun_until = now + SHUN_MOST
+            return
         if outcome in ("unreached", "cut"):  # Danger: the list tells late that it starts anew, cold, empty.
             empty(worker)  # Should also catch a list that lags. Could hurt after a break of the network.
             worker.cold_from = now
@@ -481,7 +531,8 @@
 
 class FrontEnd:
     def __init__(self, now: float, seed: int, methods: list[Method], seat: Seat, allowance: Allowance,
-                 stock: Stock, warmup: Warmup, ration: Ration, directory: Directory, tariff: Tariff) -> None:
+                 stock: Stock, warmup: Warmup, ration: Ration, directory: Directory, tariff: Tariff,
+                 shares: Shares = Shares()) -> None:  # noqa: B008 - it is frozen
         self.now, self.methods, self.seat, self.stock = now, methods, seat, stock
         for method in methods:
             method.times = deque(maxlen=KEPT)
@@ -490,9 +541,10 @@
         self.purses: dict[str, Purse] = {}
         self.orders, self.acts, self.chance = deque(), deque(), Chance(seed)
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
-        self.latency, self.guards = Latency(stock, seat), Guards(warmup, ration, seed, seat.of)
+        self.latency, self.guards = Latency(stock, seat, shares), Guards(warmup, ration, seed, seat.of)
         self.ready, self.rota, self.muted, self.probes, self.fresh = [], deque(), [], PROBES, 0
-        self.fill, self.health = Fill(self.latency, stock, seat), Health(self.notes.append, self.latency)
+        self.fill = Fill(self.latency, stock, seat, tariff, now)
+        self.health = Health(self.notes.append, self.latency)
         few = (deque(maxlen=JUDGED) for _ in range(4))  # all workers as one: the limit on all our call-outs
         self.whole = Worker(Listing("", 0, 0, 0, "ready", 1.0, None), *few, 0.0, inf, None, 0)
         self.next_fill = self.wake_at = now
@@ -515,7 +567,8 @@
             self.rota, self.fill.known, self.ready = deque(ready), ready, ready
 
     def took(self, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
-             load: float | None, work: float | None, repeat: bool, timing: Timing | None = None) -> None:
+             load: float | None, work: float | None, repeat: bool, timing: Timing | None = None,
+             tenant: int = 0) -> None:
         now, few = self.now, (deque(maxlen=many) for many in (KEPT_CALLS, KEPT, KEPT, KEPT))
         program = self.programs.get(name) or Program(name, method, memory, lanes, load or 0, *few, mark(name))
         self.programs[name], program.called, self.probes = program, now, min(PROBES, self.probes + PROBE_PART)
@@ -565,7 +618,7 @@
                 self.latency.loaded(rpc.program, took, standing == "began")
             place.standing, place.used, place.loading = max(1, place.standing), now, None
         elif outcome == "miss":
-            place.standing, place.loading = 0, None
+            place.standing, place.loading, place.missed = 0, None, now
         elif outcome == "full":
             # Danger: the full answer at once and draw more. Also lack of memory. Hurts if full briefly.
             gap = (now - rpc.program.calls[0]) / len(rpc.program.calls)
@@ -708,9 +761,12 @@
         most = most_of(rpc, self.allowance)
         if not now < rpc.ends - 2 * TICK or working(self.whole, now) >= self.whole.limit:
             return None
+        missed = {co.place.worker for co in rpc.call_outs if co.outcome == "miss"
+                  and co.place.ordered is None and not self.latency.stands(co.place, now)}
 
         def able(worker: Worker) -> bool:
             return (worker not in besides and worker.shun_until <= now
+                    and not (worker in missed and not self.guards.may_hold(worker, False, now))
                     and not (worker.shuns and (worker.out or worker.mute))
                     and self.guards.may_call(worker, rpc, now) and may_repeat(rpc, worker, most, now))
 
@@ -718,7 +774,10 @@
         # to find no place tells for all like it, until something is heard. Hurts nowhere: all would fail.
         like, place = (rpc.program, rpc.method, not rpc.call_outs), None
         if like not in self.stuck:
-            place = choose(rpc, able, self.health, self.fill, self.chance, now)
+            open_to = [w for w in self.ready if self.health.walled and w.heard and able(w)
+                       and now - w.heard < self.allowance.idle_close]  # a connection stands, while new ones fail
+            fit = open_to.__contains__ if open_to else able
+            place = choose(rpc, fit, self.health, self.fill, self.chance, now)
             self.stuck.update({like} if place is None and not rpc.call_outs else ())
         return place
 
@@ -731,7 +790,12 @@
                               and may_pay(rpc, rpc.call_outs[-1].outcome if rpc.call_outs else None, now))
         if more and now >= rpc.not_before:
             if place := self.place_for(rpc, set(), now):
-                if (self.stock.loads_on_call or self.latency.stands(place, now)
+                # Danger: each of many front ends spends its ration on copies that others' orders brought.
+                # Asked by a call-out, a miss proves that none stands. Hurts where misses are slow.
+                load_time = self.latency.load_time(place.program)
+                asks = (len(rpc.call_outs) + 1 < most and now - place.missed > load_time
+                        and not any(co.place is place for co in rpc.call_outs))
+                if (self.stock.loads_on_call or self.latency.stands(place, now) or asks
                         or place.ordered is not None and place.ordered < now):
                     if timing and timing.budget and rpc.call_outs:
                         rpc.purse.paid.append((now,))
@@ -762,7 +826,9 @@
         if self.guards.cold(worker, now):
             worker.sends.append((now, self.guards.weight(rpc)))
         self.acts.append(("call", rpc, worker, rpc.timing.attempt if rpc.timing else None))
-        place.used, place.loading = (now, place.loading) if warm else (place.used, place.loading or now)
+        place.used = now if warm else place.used
+        if not warm and self.stock.loads_on_call:
+            place.loading = place.loading or now
 
     def order(self, place: Place, copies: int, renewal: bool, now: float) -> None:
         paid = self.probes >= 1 or not self.stock.loads_on_call
