Programs spread where no company is told; what would be late at a full home is denied

Ruled out: loads (1,900 of 12,700 late had missed first), single slow workers (late ones stood at 14 of 63, 10 struck). Programs take a fifth of a worker's part where no company is told; only homes are probed in turn; a place whose last RPC took long counts so, fading; before its first call-out an RPC that would not fit at its best home, full by a fresh report, is denied. While new connections fail, workers heard of late come first, and the mode lasts until all are reached.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -335,6 +335,77 @@
         self.assertEqual(verbs(fleet.take()), ["hold"])
 
 
+class Shapes(unittest.TestCase):
+    """What stands in where a deployment lacks a signal, and what follows where it is built in another way."""
+
+    def test_reports_are_completed(self):
+        """(fields, values, cores of a worker) -> busy and held as they count; absent is not 0."""
+        for fields, values, busy, held in (
+                (("busy", "held"), (0.5, 3.0), 0.5, 3.0), (("held",), (2.0,), 0.5, 2.0), (("held",), (9.0,), 1.0, 9.0),
+                (("busy",), (0.5,), 0.5, 2.0), (("busy", "queue"), (0.5, 7.0), 0.5, 9.0)):
+            with self.subTest(fields=fields, values=values):
+                fleet = Fleet(workers=2, report=fields)
+                worker, latency = fleet.fe.workers["a"], fleet.fe.latency
+                latency.width_each = 4.0 / worker.listing.size
+                latency.reported(worker, values, fleet.clock)
+                report = worker.reports[-1][1]
+                self.assertEqual((worker.busy, report["busy"], report["held"]), (busy, busy, held))
+
+    def test_cores_by_what_tenants_are_promised(self):
+        """(RPCs a second promised) -> RPCs at once of each of 4 workers, at 200 ms each; a guess where nothing is."""
+        for quotas, want in (((), 4.0), ((16.0, 16.0), 2.0), ((64.0,), 4.0), ((320.0,), 20.0)):
+            with self.subTest(quotas=quotas):
+                fleet = Fleet(workers=4, report=("held",), quotas=quotas)
+                fleet.fe.latency.survey(fleet.fe.ready, 200.0, fleet.clock)
+                self.assertAlmostEqual(fleet.fe.latency.width(fleet.fe.workers["a"]), want)
+
+    def test_a_program_spreads_where_no_company_is_told(self):
+        """(company told) -> homes of a program that needs 0.6 of a worker's part."""
+        for tells, homes in ((True, 1), (False, 3)):
+            with self.subTest(tells=tells):
+                fleet = Fleet(workers=6, loads_on_call=False, tells=tells)
+                fleet.take()
+                program, workers, fill = fleet.fe.programs["p"], fleet.fe.ready, fleet.fe.fill
+                fill.unit, fill.opened, one = 1.0, dict.fromkeys(workers), dict.fromkeys(workers, 1.0)
+                got = fill.put(program, 0.6, 1.0, [], one, one, dict.fromkeys(workers, 9e9), fleet.clock)
+                self.assertEqual(len(got), homes)
+
+    def test_a_zone_is_a_fleet_of_its_own_where_crossing_costs(self):
+        """(price of crossing, loads on call, workers of the zone shunned) -> the zones in which programs are placed."""
+        rows = [row(name, zone=at % 2) for at, name in enumerate("abcdefgh")]
+        for crossing, on_call, ill, zones in (
+                (0.0, False, 0, {0, 1}), (0.05, True, 0, {0, 1}), (0.05, False, 0, {0}), (0.05, False, 3, {0, 1})):
+            with self.subTest(crossing=crossing, on_call=on_call, ill=ill):
+                fleet = Fleet(rows=rows, crossing=crossing, loads_on_call=on_call)
+                for worker in [w for w in fleet.fe.ready if w.listing.zone == 0][:ill]:
+                    worker.shuns = 1
+                self.assertEqual({w.listing.zone for w in fleet.fe.fill.know(fleet.fe.ready)}, zones)
+
+    def test_what_would_be_late_at_a_full_home_is_denied_at_once(self):
+        """(busy, held there, age of the report in ms) -> the verb."""
+        for busy, held, age, verb in ((0.95, 60.0, 0, "deny"), (0.5, 60.0, 0, "call"), (0.95, 1.0, 0, "call"),
+                                      (0.95, 60.0, 5000, "call")):
+            with self.subTest(busy=busy, held=held, age=age):
+                fleet = Fleet(workers=1)
+                fleet.serve(calls=20)
+                fleet.fe.latency.reported(fleet.fe.workers["a"], (busy, held), fleet.clock - age)
+                self.assertIn(verb, verbs(fleet.take()))
+
+    def test_many_unreached_and_none_cut_are_no_restarts(self):
+        """(outcomes at as many workers, one each) -> whether the copies there count as lost."""
+        for outcomes, lost in (
+                (["ok"] * 6 + ["unreached"] * 4, False), (["ok"] * 9 + ["unreached"], True),
+                (["ok"] * 5 + ["cut"] + ["unreached"] * 4, True)):
+            with self.subTest(outcomes=outcomes):
+                fleet = Fleet(workers=10)
+                fleet.fe.woke(fleet.clock)
+                fleet.take()
+                for worker, outcome in zip(fleet.fe.ready, outcomes, strict=True):
+                    fleet.fe.health.saw(worker, outcome, fleet.clock)
+                last = fleet.fe.ready[-1]
+                self.assertEqual((last.cold_from is not None, last in fleet.fe.health.shunned), (lost, lost))
+
+
 class Symptoms(unittest.TestCase):
     """Each failure found in a round, as what a front end sees of it."""
 
--- a/wickdyke/chance.py
+++ b/wickdyke/chance.py
@@ -26,7 +26,7 @@
 
 
 def draw(*marks: int) -> float:
-    """A number above 0 and at most 1 that hangs on the marks alone; plain sums, as it is drawn for each pair."""
+    """A number above 0 and at most 1 that hangs on the marks alone; no objects, as it is drawn often."""
     state = 0
     for each in (*marks, None):
         state = state if each is None else state ^ each ^ state >> 33
--- a/wickdyke/drill/codec.py
+++ b/wickdyke/drill/codec.py
@@ -265,8 +265,8 @@
             ask_within=get("rules.ask-within", span, 0.0),
             drain_grace=get("rules.stop-sending-within", span)),
         "shares": Shares(
-            quotas=tuple(get(f"tenants.{place}.quota-rps", number) for place in range(get("tenants.count", count, 0))),
-            beyond=get("over-share-worth", number, 1.0)),
+            quotas=tuple(get(f"tenants.{place}.quota-rps", number)
+                         for place in range(get("tenants.count", count, 0)))),
         "tariff": Tariff(
             waste=get("prices.waste", number, 0.0), late=get("prices.late-fail", number, 0.0),
             fetch=get("prices.origin", number, 0.0), probe=get("prices.probe", number, 0.0),
--- a/wickdyke/drill/host.py
+++ b/wickdyke/drill/host.py
@@ -122,12 +122,11 @@
         front_end = instance.front_end
         front_end.woke(self.now)
         match name, values:
-            case "NEW_REQUEST", [ident, bits, left, method, program, work, tenant, memory, load, lanes]:
+            case "NEW_REQUEST", [ident, bits, left, method, program, work, _, memory, load, lanes]:
                 if method >= len(front_end.methods):
                     raise BadInput(f"NEW_REQUEST: class is {method}, expected one of the settings")
                 front_end.took(ident, left, front_end.methods[method], program, memory,
-                               max(1, int(lanes)), load, work if bits & 1 else None, bool(bits & 2),
-                               tenant=tenant or 0)
+                               max(1, int(lanes)), load, work if bits & 1 else None, bool(bits & 2))
             case "REPORT_BACK", [ident, number, _, outcome, _, complete, note, report]:
                 standing, company = codec.note(note)
                 front_end.ended(ident, number, outcome, complete, standing, company, report)
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -91,10 +91,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Shares:
-    """What the tenants are promised: RPCs a second of the whole fleet for each, and the gain beyond as a part."""
+    """What tenants are promised: RPCs a second of the whole fleet for each."""
 
     quotas: tuple[float, ...] = ()
-    beyond: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -217,6 +216,8 @@
     ordered: float | None = None
     loading: float | None = None
     missed: float = float("-inf")
+    took: float = 0.0
+    took_at: float = 0.0
     full_until: float = 0.0
     out: int = 0
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -43,7 +43,7 @@
 LOAD_GUESS, LOAD_LEAST, COST_GUESS = 1000.0, 50.0, 0.25  # ms of a load unseen; least; work, of soft deadline
 LOADS_TOLD = 4  # loads seen of a program from which its hint counts no more
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
-PROMISED = 0.8  # of what a fleet can do is promised to its tenants
+PROMISED = 0.8  # of what a fleet can do, to its tenants
 OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
 
@@ -145,11 +145,15 @@
         worker, (at, report, own) = place.worker, (place.worker.reports or [(0.0, {}, 0)])[-1]
         others = max(0.0, report.get("held", 0.0) - own) * max(0.0, 1 - (now - at) / FRESH)
         crowd = 1 + (len(worker.out) + others) / self.width(worker)
-        return self.cost(rpc) * self.pace(worker) * crowd + self.load_left(place, now)
+        # Danger: reports come late and pace is a mean: RPCs go on into a queue. Also a copy that hangs. Hurts
+        # where one RPC was heavy: the place is left to others for a while.
+        burnt = place.took * max(0.0, 1 - (now - place.took_at) / FRESH)
+        return max(burnt, self.cost(rpc) * self.pace(worker) * crowd) + self.load_left(place, now)
 
     def learn(self, call_out: CallOut, outcome: str, now: float) -> None:
         # Danger: one grows slower, what was given up never tells. Also lost answers. Hurts if all lose some.
         worker, rpc, took = call_out.place.worker, call_out.rpc, now - call_out.sent
+        call_out.place.took, call_out.place.took_at = took, now
         if outcome == "ok" or outcome in ("timeout", "cancelled") and took > call_out.expected:
             least = took if outcome == "ok" else min(took, OVERDUE * call_out.expected)  # given up: at least
             worker.ratios.append((now, least, self.cost(rpc)))
@@ -162,6 +166,7 @@
 TARGET, BOUND, HEADROOM = 0.6, 0.7, 1.5  # busy share to open workers, to fill one for; deviations kept free
 SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
 SMALL, CLOSE, HOT, TIRED = 0.15, 0.75, 1.2, 0.8  # of room: may go over, given up; of mean busy share; least
+SPREAD = 0.2  # of a worker's part that one program is to take, where no company tells how wanted it is
 CAP, GRADE, DOUBT = 2, 1.3, 4.0  # holds a worker, period; latency steps; reports against twice the load
 SLOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
 LOST, RENEW = 4.0, 0.7  # load times after which a load counts as lost; of the idle life: when to renew
@@ -173,11 +178,11 @@
 
 class Fill:  # places each program on the fewest lowest-latency workers its demand needs, within budgets
     def __init__(self, latency: Latency, stock: Stock, seat: Seat, tariff: Tariff, now: float) -> None:
-        self.zone, self.since = seat.zone if tariff.crossing > 0 else None, now
+        self.asks = not stock.loads_on_call  # a call-out where no copy stands costs a round trip only
+        self.zone, self.since = seat.zone if tariff.crossing > 0 and self.asks else None, now
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
         self.opened, self.known, self.carries, self.unit, self.hot, self.part = {}, [], {}, 1.0, inf, 1.0
         self.front_ends, self.count, self.tells = seat.of, 10**6, stock.tells_company
-        self.asks = not stock.loads_on_call  # a call-out where no copy stands costs a round trip only
 
     def whole(self, listing: Listing) -> float:
         return (self.memory[listing.kind:] or self.memory or (0.0,))[0]
@@ -219,17 +224,17 @@
         part = min(1.0, own / max(mean(held, 0.0) * len(workers), own, 1e-9))  # few reports: an even part
         return (part * len(held) + KEPT * even) / (len(held) + KEPT)
 
-    def near(self, workers: list[Worker]) -> list[Worker]:
-        # Danger: where crossing costs, homes all over make most RPCs cross. Each zone is a fleet of its own
-        # while half of its workers are well. Hurts where copies in each zone crowd memory or the store.
+    def know(self, workers: list[Worker]) -> list[Worker]:  # those that it places on; a list of its own
+        # Danger: where crossing costs, homes all over make most call-outs cross. Each zone is a fleet of its
+        # own while half of its workers are well. Hurts where copies in each zone crowd memory or the store.
         own = [w for w in workers if self.zone in (None, w.listing.zone)]
-        return own if sum(not w.shuns for w in own) > LOCAL * len(own) else workers
+        near = own if sum(not w.shuns for w in own) > LOCAL * len(own) else list(workers)
+        self.known = near if near != self.known else self.known
+        return self.known
 
     def ring(self, program: Program) -> list[Worker]:
         if program.ringed is not self.known:
-            far = {w: self.zone not in (None, w.listing.zone) for w in self.known}
-            program.ring = sorted(self.known, key=lambda w: (far[w], lot(program, w)))
-            program.ringed = self.known
+            program.ring, program.ringed = sorted(self.known, key=lambda w: lot(program, w)), self.known
         return program.ring
 
     def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
@@ -238,7 +243,7 @@
         work = sum(len(p.calls) * self.latency.usual(p) for p in used)
         self.latency.survey(workers, work / max(1, many), now)
         taken = {p: self.demand(p, now) for p in used}
-        everyone, workers = len(workers), self.near(workers)
+        everyone, workers = len(workers), self.know(workers)
         even = min(1.0, everyone / len(workers) / self.front_ends)
         latency, share = self.latency, self.share(workers, sum(taken.values()), even)
         busy = mean([w.busy for w in workers if w.reports], 0.0) * sum(map(latency.width, workers)) * share
@@ -273,13 +278,13 @@
             others = (wide[program] - taken[program]) / latency.usual(program) * self.idle_life / len(chosen)
             for place in [place_of(program, worker) for worker in chosen] and program.places:
                 place.placed, place.wanted = place.worker in chosen, copies
-                if (place.placed and (place.used or self.asks) and others > KEEPERS
-                        and place.worker.crammed <= now and now - place.missed > latency.load_time(program)):
+                told = now - place.missed > latency.load_time(program) if self.asks else place.used
+                if place.placed and told and others > KEEPERS and place.worker.crammed <= now:
                     place.standing, place.used = max(1, place.standing), now  # they keep it warm
 
     def put(self, program: Program, load: float, memory: float, placed: list[Worker], part: dict, room: dict,
             budget: dict, now: float) -> list[Worker]:
-        need = max(1, ceil(load / self.unit))
+        need = max(1, ceil(load / self.unit / (1.0 if self.tells else SPREAD)))
         need = max(need, len(placed) * (load > (len(placed) - 1) * self.unit * CLOSE))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
@@ -378,10 +383,10 @@
         # take too long. As restarts, all books would go. Also a break of the network. Hurts if many vanish.
         self.met = {w: (at, outcome) for w, (at, outcome) in self.met.items() if now - at < BAD_AGE}
         met = Counter(outcome for _, outcome in self.met.values())
-        walled = met["unreached"] >= BAD_LEAST and met["unreached"] > WALL * len(self.met) and not met["cut"]
+        many = met["unreached"] >= BAD_LEAST and met["unreached"] > WALL * len(self.met)
+        walled = not met["cut"] and (many or self.walled and met["unreached"] > 0)  # until all are reached
         if walled != self.walled:
-            said = "fail" if walled else "work again"
-            self.note(f"new connections {said}: {met['unreached']} of {len(self.met)}")
+            self.note(f"new connections {('work', 'fail')[walled]}: {met['unreached']} of {len(self.met)}")
         for worker in [w for w in self.shunned if walled and self.met.get(w, (0, ""))[1] == "unreached"]:
             self.shunned.pop(worker)
             worker.shuns, worker.cold_from = 0, worker.listing.born
@@ -525,6 +530,7 @@
         return not self.ration.window or len(self.ordered) + 1 <= most * (1 - RATION_KEPT * renewal)
 
 
+DOOM = 1.5  # times its latency as expected, by which an RPC is to fit before its soft deadline
 FORGET, TICK, PROBE_PART, PROBES = 3, 50.0, 0.5, 8.0  # idle lives; ms between looks; probes an RPC, saved up
 PROBE_EVERY, PROBE_SOON, FEW, LAZY = 1000.0, 300.0, 8, 4.0  # ms of probes, if silent; RPCs a fill; periods
 
@@ -564,11 +570,11 @@
             w = Worker(row, *few, self.fill.whole(row) / self.seat.of, LIMIT_START, row.born, mark(row.ident))
             self.workers.setdefault(row.ident, w).listing = row
         if (ready := [w for w in self.workers.values() if w.listing.state == "ready"]) != self.ready:
-            self.rota, self.fill.known, self.ready = deque(ready), ready, ready
+            self.rota, self.ready = deque(ready), ready
+            self.fill.know(ready)
 
     def took(self, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
-             load: float | None, work: float | None, repeat: bool, timing: Timing | None = None,
-             tenant: int = 0) -> None:
+             load: float | None, work: float | None, repeat: bool, timing: Timing | None = None) -> None:
         now, few = self.now, (deque(maxlen=many) for many in (KEPT_CALLS, KEPT, KEPT, KEPT))
         program = self.programs.get(name) or Program(name, method, memory, lanes, load or 0, *few, mark(name))
         self.programs[name], program.called, self.probes = program, now, min(PROBES, self.probes + PROBE_PART)
@@ -710,6 +716,8 @@
             if self.ready:
                 self.fill.run(programs := list(self.programs.values()), self.ready, now)
                 self.orders = deque(self.fill.holds(programs, now) if self.stock.may_hold else ())
+                homes = {p.worker: None for program in programs for p in program.places if p.placed}
+                self.rota = deque(homes or self.ready)  # reports of others would decide nothing
         self.wake_at = min(self.next_fill, now + TICK if self.rpcs or self.muted else self.next_fill)
 
     def probe(self, worker: Worker, every: float, now: float) -> None:
@@ -774,10 +782,10 @@
         # to find no place tells for all like it, until something is heard. Hurts nowhere: all would fail.
         like, place = (rpc.program, rpc.method, not rpc.call_outs), None
         if like not in self.stuck:
-            open_to = [w for w in self.ready if self.health.walled and w.heard and able(w)
-                       and now - w.heard < self.allowance.idle_close]  # a connection stands, while new ones fail
-            fit = open_to.__contains__ if open_to else able
-            place = choose(rpc, fit, self.health, self.fill, self.chance, now)
+            keeps = self.allowance.idle_close  # while new connections fail, one that stands comes first
+            fits = (lambda w: w.heard and now - w.heard < keeps and able(w), able)[not self.health.walled:]
+            tries = (choose(rpc, fit, self.health, self.fill, self.chance, now) for fit in fits)
+            place = next(filter(None, tries), None)
             self.stuck.update({like} if place is None and not rpc.call_outs else ())
         return place
 
@@ -789,7 +797,9 @@
         more = not timing or (len(rpc.call_outs) < most
                               and may_pay(rpc, rpc.call_outs[-1].outcome if rpc.call_outs else None, now))
         if more and now >= rpc.not_before:
-            if place := self.place_for(rpc, set(), now):
+            place = self.place_for(rpc, set(), now)
+            more = not (place and not rpc.call_outs and self.doomed(place, rpc, now))
+            if place and more:
                 # Danger: each of many front ends spends its ration on copies that others' orders brought.
                 # Asked by a call-out, a miss proves that none stands. Hurts where misses are slow.
                 load_time = self.latency.load_time(place.program)
@@ -814,6 +824,13 @@
         self.acts.append(("deny", rpc, back) if may_deny(rpc) else ("abort", rpc))
         self.close(rpc)
 
+    def doomed(self, place: Place, rpc: RPC, now: float) -> bool:
+        # Danger: in an overload each of many front ends sends little, and queues make all late. Also a home
+        # that is too crowded. Hurts where the last report was a short burst's.
+        at, report, _ = (place.worker.reports or [(0.0, {}, 0)])[-1]
+        return (now - at < FRESH and report.get("busy", 0.0) >= FULL_CORES and self.latency.stands(place, now)
+                and now + DOOM * self.latency.expect(place, rpc, now) > rpc.soft)
+
     def call(self, rpc: RPC, place: Place, now: float) -> None:
         worker, warm = place.worker, self.latency.stands(place, now)
         near, far, due = working(worker, now), working(self.whole, now), self.latency.expect(place, rpc, now)
