wickdyke move writes settings for another build; tenants and idle-close in the settings

The front end was not ready for the new build: the module reads what tenants are promised and how long an idle connection stands, and the program's settings had neither. Recordings made before replay as they did. Tests on loopback: a worker that answers miss until held, asked, held, called; a shape moved; broken shapes, one line each.

--- a/deploy/gateway.sexp
+++ b/deploy/gateway.sexp
@@ -21,7 +21,8 @@
   (report busy queue loads)                     ; the figures of workers' reports (* busy held)
   (by-work no)                                  ; * whether gain is counted by work instead of by RPC
   (call-outs (most 3) (overlap no)              ; * call-outs of an RPC; whether two may be out at once
-    (cancel yes) (probe yes) (retry-after 0 ms) (dial 250 ms)) ; *
+    (cancel yes) (probe yes) (retry-after 0 ms) (dial 250 ms)
+    (idle-close 15 s))                          ; * for how long an idle connection to a worker stands
   (stock (idle-life 8 s)                        ; how long an idle copy stays loaded
     (may-hold yes) (loads-on-call yes) (hold-wait 10 s) (tells-standing yes) (tells-company yes)) ; *
   (warmup (start-share 0.25) (ramp 14 s)        ; a cold worker's first share of its capacity, and when it is warm
@@ -29,6 +30,7 @@
   (ration (free 0) (share 0) (window 0 s))      ; * load orders: so many, and a share of the RPCs taken, a window
   (drain-grace 1 s)                             ; nothing new to a draining worker later than this
   (tariff (waste 0) (late 0) (fetch 0) (probe 0) (crossing 0) (idle-memory 0)) ; *
+  ; (tenant "a" (quota 500))                     a tenant: RPCs a second of all gateways within its share
   (answer-way 20 ms)                            ; * kept back of each client's time for the answer's way
   (isolation                                    ; * what is kept from being tried (docs/oncall.md)
     (loads (workers 2) (window 30 s) (first 1 s) (most 1 min))   ; programs that fail to load at so many workers
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -100,7 +100,7 @@
   (method "idem" (effect idempotent) (soft-deadline {soft}) (deadline {deadline}))
   (method "side" (effect side-effecting) (soft-deadline {soft}) (deadline {deadline}))
   (program "p*" (memory 100 MB) (lanes 64) (load 50 ms))
-  {call_outs} (stock (idle-life 60 s)) (warmup (start-share 1) (ramp 0 s) (multiple 100)
+  {call_outs} (stock (idle-life 60 s) {stock}) (warmup (start-share 1) (ramp 0 s) (multiple 100)
   (window 1 s)) (drain-grace 1 s) (answer-way {way}) {more})"""
 
 
@@ -111,7 +111,7 @@
     """A gateway in this process, its folder and its workers; used as a context."""
 
     def __init__(self, workers=(willing,), soft="4 s", deadline="10 s", way="100 ms", more="", tape=False, sink=None,
-                 routes=None):
+                 routes=None, stock=""):
         self.made = tempfile.TemporaryDirectory(prefix="wd-")
         self.folder, self.peers = self.made.name, []
         for at, play in enumerate(workers):
@@ -122,7 +122,7 @@
             self.route(routes)
             more += ' (routes (file "routes.sexp") (reread 20 ms))'
         with open(os.path.join(self.folder, "g.sexp"), "w") as out:
-            out.write(TERMS.format(soft=soft, deadline=deadline, way=way, more=more,
+            out.write(TERMS.format(stock=stock, soft=soft, deadline=deadline, way=way, more=more,
                                    call_outs="" if "(call-outs" in more else CALL_OUTS))
         self.station = station.read(os.path.join(self.folder, "g.sexp"))
         if tape:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -521,7 +521,8 @@
         with open(os.path.join(folder, "workers.sexp"), "w") as out:
             out.write(written([Row("w0", peer.path, None, None, 0, 4.0, "ready", 0)]))
         with open(os.path.join(folder, "g.sexp"), "w") as out:
-            out.write(TERMS.format(soft="500 ms", deadline=deadline, way="100 ms", more="", call_outs=CALL_OUTS))
+            out.write(TERMS.format(soft="500 ms", deadline=deadline, way="100 ms", more="", call_outs=CALL_OUTS,
+                                   stock=""))
         process = subprocess.Popen([sys.executable, "-m", "wickdyke.cli", "serve", os.path.join(folder, "g.sexp")],
                                    stdout=subprocess.PIPE, stderr=subprocess.PIPE)
         self.addCleanup(process.stdout.close)
--- /dev/null
+++ b/tests/test_move.py
@@ -0,0 +1,135 @@
+"""A move to another shape of deployment: the file that comes out, what is told, and a gateway that runs on it."""
+
+import os
+import tempfile
+import unittest
+
+from tests.rig import Running, hello, lines_of, ok
+from tests.test_gateway import run
+from wickdyke.interface import Shares
+from wickdyke.protocol import back, jsonrpc
+from wickdyke.settings import station
+
+OLD = """; what the operators wrote
+(gateway
+  (listen (json-rpc "w.sock")) (workers (file "workers.sexp"))
+  (zone "hall; a") (kind "old" (memory 8 GB))
+  (method "m" (effect idempotent) (soft-deadline 750 ms) (deadline 4 s)) ; kept
+  (program "p" (memory 100 MB))
+  (call-outs (most 3) (overlap no))
+  (stock (idle-life 8 s))
+  (warmup (start-share 0.25) (ramp 1 s) (multiple 3) (window 1 s))
+  (drain-grace 1 s))"""
+SHAPE = """(shape
+  (kind "new" (memory 16 GB)) (tenant "a" (quota 50))
+  (method "m" (soft-deadline 600 ms)) (method "t" (effect tokened) (window 4 s) (scope cell)
+    (soft-deadline 1 s) (deadline 4 s))
+  (report held loads) (call-outs (most 4) (retry-after 1 s))
+  (stock (loads-on-call no) (tells-company no)) (ration (free 3) (share 0.1) (window 5 s)))"""
+LIST = '(workers (worker "w1" (address "w1.sock") (zone "hall; a") (kind "new")))'
+
+
+class Move(unittest.TestCase):
+    def setUp(self):
+        self.folder = self.enterContext(tempfile.TemporaryDirectory())
+        for name, text in (("old", OLD), ("shape", SHAPE), ("workers", LIST)):
+            self.write(name, text)
+
+    def path(self, name):
+        return os.path.join(self.folder, name + ".sexp")
+
+    def write(self, name, text):
+        with open(self.path(name), "w") as sink:
+            sink.write(text)
+
+    def move(self, *flags):
+        return run("move", *flags, self.path("old"), self.path("shape"), self.path("new"))
+
+    def test_what_comes_out(self):
+        code, _, told = self.move()
+        self.assertEqual(code, 0, told)
+        old, new = station.read(self.path("old")), station.read(self.path("new"))
+        self.assertEqual((new.kinds, new.tenants, new.shares), (("new",), ("a",), Shares((50.0,))))
+        self.assertEqual([(m.name, m.soft, m.deadline) for m in new.methods], [("m", 600, 4000), ("t", 1000, 4000)])
+        self.assertEqual((new.allowance.call_outs, new.allowance.overlap), (4, False))
+        self.assertEqual((new.stock.idle_life, new.stock.loads_on_call), (8000.0, False))
+        self.assertEqual((new.warmup, new.programs[0].memory, new.zones), (old.warmup, 100.0, old.zones))
+        for words in ('(kind "old" (memory 8 GB)) has no counterpart', "(most 3) became (most 4)",
+                      "2 lines with comments", "(soft-deadline 750 ms) became (soft-deadline 600 ms)"):
+            self.assertIn(words, told)
+        with open(self.path("old")) as source:
+            self.assertEqual(source.read(), OLD)
+
+    def test_dry_run_changes_nothing(self):
+        before = sorted(os.listdir(self.folder))
+        code, out, told = self.move("--dry-run")
+        self.assertEqual((code, sorted(os.listdir(self.folder))), (0, before), told)
+        self.assertEqual(self.move()[0], 0)
+        with open(self.path("new")) as source:
+            self.assertEqual(source.read(), out)
+
+    def test_what_stays_and_no_longer_fits_is_told(self):
+        self.write("workers", LIST.replace('"new"', '"old"'))
+        code, _, told = self.move()
+        self.assertEqual(code, 0)
+        self.assertIn('no longer fits: ' + self.path("workers") + ':1:10: found kind "old", expected one of new', told)
+
+    def test_bad(self):
+        """(file, what is replaced, by what) -> one line, code 2, nothing written."""
+        for name, text, old, new, words in (
+                ("old", OLD, "750 ms", "750", "old.sexp:5:50: found 750 without a unit"),
+                ("shape", SHAPE, "(shape", "(shapes", "shape.sexp:1:1: found (shapes ...), expected (shape ...)"),
+                ("shape", SHAPE, '(kind "new"', '(kind "new" (memory 1 GB)) (kind "new"', "a second time"),
+                ("shape", SHAPE, "(quota 50)", "", "new.sexp:12:3: found (tenant ...) without quota"),
+                ("shape", SHAPE, "(window 4 s)", "", "tokened without a window")):
+            with self.subTest(new=new, words=words):
+                self.write(name, text.replace(old, new, 1))
+                code, _, told = self.move()
+                self.assertEqual((code, told.count("\n"), os.path.exists(self.path("new"))), (2, 1, False), told)
+                self.assertIn(words, told)
+                self.write(name, text)
+
+    def test_a_file_that_is_there_is_left(self):
+        self.write("new", "precious")
+        code, _, told = self.move()
+        self.assertEqual((code, told.count("\n")), (2, 1), told)
+        with open(self.path("new")) as source:
+            self.assertEqual(source.read(), "precious")
+
+    def test_a_gateway_of_the_new_shape(self):
+        """Where only a hold loads and a report tells no busy share: asked by a call-out, held after the miss, then
+        called; the next RPC spends no order. A tenant that the settings do not name is refused."""
+        seen = []
+
+        def play(sock, number):
+            source, copies = lines_of(sock), 0
+            hello(sock, source)
+            for asked in source:
+                kind, ident = asked["method"], asked.get("id")
+                seen.append(kind)
+                if kind == "run" and not copies:
+                    sock.sendall(jsonrpc.problem(ident, back.MISS, "miss", b"{}") + b"\n")
+                elif kind == "run":
+                    sock.sendall(ok(ident))
+                elif kind == "hold":
+                    copies = max(copies, asked["params"]["copies"])
+                    sock.sendall(jsonrpc.result(ident, b'{"copies":%d}' % copies) + b"\n")
+                elif kind == "probe":
+                    sock.sendall(jsonrpc.result(ident, b'{"report":{"held":2,"loads":0}}') + b"\n")
+
+        with Running((play,), stock="(loads-on-call no) (tells-company no)", more="""(report held loads)
+                (tenant "a" (quota 50)) (ration (free 3) (share 0.1) (window 5 s))""") as running:
+            client = running.client()
+            for ident, call_outs in ((1, 2), (2, 1)):
+                client.ask(ident, tenant="a")
+                result = client.answer()["result"]
+                self.assertEqual((result["answer"], result["call_outs"]), ("ok", call_outs))
+            self.assertEqual([kind for kind in seen if kind != "probe"][:3], ["run", "hold", "run"])
+            self.assertEqual(running.desk.front_end.latency.promised, 50.0)
+            client.ask(3, tenant="b")
+            self.assertIn("expected one of a", client.answer()["error"]["data"])
+            client.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from wickdyke.interface import Shares
 from wickdyke.protocol import jsonrpc
 from wickdyke.protocol.lines import Lines, TooLong
 from wickdyke.settings import address, roll, sexp, station
@@ -37,6 +38,9 @@
         got = self.read(GOOD)
         self.assertEqual((got.zones, got.kinds, got.seat.zone), (("a", "b"), ("quad", "duo"), 1))
         self.assertEqual(got.stock.memory, (65536.0, 900.0))
+        self.assertEqual((got.tenants, got.shares, got.allowance.idle_close), ((), Shares(()), 15000.0))
+        more = self.read(GOOD.replace("(stock", '(tenant "a" (quota 5)) (tenant "b" (quota 2.5)) (stock'))
+        self.assertEqual((more.tenants, more.shares), (("a", "b"), Shares((5.0, 2.5))))
         self.assertEqual([(m.name, m.effect, m.window, m.scope) for m in got.methods],
                          [("m", "idempotent", 0.0, "all"), ("t", "tokened", 120000.0, "cell")])
         for program, memory in (("p/one", 100.0), ("p/two", 1024.0), ("q", None)):
@@ -73,6 +77,10 @@
                 ("(drain-grace 1 s)", "(drain-grace 1 s) (seat (number 2) (of 2))", "11:21", ("2 of 2", "0 to 1")),
                 ("(drain-grace 1 s)", "(drain-grace 1 s) (bounds (line 9 MB) (unread 2 MB))", "1:1", ("one line",)),
                 ("(drain-grace 1 s)", "(drain-grace 1 s) (answer-way 4 s)", "6:3", ("answer-way, 4000",)),
+                ("(drain-grace 1 s)", '(drain-grace 1 s) (tenant "a" (quota 5 s))', "11:33", ("one number",)),
+                ("(drain-grace 1 s)", '(drain-grace 1 s) (tenant "a" (quota 5)) (tenant "a" (quota 6))', "11:44",
+                 ("tenant a a second time", "line 11")),
+                ("(drain-grace 1 s)", "(drain-grace 1 s) (call-outs (idle-close 0 s))", "11:44", ("a time of 1",)),
                 ("(drain-grace 1 s))", "(drain-grace 1 s)", "1:1", ("never closed",)),
                 ("(drain-grace 1 s))", "(drain-grace 1 s)))", "11:21", (")", "none is open")),
                 ('"m"', '"m', "6:11", ("ends on its line",)),
--- a/wickdyke/cli/__init__.py
+++ b/wickdyke/cli/__init__.py
@@ -2,7 +2,7 @@
 
 import click
 
-from wickdyke.cli import call, check, prove, routes, serve, worker
+from wickdyke.cli import call, check, move, prove, routes, serve, worker
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
@@ -12,5 +12,5 @@
 
 
 for _command in (serve.serve, serve.up, check.check, call.call, prove.prove, prove.judge, prove.replay, routes.routes,
-                 worker.worker, worker.pack, worker.store):
+                 move.command, worker.worker, worker.pack, worker.store):
     main.add_command(_command)
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -60,7 +60,7 @@
         self.ident = 0
         parts = {"seat": station.seat, "allowance": station.allowance, "stock": station.stock,
                  "warmup": station.warmup, "ration": station.ration, "directory": station.directory,
-                 "tariff": station.tariff}
+                 "tariff": station.tariff, "shares": station.shares}
         now = clock()
         if tape is not None:
             tape.start(now, seed, station.methods, parts)
--- a/wickdyke/gateway/door.py
+++ b/wickdyke/gateway/door.py
@@ -183,6 +183,9 @@
             call.lanes = stated.lanes if stated else 1
         if call.load_ms is None and stated:
             call.load_ms = stated.load
+        if call.tenant and self.door.tenants and call.tenant not in self.door.tenants:
+            raise jsonrpc.Fault(jsonrpc.BAD_PARAMS, f"tenant: {call.tenant[:60]}, expected one of "
+                                + ", ".join(self.door.tenants), ident)
         held = self.door.routes.find(call.method, call.program, call.tenant) if self.door.routes else None
         most = held.terms.deadline if held else method.deadline
         left = min(call.time_left_ms or most, most, least or most)
@@ -207,7 +210,7 @@
         self.bounds: Bounds = station.bounds
         self.desk, self.busy, self.said = desk, busy, said
         self.methods = {method.name: method for method in station.methods}
-        self.stated = station.stated
+        self.stated, self.tenants = station.stated, station.tenants
         self.routes: Routes | None = None
         self.counts: Counter[str] = Counter()
         self.clients: set[Client] = set()
--- a/wickdyke/gateway/tape.py
+++ b/wickdyke/gateway/tape.py
@@ -10,12 +10,24 @@
 
 import msgspec
 
-from wickdyke.interface import Allowance, Directory, Listing, Method, Ration, Seat, Stock, Tariff, Timing, Warmup
+from wickdyke.interface import (
+    Allowance,
+    Directory,
+    Listing,
+    Method,
+    Ration,
+    Seat,
+    Shares,
+    Stock,
+    Tariff,
+    Timing,
+    Warmup,
+)
 from wickdyke.logic import FrontEnd
 
 WAITING = 200000  # entries; a recording that can't be written as fast stops, and says so at its end
 PARTS = {"seat": Seat, "allowance": Allowance, "stock": Stock, "warmup": Warmup, "ration": Ration,
-         "directory": Directory, "tariff": Tariff}
+         "directory": Directory, "tariff": Tariff, "shares": Shares}
 
 
 def decided(decision: tuple) -> list:
@@ -114,7 +126,7 @@
     known = [msgspec.convert(method, Method, strict=False) for method in methods]
     named = {method.name: method for method in known}
     front_end = FrontEnd(now, seed, known, **{name: msgspec.convert(parts[name], kind)
-                                              for name, kind in PARTS.items()})
+                                              for name, kind in PARTS.items() if name in parts})
     alike, said = 0, []
 
     def check(want: list) -> str | None:
--- a/wickdyke/settings/station.py
+++ b/wickdyke/settings/station.py
@@ -3,7 +3,7 @@
 import os
 from dataclasses import dataclass
 
-from wickdyke.interface import Allowance, Directory, Method, Ration, Seat, Stock, Tariff, Warmup
+from wickdyke.interface import Allowance, Directory, Method, Ration, Seat, Shares, Stock, Tariff, Warmup
 from wickdyke.quarantine.bars import Isolation
 from wickdyke.settings import address, check, sexp
 from wickdyke.settings.check import Field, Notes, choice, count, flag, number, record, size, span, text, words
@@ -65,6 +65,8 @@
     answer_way: float
     probe_wait: float
     isolation: Isolation = Isolation()
+    tenants: tuple[str, ...] = ()
+    shares: Shares = Shares()
 
     def stated(self, program: str) -> Stated | None:
         """What is stated of a program: the exact name before the longest beginning."""
@@ -100,7 +102,9 @@
 CALL_OUTS = record(
     lambda spot, most, **rest: Allowance(call_outs=most, **rest), most=Field(count(1, 100), 3),
     overlap=Field(flag, False), cancel=Field(flag, True),
-    probe=Field(flag, True), retry_after=Field(span(), 0.0), dial=Field(span(1.0, 60000.0), 250.0))
+    probe=Field(flag, True), retry_after=Field(span(), 0.0), dial=Field(span(1.0, 60000.0), 250.0),
+    idle_close=Field(span(1.0), 15000.0))
+TENANT = record(lambda spot, name, quota: (name, quota, spot), named=True, quota=Field(number(0.001, 1e9)))
 STOCK = record(
     _part(dict), idle_life=Field(span(1.0)), may_hold=Field(flag, True), loads_on_call=Field(flag, True),
     hold_wait=Field(span(1.0), 10000.0), tells_standing=Field(flag, True), tells_company=Field(flag, True))
@@ -141,7 +145,7 @@
     tariff=Field(TARIFF, Tariff(0, 0, 0, 0, 0, 0)), bounds=Field(BOUNDS, Bounds(
         1024, 32768, 4096, 16.0, 32.0, 100000)),
     answer_way=Field(span(0.0, 60000.0), 20.0), probe_wait=Field(span(1.0, 60000.0), 250.0),
-    isolation=Field(ISOLATION, Isolation()))
+    isolation=Field(ISOLATION, Isolation()), tenant=Field(TENANT, None, many=True))
 
 
 def _contradictions(spot: Spot, got: dict, notes: Notes) -> None:
@@ -159,6 +163,7 @@
             ("method", [m.name for m, _ in got["method"]], [at for _, at in got["method"]]),
             ("program", [p.name for p in got["program"]], [p.spot for p in got["program"]]),
             ("kind", [k for k, _, _ in got["kind"]], [at for _, _, at in got["kind"]]),
+            ("tenant", [t for t, _, _ in got["tenant"]], [at for _, _, at in got["tenant"]]),
             ("zone", [z for z, _ in got["zone"]], [at for _, at in got["zone"]])):
         check.unique(names, spots, what, notes)
     zones = [zone for zone, _ in got["zone"]]
@@ -178,8 +183,13 @@
 
 def read(path: str) -> Station:
     """Reads and checks a gateway's file; raises Unusable with all that is wrong. Paths in it hang on its folder."""
+    return made(sexp.read(path), path)
+
+
+def made(forms: list[sexp.Form], path: str) -> Station:
+    """The same of forms that stand, or are to stand, in the file of that path."""
     notes = Notes()
-    form = check.only_form(sexp.read(path), "gateway", path, notes)
+    form = check.only_form(forms, "gateway", path, notes)
     read_form = GATEWAY(form, notes) if form is not None else None
     if read_form is not None:
         _contradictions(*read_form, notes)
@@ -207,4 +217,6 @@
         tariff=got["tariff"],
         bounds=Bounds(bounds.connections, bounds.open_rpcs, bounds.open_each, round(bounds.line * 2**20),
                       round(bounds.unread * 2**20), bounds.events),
-        answer_way=got["answer_way"], probe_wait=got["probe_wait"], isolation=got["isolation"])
+        answer_way=got["answer_way"], probe_wait=got["probe_wait"], isolation=got["isolation"],
+        tenants=tuple(tenant for tenant, _, _ in got["tenant"]),
+        shares=Shares(tuple(quota for _, quota, _ in got["tenant"])))
