--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -324,7 +324,7 @@
         """What follows the call-out that asks: ok spends no order; a miss brings one hold, then the call."""
         for outcome, holds, calls in (("ok", 0, 0), ("miss", 1, 1)):
             with self.subTest(outcome=outcome):
-                fleet = Fleet(workers=3, loads_on_call=False, holds=None)
+                fleet = Fleet(workers=1, loads_on_call=False, holds=None)
                 got = fleet.take()
                 self.assertEqual(verbs(got), ["call"])
                 got = fleet.end(got[0][1], outcome) + fleet.pass_time(100)
@@ -370,6 +370,13 @@
                 got = fill.put(program, 0.6, 1.0, [], one, one, dict.fromkeys(workers, 9e9), fleet.clock)
                 self.assertEqual(len(got), homes)
 
+    def test_front_ends_ask_at_several_homes_before_their_first_fill(self):
+        """(loads on call) -> whether twenty front ends go to different workers with a program that is new to them."""
+        for on_call, several in ((True, False), (False, True)):
+            with self.subTest(on_call=on_call):
+                went = {called(Fleet(workers=8, loads_on_call=on_call, seed=seed).take())[0] for seed in range(20)}
+                self.assertEqual(len(went) > 1, several)
+
     def test_a_zone_is_a_fleet_of_its_own_where_crossing_costs(self):
         """(price of crossing, loads on call, workers of the zone shunned) -> the zones in which programs are placed."""
         rows = [row(name, zone=at % 2) for at, name in enumerate("abcdefgh")]
--- a/wickdyke/drill/__main__.py
+++ b/wickdyke/drill/__main__.py
@@ -1,5 +1,6 @@
 """Reads batches from standard input and answers each on standard output."""
 
+import gc
 import os
 import sys
 
@@ -9,6 +10,9 @@
 
 def main() -> int:
     """Play until the input ends; 2 and one plain line on standard error where it is malformed."""
+    # Danger: hundreds of front ends keep so many objects that walking them takes a good part of the time.
+    # Nearly all go by their count; the few circles wait longer.
+    gc.set_threshold(100000, 50, 100)
     # Universal newlines and replacement characters would both hide a malformed line.
     source = open(sys.stdin.fileno(), encoding="utf-8", newline="\n", errors="strict", closefd=False)
     sink = open(sys.stdout.fileno(), "w", encoding="utf-8", newline="\n", closefd=False)
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -43,7 +43,7 @@
 LOAD_GUESS, LOAD_LEAST, COST_GUESS = 1000.0, 50.0, 0.25  # ms of a load unseen; least; work, of soft deadline
 LOADS_TOLD = 4  # loads seen of a program from which its hint counts no more
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
-PROMISED = 0.8  # of what a fleet can do, to its tenants
+PROMISED, LOCAL = 0.8, 0.5  # of what a fleet can do, to tenants; of a zone's workers that are to be well
 OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
 
@@ -169,13 +169,10 @@
 SPREAD = 0.2  # of a worker's part that one program is to take, where no company tells how wanted it is
 CAP, GRADE, DOUBT = 2, 1.3, 4.0  # holds a worker, period; latency steps; reports against twice the load
 SLOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
-LOST, RENEW = 4.0, 0.7  # load times after which a load counts as lost; of the idle life: when to renew
+LOST, RENEW, YOUNG = 4.0, 0.7, 1000.0  # load times till a load is lost; of the idle life; ms of age at least
 GROWTH, SHRINK, KEEPERS = 1.25, 0.7, 3.0  # of budgets at holds, refusals; others' calls in an idle life
 
 
-YOUNG, LOCAL = 1000.0, 0.5  # ms a front end counts as old at least; part of a zone's workers to be well
-
-
 class Fill:  # places each program on the fewest lowest-latency workers its demand needs, within budgets
     def __init__(self, latency: Latency, stock: Stock, seat: Seat, tariff: Tariff, now: float) -> None:
         self.asks = not stock.loads_on_call  # a call-out where no copy stands costs a round trip only
@@ -313,6 +310,7 @@
 
 # ---- dispatch: the placed worker of lowest latency; for an unplaced program a random one with room ----
 TIE, FULL_WAIT, CRAMMED = 0.02, 250.0, 1000.0  # part by which latencies tie; ms a full place, worker is left
+HEADS = 5  # agreed homes, at any of which a program is asked for that is not placed yet
 
 
 def has_room(worker: Worker, program: Program, fill: Fill, now: float) -> bool:
@@ -346,7 +344,11 @@
         free = [w for w in islice(pool, LOOKS) if w not in fled and able(w) and working(w, now) < w.limit
                 and has_room(w, program, fill, now)]
         if free:
-            return place_of(program, next((w for w in free if w not in tried), free[0]))
+            # Danger: until its first fill each of hundreds of front ends goes to the same agreed home. Also a
+            # start of all at once. Hurts what few call: it may stand at several.
+            new, free = not (rpc.call_outs or program.places), [w for w in free if w not in tried] or free
+            at = chance.below(min(HEADS, len(free))) if fill.asks and new else 0
+            return place_of(program, free[at])
     return None
 
 
@@ -435,8 +437,6 @@
         self.note(f"worker {worker.listing.ident} shunned for {worker.shun_until - now:.0f} ms: {why}")
 
 
-
-
 def may_have_run(rpc: RPC) -> list[CallOut]:
     return [call_out for call_out in rpc.call_outs if call_out.outcome not in NEVER_RAN]
 
@@ -532,7 +532,7 @@
 
 DOOM = 1.5  # times its latency as expected, by which an RPC is to fit before its soft deadline
 FORGET, TICK, PROBE_PART, PROBES = 3, 50.0, 0.5, 8.0  # idle lives; ms between looks; probes an RPC, saved up
-PROBE_EVERY, PROBE_SOON, FEW, LAZY = 1000.0, 300.0, 8, 4.0  # ms of probes, if silent; RPCs a fill; periods
+PROBE_EVERY, PROBE_SOON, FEW, LAZY = 1000.0, 300.0, 16, 4.0  # ms of probes, if silent; RPCs a fill; periods
 
 
 class FrontEnd:
@@ -548,7 +548,7 @@
         self.orders, self.acts, self.chance = deque(), deque(), Chance(seed)
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
         self.latency, self.guards = Latency(stock, seat, shares), Guards(warmup, ration, seed, seat.of)
-        self.ready, self.rota, self.muted, self.probes, self.fresh = [], deque(), [], PROBES, 0
+        self.ready, self.rota, self.muted, self.probes, self.fresh = [], deque(), [], PROBES, FEW
         self.fill = Fill(self.latency, stock, seat, tariff, now)
         self.health = Health(self.notes.append, self.latency)
         few = (deque(maxlen=JUDGED) for _ in range(4))  # all workers as one: the limit on all our call-outs
@@ -691,7 +691,9 @@
 
     def tick(self, now: float) -> None:
         self.acts, self.followed = deque([*self.acts, *[("follow_list", True)] * (not self.followed)]), True
-        for worker in dict.fromkeys([co.place.worker for co in self.whole.out] + self.muted):
+        out = ((co.place.worker, now - co.sent) for co in self.whole.out)
+        old = [worker for worker, age in out if age >= SILENT_LEAST or worker.shuns]
+        for worker in dict.fromkeys(old + self.muted):  # nothing else there can be overdue yet
             self.rescue(worker, now)
             if worker.shun_until <= now and self.health.silent(worker, now):
                 self.health.shun(worker, now, f"silent with {len(worker.out)} out")
@@ -796,6 +798,7 @@
         timing, most = rpc.timing, most_of(rpc, self.allowance)
         more = not timing or (len(rpc.call_outs) < most
                               and may_pay(rpc, rpc.call_outs[-1].outcome if rpc.call_outs else None, now))
+        place = None
         if more and now >= rpc.not_before:
             place = self.place_for(rpc, set(), now)
             more = not (place and not rpc.call_outs and self.doomed(place, rpc, now))
@@ -819,6 +822,8 @@
                         and now - rpc.taken >= timing.queue)
             if not late and len(rpc.call_outs) < most and may_wait(rpc):
                 rpc.queued = True
+                if rpc.call_outs and not place and self.fill.asks:  # the ration is spent: looks cost CPU
+                    rpc.not_before = max(rpc.not_before, now + 3 * TICK)
                 return self.waiting.append(rpc)
         back = min(self.allowance.retry_after, self.latency.cost(rpc) * self.latency.average) or None
         self.acts.append(("deny", rpc, back) if may_deny(rpc) else ("abort", rpc))
@@ -828,7 +833,7 @@
         # Danger: in an overload each of many front ends sends little, and queues make all late. Also a home
         # that is too crowded. Hurts where the last report was a short burst's.
         at, report, _ = (place.worker.reports or [(0.0, {}, 0)])[-1]
-        return (now - at < FRESH and report.get("busy", 0.0) >= FULL_CORES and self.latency.stands(place, now)
+        return (now - at < FRESH and report.get("busy", 0.0) >= BOUND and self.latency.stands(place, now)
                 and now + DOOM * self.latency.expect(place, rpc, now) > rpc.soft)
 
     def call(self, rpc: RPC, place: Place, now: float) -> None:
