A proved copy goes before a guessed one, unless its worker is busy

Three failures found earlier get their tests: homes probed in turn, a place that took long, demand since the start.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -9,7 +9,7 @@
 from unittest.mock import Mock
 
 from tests.helpers import Fleet, called, row, verbs
-from wickdyke.interface import Ration
+from wickdyke.interface import Ration, place_of
 from wickdyke.logic import lot
 
 NEVER = ("full", "unreached", "miss")
@@ -377,6 +377,49 @@
                 went = {called(Fleet(workers=8, loads_on_call=on_call, seed=seed).take())[0] for seed in range(20)}
                 self.assertEqual(len(went) > 1, several)
 
+    def test_a_proved_copy_goes_before_a_guessed_one(self):
+        """(loads on call, busy share where the copy was proved) -> whether it is called though the guess is faster."""
+        for on_call, busy, proved in ((False, 0.2, True), (False, 0.9, False), (True, 0.2, False)):
+            with self.subTest(on_call=on_call, busy=busy):
+                fleet = Fleet(workers=2, loads_on_call=on_call)
+                rpc = fleet.take()[0][1]
+                fleet.end(rpc)
+                program, (a, b) = rpc.program, fleet.fe.ready
+                for worker, sure, share in ((a, True, busy), (b, False, 0.2)):
+                    place = place_of(program, worker)
+                    place.placed, place.standing, place.used, place.proved = True, 1, fleet.clock, sure
+                    place.took, worker.busy = 500.0 * sure, share
+                    place.took_at = fleet.clock
+                self.assertEqual(called(fleet.take()) == ["a"], proved)
+
+    def test_only_homes_are_probed_in_turn(self):
+        fleet = Fleet(workers=8)
+        self.assertEqual(len(fleet.fe.rota), 8)
+        fleet.serve(calls=20)
+        homes = {place.worker for place in fleet.fe.programs["p"].places if place.placed}
+        self.assertEqual(set(fleet.fe.rota), homes)
+
+    def test_a_place_that_took_long_counts_so_for_a_while(self):
+        """(ms the last RPC took there, ms ago) -> whether it is held to take at least half of that."""
+        for took, ago, long in ((3000.0, 100.0, True), (3000.0, 5000.0, False), (100.0, 100.0, False)):
+            with self.subTest(took=took, ago=ago):
+                fleet = Fleet(workers=1)
+                fleet.serve(calls=20)
+                rpc = fleet.take()[0][1]
+                place = rpc.call_outs[0].place
+                place.took, place.took_at = took, fleet.clock - ago
+                self.assertEqual(fleet.fe.latency.expect(place, rpc, fleet.clock) >= 1500.0, long)
+
+    def test_demand_counts_since_the_start(self):
+        """(ms since the start) -> lanes that ten calls of 200 ms keep busy, over the time that there was."""
+        for age, lanes in ((0.0, 2.0), (1000.0, 1.0), (60000.0, 0.2)):
+            with self.subTest(age=age):
+                fleet = Fleet(workers=1)
+                for _ in range(10):
+                    fleet.take()
+                fleet.fe.fill.since = fleet.clock - age
+                self.assertAlmostEqual(fleet.fe.fill.demand(fleet.fe.programs["p"], fleet.clock), lanes)
+
     def test_a_zone_is_a_fleet_of_its_own_where_crossing_costs(self):
         """(price of crossing, loads on call, workers of the zone shunned) -> the zones in which programs are placed."""
         rows = [row(name, zone=at % 2) for at, name in enumerate("abcdefgh")]
