--- a/wickdyke/gateway/tape.py
+++ b/wickdyke/gateway/tape.py
@@ -10,19 +10,8 @@
 
 import msgspec
 
-from wickdyke.interface import (
-    Allowance,
-    Directory,
-    Listing,
-    Method,
-    Ration,
-    Seat,
-    Shares,
-    Stock,
-    Tariff,
-    Timing,
-    Warmup,
-)
+from wickdyke.interface import Allowance, Directory, Listing, Method, Ration, Seat, Shares, Stock, Tariff, Timing
+from wickdyke.interface import Warmup
 from wickdyke.logic import FrontEnd
 
 WAITING = 200000  # entries; a recording that can't be written as fast stops, and says so at its end
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -216,7 +216,6 @@
     ordered: float | None = None
     loading: float | None = None
     missed: float = float("-inf")
-    proved: bool = False
     took: float = 0.0
     took_at: float = 0.0
     full_until: float = 0.0
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -236,8 +236,9 @@
 
     def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
         used = [p for p in programs if now - p.called < self.idle_life]
-        calls = [(len(p.calls), self.latency.usual(p)) for p in used]
-        self.latency.survey(workers, sum(n * ms for n, ms in calls) / max(1, sum(n for n, _ in calls)), now)
+        many = sum(len(p.calls) for p in used)
+        work = sum(len(p.calls) * self.latency.usual(p) for p in used)
+        self.latency.survey(workers, work / max(1, many), now)
         taken = {p: self.demand(p, now) for p in used}
         everyone, workers = len(workers), self.know(workers)
         even = min(1.0, everyone / len(workers) / self.front_ends)
@@ -330,9 +331,7 @@
     known = [p for p in usable if p.full_until <= now and working(p.worker, now) < p.worker.limit
              and p.out < lanes(p)]
     standing = [p for p in known if latency.stands(p, now)]
-    # Danger: guessed homes are asked in vain while a copy is known. Hurts balance: so not at busy workers.
-    sure = [p for p in standing if p.proved and p.worker not in tried and p.worker.busy < BOUND and fill.asks]
-    for places in (sure, [p for p in standing if p.placed and p.worker not in tried],
+    for places in ([p for p in standing if p.placed and p.worker not in tried],
                    [p for p in standing if p.worker not in tried], standing,
                    [p for p in known if p.loading is not None
                     or p.placed and has_room(p.worker, program, fill, now)]):
@@ -623,9 +622,9 @@
             if place.loading is not None and standing in ("began", None) and not call_out.warm:
                 took = now - place.loading - self.latency.cost(rpc)
                 self.latency.loaded(rpc.program, took, standing == "began")
-            place.standing, place.used, place.loading, place.proved = max(1, place.standing), now, None, True
+            place.standing, place.used, place.loading = max(1, place.standing), now, None
         elif outcome == "miss":
-            place.standing, place.loading, place.missed, place.proved = 0, None, now, False
+            place.standing, place.loading, place.missed = 0, None, now
         elif outcome == "full":
             # Danger: the full answer at once and draw more. Also lack of memory. Hurts if full briefly.
             gap = (now - rpc.program.calls[0]) / len(rpc.program.calls)
@@ -660,7 +659,7 @@
         place.ordered = place.loading = None
         if outcome == "ok":
             self.latency.loaded(program, 0.0 if place.standing else took)
-            worker.heard, place.standing, place.used, place.proved = now, copies, now, True
+            worker.heard, place.standing, place.used = now, copies, now
             worker.budget = min(worker.budget * GROWTH, self.fill.whole(worker.listing))
         elif outcome in ("full", "error"):
             place.standing, place.full_until = copies, now + self.stock.idle_life / 8
@@ -692,7 +691,8 @@
 
     def tick(self, now: float) -> None:
         self.acts, self.followed = deque([*self.acts, *[("follow_list", True)] * (not self.followed)]), True
-        old = [c.place.worker for c in self.whole.out if now - c.sent >= SILENT_LEAST or c.place.worker.shuns]
+        out = ((co.place.worker, now - co.sent) for co in self.whole.out)
+        old = [worker for worker, age in out if age >= SILENT_LEAST or worker.shuns]
         for worker in dict.fromkeys(old + self.muted):  # nothing else there can be overdue yet
             self.rescue(worker, now)
             if worker.shun_until <= now and self.health.silent(worker, now):
