Two tests wait for the log line that is written beside the answer

The line is queued for the thread that writes logs (wickdyke/gateway/log.py) while the answer goes out; the test read the log at once after the answer. Ruled out: the ward, as a client had a result from the trial, and stood() comes before the answer. The line now is waited for, here and in test_door, where 'does not read' is read in the same way.

--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -364,7 +364,7 @@
                 return "result" in client.answer()
 
             self.assertTrue(until(back_again))
-            self.assertIn("program back", running.said.getvalue())
+            self.assertTrue(until(lambda: "program back" in running.said.getvalue()))  # said beside the answer
             client.close()
 
     def test_call(self):
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -248,7 +248,7 @@
             self.assertTrue(until(lambda: running.gateway.door.counts["unread"] == 1), running.gateway.door.counts)
             self.assertTrue(sent.wait(LONG))
             self.assertTrue(until(lambda: not running.desk.asks))
-            self.assertIn("does not read", running.said.getvalue())
+            self.assertTrue(until(lambda: "does not read" in running.said.getvalue()))
             for each in (deaf, other):
                 each.close()
 
