--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -166,7 +166,6 @@
     out: list["CallOut"] = field(default_factory=list)
     lates: list[tuple] = field(default_factory=list)
     at_work: int = 0
-    fled: list["CallOut"] = field(default_factory=list)
     places: dict["Program", "Place"] = field(default_factory=dict)
     shun_until: float = 0.0
     shuns: int = 0
@@ -256,7 +255,7 @@
     among: int
     late_at: float = 0.0
     outcome: str | None = None
-    fled: float = 0.0
+    fled: bool = False
 
 
 def place_of(program: Program, worker: Worker) -> Place:
