Other zones' workers count in part while ours are crowded and they far less so

Each zone was a fleet of its own with no way out but half of its workers unwell. Fill.know: while ours report 0.85 busy and the others 0.5 less, the others' lots count in part, an eighth, doubled each period; programs go first where the other zone has them.

--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -169,7 +169,6 @@
     places: dict["Program", "Place"] = field(default_factory=dict)
     shun_until: float = 0.0
     shuns: int = 0
-    slow: int = 0
     mute: int = 0
     crammed: float = 0.0
     heard: float = 0.0
@@ -215,8 +214,6 @@
     ordered: float | None = None
     loading: float | None = None
     missed: float = float("-inf")
-    took: float = 0.0
-    took_at: float = 0.0
     full_until: float = 0.0
     out: int = 0
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -145,38 +145,35 @@
         worker, (at, report, own) = place.worker, (place.worker.reports or [(0.0, {}, 0)])[-1]
         others = max(0.0, report.get("held", 0.0) - own) * max(0.0, 1 - (now - at) / FRESH)
         crowd = 1 + (len(worker.out) + others) / self.width(worker)
-        # Danger: reports come late and pace is a mean: RPCs go on into a queue. Also a copy that hangs. Hurts
-        # where one RPC was heavy: the place is left to others for a while.
-        burnt = place.took * max(0.0, 1 - (now - place.took_at) / FRESH)
-        return max(burnt, self.cost(rpc) * self.pace(worker) * crowd) + self.load_left(place, now)
+        return self.cost(rpc) * self.pace(worker) * crowd + self.load_left(place, now)
 
     def learn(self, call_out: CallOut, outcome: str, now: float) -> None:
         # Danger: one grows slower, what was given up never tells. Also lost answers. Hurts if all lose some.
         worker, rpc, took = call_out.place.worker, call_out.rpc, now - call_out.sent
-        call_out.place.took, call_out.place.took_at = took, now
         if outcome == "ok" or outcome in ("timeout", "cancelled") and took > call_out.expected:
             least = took if outcome == "ok" else min(took, OVERDUE * call_out.expected)  # given up: at least
             worker.ratios.append((now, least, self.cost(rpc)))
             self.weigh(worker, now)
-        for times in (rpc.program.times, rpc.method.times) if outcome == "ok" else ():
-            times.append(took / self.pace(worker) if rpc.work is None else rpc.work)
+        for times in (rpc.program.times, rpc.method.times) if outcome == "ok" and rpc.work is None else ():
+            times.append(took / self.pace(worker))
 
 
 PERIOD, RETHINK, LOOKS = 500.0, 5000.0, 8  # ms: between fills, homes are kept; workers looked at for one RPC
 TARGET, BOUND, HEADROOM = 0.6, 0.7, 1.5  # busy share to open workers, to fill one for; deviations kept free
 SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
 SMALL, CLOSE, HOT, TIRED = 0.15, 0.75, 1.2, 0.8  # of room: may go over, given up; of mean busy share; least
+CROWDED, EASED, BELOW, NEXT = 0.85, 0.75, 0.5, 0.125  # busy share of ours; less of others; their first part
 SPREAD = 0.2  # of a worker's part that one program is to take, where no company tells how wanted it is
-CAP, GRADE, DOUBT = 2, 1.3, 4.0  # holds a worker, period; latency steps; reports against twice the load
-SLOW, SLOW_AFTER = 1.8, 4  # times its kind's pace, for so many periods: not low-latency any more
 LOST, RENEW, YOUNG = 4.0, 0.7, 1000.0  # load times till a load is lost; of the idle life; ms of age at least
 GROWTH, SHRINK, KEEPERS = 1.25, 0.7, 3.0  # of budgets at holds, refusals; others' calls in an idle life
+CAP, GRADE = 2, 1.3  # holds a worker, period; latency steps
 
 
 class Fill:  # places each program on the fewest lowest-latency workers its demand needs, within budgets
     def __init__(self, latency: Latency, stock: Stock, seat: Seat, tariff: Tariff, now: float) -> None:
         self.asks = not stock.loads_on_call  # a call-out where no copy stands costs a round trip only
         self.zone, self.since = seat.zone if tariff.crossing > 0 and self.asks else None, now
+        self.reach = self.drawn = 0.0  # how much workers of other zones count beside ours
         self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
         self.opened, self.known, self.carries, self.unit, self.hot, self.part = {}, [], {}, 1.0, inf, 1.0
         self.front_ends, self.count, self.tells = seat.of, 10**6, stock.tells_company
@@ -221,17 +218,26 @@
         part = min(1.0, own / max(mean(held, 0.0) * len(workers), own, 1e-9))  # few reports: an even part
         return (part * len(held) + KEPT * even) / (len(held) + KEPT)
 
-    def know(self, workers: list[Worker]) -> list[Worker]:  # those that it places on; a list of its own
-        # Danger: where crossing costs, homes all over make most call-outs cross. Each zone is a fleet of its
-        # own while half of its workers are well. Hurts where copies in each zone crowd memory or the store.
+    def know(self, workers: list[Worker], now: float) -> list[Worker]:  # those that it places on
+        # Danger: where crossing costs, homes all over make call-outs cross: so each zone is a fleet.
+        # Others count in part while ours is more crowded. Hurts where copies in each zone crowd memory.
         own = [w for w in workers if self.zone in (None, w.listing.zone)]
-        near = own if sum(not w.shuns for w in own) > LOCAL * len(own) else list(workers)
-        self.known = near if near != self.known else self.known
+        heard = [w for w in workers if w.reports and now - w.reports[-1][0] < SAMPLE_AGE]
+        mine = mean([w.busy for w in heard if w.listing.zone == self.zone], 0.0)
+        far = mean([w.busy for w in heard if w.listing.zone != self.zone], 0.0)
+        if mine >= CROWDED and far < mine - BELOW:
+            self.reach = min(1.0, max(NEXT, 2 * self.reach))
+        elif mine < EASED or far > mine:
+            self.reach *= 0.5 * (self.reach > NEXT)
+        reach = self.reach if sum(not w.shuns for w in own) > LOCAL * len(own) else 1.0
+        if (near := list(workers) if reach else own) != self.known or reach != self.drawn:
+            self.known, self.drawn = near, reach
         return self.known
 
     def ring(self, program: Program) -> list[Worker]:
         if program.ringed is not self.known:
-            program.ring, program.ringed = sorted(self.known, key=lambda w: lot(program, w)), self.known
+            program.ring, program.ringed = sorted(self.known, key=lambda w: lot(program, w) / (
+                1.0 if self.zone in (None, w.listing.zone) else self.drawn)), self.known
         return program.ring
 
     def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
@@ -240,7 +246,7 @@
         work = sum(len(p.calls) * self.latency.usual(p) for p in used)
         self.latency.survey(workers, work / max(1, many), now)
         taken = {p: self.demand(p, now) for p in used}
-        everyone, workers = len(workers), self.know(workers)
+        everyone, workers = len(workers), self.know(workers, now)
         even = min(1.0, everyone / len(workers) / self.front_ends)
         latency, share = self.latency, self.share(workers, sum(taken.values()), even)
         busy = mean([w.busy for w in workers if w.reports], 0.0) * sum(map(latency.width, workers)) * share
@@ -248,17 +254,13 @@
         wide = {p: max(self.wide(p, load, share), load) for p, load in taken.items()}
         demand = {p: load * scale * share for p, load in wide.items()}
         memory = {p: p.memory * load / wide[p] for p, load in taken.items()}  # our part of what all use
-        unsure = DOUBT / (1 + sum(len(w.reports) for w in workers)) * bool(latency.report)  # all must agree
-        opened = self.open(workers, sum(taken.values()) * scale / share * (1 + unsure), sum(memory.values()))
-        for w in workers:
-            w.slow = (w.slow + 1) * bool(w.ratios and latency.pace(w) > SLOW * latency.usual_pace(w))
+        opened = self.open(workers, sum(taken.values()) * scale / share, sum(memory.values()))
         well = [w for w in workers if not w.shuns] or workers
-        opened = [w for w in opened if not w.shuns and w.slow < SLOW_AFTER] or well
+        opened = [w for w in opened if not w.shuns] or well
         self.opened = dict.fromkeys(opened)
         self.part, self.hot = share, max(TIRED, HOT * mean([w.busy for w in opened if w.reports], 0.0))
         even = SLACK * sum(demand.values()) / sum(self.carries[w] for w in opened)
-        part = {w: max(even * self.carries[w], BOUND * share * latency.width(w))
-                * (latency.average / latency.pace(w) if w.slow >= SLOW_AFTER else 1.0) for w in well}
+        part = {w: max(even * self.carries[w], BOUND * share * latency.width(w)) for w in well}
         self.unit = max(1e-9, mean([part[w] for w in opened], 1.0))
         room, budget = dict(part), {w: w.budget for w in well}
         placed = {p: [q.worker for q in p.places if q.placed and q.worker in self.opened]
@@ -312,8 +314,7 @@
 
 
 # ---- dispatch: the placed worker of lowest latency; for an unplaced program a random one with room ----
-TIE, FULL_WAIT, CRAMMED = 0.02, 250.0, 1000.0  # part by which latencies tie; ms a full place, worker is left
-HEADS = 5  # agreed homes, at any of which a program is asked for that is not placed yet
+TIE, FULL_WAIT, CRAMMED, HEADS = 0.02, 250.0, 1000.0, 5  # part that ties; ms full; agreed homes of the new
 
 
 def has_room(worker: Worker, program: Program, fill: Fill, now: float) -> bool:
@@ -461,9 +462,6 @@
     return may_wait(rpc) or rpc.method.effect == "tokened" and rpc.method.scope == "all"
 
 
-SAVED = 4.0  # second copies of a route saved up at most
-
-
 def spend(rpc: RPC, outcome: str, chance: Chance, now: float) -> None:  # when the next attempt may go
     first, growth, most, spread = rpc.timing.pause
     wait = min(most, first * growth ** (len(rpc.call_outs) - 1)) * (1 + spread * chance.part())
@@ -533,7 +531,7 @@
         return not self.ration.window or len(self.ordered) + 1 <= most * (1 - RATION_KEPT * renewal)
 
 
-DOOM = 1.5  # times its latency as expected, by which an RPC is to fit before its soft deadline
+DOOM, SAVED = 1.5, 4.0  # times its latency, by which an RPC is to be in time; second copies saved up at most
 FORGET, TICK, PROBE_PART, PROBES = 3, 50.0, 0.5, 8.0  # idle lives; ms between looks; probes an RPC, saved up
 PROBE_EVERY, PROBE_SOON, FEW, LAZY = 1000.0, 300.0, 16, 4.0  # ms of probes, if silent; RPCs a fill; periods
 
@@ -574,7 +572,7 @@
             self.workers.setdefault(row.ident, w).listing = row
         if (ready := [w for w in self.workers.values() if w.listing.state == "ready"]) != self.ready:
             self.rota, self.ready = deque(ready), ready
-            self.fill.know(ready)
+            self.fill.know(ready, self.now)
 
     def took(self, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
              load: float | None, work: float | None, repeat: bool, timing: Timing | None = None) -> None:
@@ -591,6 +589,8 @@
             purse.taken.extend([(now,)] if timing.budget else ())
             purse.seconds = min(SAVED, purse.seconds + (timing.second[2] if timing.second else 0.0))
         self.guards.taken.append((now,))
+        for times in (program.times, method.times) if work is not None else ():
+            times.append(work)
         self.todo.append(rpc)
         self.wake_at = min(self.wake_at, now + TICK)
 
@@ -737,14 +737,12 @@
         # Danger: an RPC sits out its time at a worker that hangs. Also restarts not told of. Hurts where work
         # goes on after a cancel, and is done twice: so never where a worker is slow and answers others.
         for call_out in worker.out if self.allowance.cancel and worker.shun_until > now else ():
-            if ((rpc := call_out.rpc).closed or call_out.fled or rpc.method.effect != "idempotent" or not may_pay(
-                    rpc, "cancelled", now) or len(rpc.call_outs) >= most_of(rpc, self.allowance)):
-                continue
-            # Danger: taken back from the only worker, an RPC waits out its time: it does not go back there.
-            # Also catches all others shunned. Hurts nowhere: it would have nowhere to go.
-            left = {co.place.worker for co in rpc.call_outs if co.fled} | {worker}
-            if worker.heard <= call_out.sent and any(
-                    w not in left and w.shun_until <= now for w in self.ready):
+            rpc, most = call_out.rpc, most_of(call_out.rpc, self.allowance)
+            left = {co.place.worker for co in rpc.call_outs if co.fled} | {worker}  # it goes back to none
+            if (not rpc.closed and not call_out.fled and rpc.method.effect == "idempotent"
+                    and len(rpc.call_outs) < most and may_pay(rpc, "cancelled", now)
+                    and worker.heard <= call_out.sent
+                    and any(w not in left and w.shun_until <= now for w in self.ready)):
                 call_out.fled = True
                 self.acts.append(("cancel", call_out))
 
