--- a/deploy/gateway.sexp
+++ b/deploy/gateway.sexp
@@ -8,9 +8,9 @@
   ; (tape "run/gateway.tape")                     records what the module is told and decides, for wickdyke replay
   ; (seed 7)                                      else drawn at each start
   (seat (number 0) (of 1))                      ; * which of how many gateways this is
-  (zone "nairobi-dc") (at "nairobi-dc")         ; the zones, and where this gateway stands
-  (kind "full-3core" (memory 68 GB))            ; kinds of machine, and their memory for programs
-  (kind "slow-3core" (memory 68 GB))
+  (zone "dc") (at "dc")                         ; the zones, and where this gateway stands
+  (kind "full" (memory 68 GB))                  ; kinds of machine, and their memory for programs
+  (kind "slow" (memory 68 GB))
   (method "suggest-tags"
     (effect idempotent)                         ; or tokened, with (window TIME) and (scope all|zone|cell); or
                                                 ; side-effecting, which never runs twice
