The limit on all call-outs goes by reports of the last 4 s

Cause: its busy share was the mean of the last eight reports of each worker, and a home is looked at every 20 s, so it told of queues long gone (FrontEnd.tick).

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -460,6 +460,18 @@
                     fill.know(ready, fleet.clock)
                 self.assertEqual({w.listing.zone for w in fill.known}, {0})
 
+    def test_the_fleet_is_as_busy_as_fresh_reports_say(self):
+        """(ms since reports of 1.0, of 0.5) -> the busy share that counts for the limit on all call-outs."""
+        for old, young, busy in ((5000.0, 100.0, 0.5), (2000.0, 100.0, 0.75), (5000.0, 5000.0, 0.0)):
+            with self.subTest(old=old, young=young):
+                fleet = Fleet(workers=2)
+                for age, share in ((old, 1.0), (young, 0.5)):
+                    for worker in fleet.fe.ready:
+                        fleet.fe.latency.reported(worker, (share, 4.0), fleet.clock - age)
+                fleet.fe.next_fill = fleet.fe.wake_at = fleet.clock
+                fleet.pull()
+                self.assertEqual(fleet.fe.whole.reports[-1][1]["busy"], busy)
+
     def test_hints_of_work_count_whatever_becomes_of_the_rpc(self):
         fleet = Fleet()
         for ident, work in enumerate((100.0, 300.0), 1):
@@ -624,9 +636,9 @@
         for ms, busy, limited in ((900.0, 0.95, True), (100.0, 0.95, False), (900.0, 0.5, False)):
             with self.subTest(ms=ms, busy=busy):
                 fleet = Fleet(workers=6, front_ends=200)
-                for name in "abcdef" * 8:
-                    fleet.fe.probed(name, "ok", (busy, 6.0))
                 for at in range(12):
+                    for name in "abcdef" * 8:
+                        fleet.fe.probed(name, "ok", (busy, 6.0))
                     fleet.serve(f"p{at}", calls=2, ms=ms)
                 self.assertEqual(fleet.fe.whole.limit < 9.0, limited)
 
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -545,8 +545,7 @@
             method.times = deque(maxlen=KEPT)
         self.workers, self.programs, self.rpcs = {}, {}, {}
         self.notes, self.todo, self.waiting, self.stuck = deque(), deque(), [], set()
-        self.purses: dict[str, Purse] = {}
-        self.orders, self.acts, self.chance = deque(), deque(), Chance(seed)
+        self.orders, self.acts, self.chance, self.purses = deque(), deque(), Chance(seed), {}
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
         self.latency, self.guards = Latency(stock, seat, shares), Guards(warmup, ration, seed, seat.of)
         self.ready, self.rota, self.muted, self.probes, self.fresh = [], deque(), [], PROBES, FEW
@@ -717,7 +716,8 @@
             self.next_fill, self.fresh = now + wait * (0.9 + 0.2 * self.chance.part()), 0
             self.forget_old(now)
             self.guards.survey(self.ready, now)
-            self.whole.reports.append((now, {"busy": mean([w.busy for w in self.ready if w.reports], 0)}, 0))
+            told = [r["busy"] for w in self.ready for t, r, _ in w.reports if t > now - FRESH and "busy" in r]
+            self.whole.reports.append((now, {"busy": mean(told, 0.0)}, 0))  # older ones: queues long gone
             if self.ready:
                 self.fill.run(programs := list(self.programs.values()), self.ready, now)
                 self.orders = deque(self.fill.holds(programs, now) if self.stock.may_hold else ())
