--- a/wickdyke/drill/__main__.py
+++ b/wickdyke/drill/__main__.py
@@ -4,8 +4,8 @@
 import os
 import sys
 
-from wickdyke.drill.codec import BadInput
 from wickdyke.drill.host import Host
+from wickdyke.settings.terms import BadInput
 
 
 def main() -> int:
--- a/wickdyke/drill/host.py
+++ b/wickdyke/drill/host.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable, Iterator
 
 from wickdyke.drill import codec
-from wickdyke.drill.codec import BadInput
 from wickdyke.logic import FrontEnd
+from wickdyke.settings.terms import BadInput, paired, start
 
 
 class Instance:
@@ -84,7 +84,7 @@
             if len(values) < 2:
                 raise BadInput("POWER_ON: expected an instance, a seed and the settings")
             ident, seed = codec.parts(name, values[:2], (("instance", codec.count), ("seed", codec.count)))
-            terms = codec.start(values[2:])
+            terms = start(paired(values[2:]))
             touched[ident] = None
             self.instances[ident] = Instance(FrontEnd(self.now, seed, **terms))
             return
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -1,7 +1,8 @@
-"""The desk: the one thread that owns the FrontEnd.
+"""The desk: whoever turns it owns the FrontEnd.
 
 Events come in by a queue, the module is told, its decisions are pulled and carried out, and it is woken at its
-`wake_at`. Nothing here decides and nothing here waits: doors and links take bytes without blocking.
+`wake_at`. Nothing here decides and nothing here waits: doors and links take bytes without blocking. How clients and
+workers are spoken to is the asks' and the speech's; the desk is turned by a thread of its own or by a loop.
 """
 
 import heapq
@@ -13,22 +14,16 @@
 import traceback
 from collections import Counter
 from collections.abc import Callable
-
-import msgspec
+from typing import TYPE_CHECKING
 
 from wickdyke.gateway import log as logs
-from wickdyke.gateway import ward as wards
-from wickdyke.gateway.door import Ask
-from wickdyke.gateway.link import Link, Order
-from wickdyke.gateway.roster import Roster
-from wickdyke.gateway.tape import Tape
-from wickdyke.gateway.ward import Ward
+from wickdyke.gateway.parts import Ask, Ending, Link, Order, Roster, Speech
 from wickdyke.interface import CallOut, Program, Worker
 from wickdyke.logic import FrontEnd
-from wickdyke.protocol import back, front, jsonrpc
-from wickdyke.settings.roll import Row
-from wickdyke.settings.station import Station
 
+if TYPE_CHECKING:  # only one of the two ways in is loaded
+    from wickdyke.gateway.tape import Tape
+    from wickdyke.gateway.ward import Ward
 
 ROUND = 512  # events told to the module before its decisions are pulled, at most
 
@@ -44,8 +39,10 @@
 class Desk:
     """Carries out what the module decides; see docs/architecture.md for the door it uses."""
 
-    def __init__(self, station: Station, seed: int, log, tape: Tape | None = None) -> None:
-        self.station, self.log, self.tape = station, log, tape
+    def __init__(self, station, seed: int, log, speech: Speech, roster: Roster, tape: "Tape | None" = None,
+                 ward: "Ward | None" = None) -> None:
+        self.station, self.log, self.tape, self.ward = station, log, tape, ward
+        self.speech, self.roster = speech, roster
         self.events: queue.SimpleQueue = queue.SimpleQueue()
         self.timers: list[tuple[float, int, Callable, tuple]] = []
         # When the time of each RPC is up. Numbers only: those of many seconds are kept, and the collector of
@@ -53,7 +50,6 @@
         self.ends: list[tuple[float, int]] = []
         self.turn = itertools.count()
         self.links: dict[str, Link] = {}
-        self.roster = Roster(station.zones, station.kinds)
         self.asks: dict[int, Ask] = {}
         self.stopping = self.told = False
         self.counts: Counter[str] = Counter()
@@ -65,7 +61,6 @@
         if tape is not None:
             tape.start(now, seed, station.methods, parts)
         self.front_end = FrontEnd(now, seed, station.methods, **parts)
-        self.ward = Ward(station.isolation, station.seat.of, log)
         self.thread = threading.Thread(target=self._run, name="desk", daemon=True)
         self.verbs = {"call": self._call, "cancel": self._cancel, "deny": self._deny, "abort": self._abort,
                       "hold": self._hold, "probe": self._probe, "follow_list": self._follow, "note": self._note}
@@ -109,32 +104,43 @@
     # ---- the thread ----
 
     def _run(self) -> None:
+        while self.turn_once(max(0.0, self.next_at() - clock())):
+            pass
+
+    # ---- for its thread, or for the loop that turns it ----
+
+    def next_at(self) -> float:
+        """When it is due next, if nothing comes before."""
+        while self.ends and self.ends[0][1] not in self.asks:
+            heapq.heappop(self.ends)
+        return min(self.front_end.wake_at, self.timers[0][0] if self.timers else float("inf"),
+                   self.ends[0][0] if self.ends else float("inf"))
+
+    def turn_once(self, wait: float = 0.0) -> bool:
+        """Takes what has come (waiting so many ms for a first event), does what is due, carries out what is
+        decided. False once it was told to end."""
         events = self.events
-        while True:
-            while self.ends and self.ends[0][1] not in self.asks:
-                heapq.heappop(self.ends)
-            wait = min(self.front_end.wake_at, self.timers[0][0] if self.timers else float("inf"),
-                       self.ends[0][0] if self.ends else float("inf")) - clock()
-            try:
-                # Danger: when much is held one look costs more than the time between two, and each event alone
-                # would wait for one. What has come by now is told first, then the decisions are pulled.
-                event = events.get(True, wait / 1000) if wait > 0 else events.get(False)
-                for left in range(ROUND, 0, -1):
-                    if event is None:
-                        return
-                    self._guarded(self.handlers[event[0]], event[1:])
-                    if left > 1:
-                        event = events.get(False)
-            except queue.Empty:
-                pass
-            now = clock()
-            while self.ends and self.ends[0][0] <= now:
-                self._guarded(self._time_up, (heapq.heappop(self.ends)[1],))
-            while self.timers and self.timers[0][0] <= now:
-                _, _, act, args = heapq.heappop(self.timers)
-                self._guarded(act, args)
-            if self.told or self.front_end.wake_at <= now:
-                self._guarded(self._pull, ())
+        try:
+            # Danger: when much is held one look costs more than the time between two, and each event alone
+            # would wait for one. What has come by now is told first, then the decisions are pulled.
+            event = events.get(True, wait / 1000) if wait > 0 else events.get(False)
+            for left in range(ROUND, 0, -1):
+                if event is None:
+                    return False
+                self._guarded(self.handlers[event[0]], event[1:])
+                if left > 1:
+                    event = events.get(False)
+        except queue.Empty:
+            pass
+        now = clock()
+        while self.ends and self.ends[0][0] <= now:
+            self._guarded(self._time_up, (heapq.heappop(self.ends)[1],))
+        while self.timers and self.timers[0][0] <= now:
+            _, _, act, args = heapq.heappop(self.timers)
+            self._guarded(act, args)
+        if self.told or self.front_end.wake_at <= now:
+            self._guarded(self._pull, ())
+        return True
 
     def _guarded(self, act: Callable, args: tuple) -> None:
         try:
@@ -176,16 +182,17 @@
 
     def _asked(self, ask: Ask) -> None:
         if self.stopping or len(self.asks) >= self.station.bounds.open_rpcs:
-            ask.answer(front.denied(ask.ident, "stopping" if self.stopping else "gateway-full"))
+            ask.denied("stopping" if self.stopping else "gateway-full")
             return
         left = ask.left - self.station.answer_way
         if left <= 0:
-            ask.answer(front.denied(ask.ident, "no-time"))
+            ask.denied("no-time")
             return
-        if (away := self.ward.turned_away(ask.call.program, ask.call.input, clock())) is not None:
+        away = self.ward and self.ward.turned_away(ask.call.program, ask.call.input, clock())
+        if away is not None:
             why, wait = away
             self.counts[f"turned_away_{why}"] += 1
-            ask.answer(front.denied(ask.ident, why, wait))
+            ask.denied(why, wait)
             return
         self.ident += 1
         ask.told, call = self.ident, ask.call
@@ -205,7 +212,7 @@
         for call_out, order in list(ask.orders.items()):
             if order.link is not None and self.station.allowance.cancel:
                 order.link.cancel(order, lambda: None)
-            self._ended(ask, call_out, "timeout")
+            self._ended(ask, call_out, Ending("timeout"))
         self.told = True
 
     def _left_open(self, ident: int) -> None:
@@ -214,7 +221,7 @@
             # Danger: an RPC that the module left open would be lost. Nothing known leads here; it is logged.
             self.counts["unanswered"] += 1
             self.log.error("rpc left open at its time", rpc=ident)
-            self._final(ask, front.aborted(ask.ident, "left-open"), "aborted")
+            self._final(ask, "aborted", "left-open")
             self._inform("left", ident)
 
     def _left(self, ask: Ask) -> None:
@@ -228,17 +235,16 @@
         for ask in asks:
             self._left(ask)
 
-    def _rows(self, rows: list[Row]) -> None:
-        before = {name: seen.row.address for name, seen in self.roster.seen.items()}
+    def _rows(self, rows: list) -> None:
+        before = self.roster.addresses()
         changes = self.roster.rows(rows, clock())
-        for name, seen in self.roster.seen.items():
-            if before.get(name) != seen.row.address:
+        listed = self.roster.addresses()
+        for name, address in listed.items():
+            if before.get(name) != address:
                 if name in self.links:
                     self.links[name].retire()
-                self.links[name] = Link(name, seen.row.address, self.station.name, self.tell,
-                                        self.station.allowance.dial, self.station.bounds.line,
-                                        self.station.bounds.unread)
-        for name in [name for name in self.links if name not in self.roster.seen]:
+                self.links[name] = self.speech.link(name, address, self.tell)
+        for name in [name for name in self.links if name not in listed]:
             self.links.pop(name).retire()
         self._listed(changes)
 
@@ -249,7 +255,7 @@
                               up_ms=None if listing.born is None else round(clock() - listing.born))
             self._inform("listed", changes, False)
 
-    def _hello(self, link: Link, standing: back.Standing) -> None:
+    def _hello(self, link: Link, standing) -> None:
         if self.links.get(link.name) is link:
             self._listed(self.roster.hello(link.name, standing, clock()))
 
@@ -265,56 +271,50 @@
         if self.links.get(link.name) is link:
             self._listed(self.roster.draining(link.name))
 
-    def _back(self, link: Link, order: Order, outcome: str, result: bytes | None, data: bytes | None) -> None:
+    def _back(self, link: Link | None, order: Order, outcome: str, result: object = None,
+              data: object = None) -> None:
+        ending = self.speech.ending(order, outcome, result, data)
         if order.kind == "run":
-            self._run_back(order, outcome, result, data)
+            self._run_back(order, ending)
         elif order.kind == "hold":
             worker, program, at = order.key
-            raw = result if result is not None else data
-            held = _read(back.Held, raw)
-            if outcome == "error":
+            if self.ward and ending.outcome == "error":
                 self.ward.load_failed(program, worker, clock())
-            elif outcome == "ok" and held and held.copies:
+            elif self.ward and ending.outcome == "ok" and ending.copies:
                 self.ward.stood(program)
-            self._inform("held", worker, program, outcome, held.copies if held else 0, clock() - at)
+            self._inform("held", worker, program, ending.outcome, ending.copies, clock() - at)
         elif order.kind == "probe":
-            probed = _read(back.Probed, result)
-            self._inform("probed", order.key, outcome,
-                         back.report(probed.report, self.station.seat.report) if probed else None)
+            self._inform("probed", order.key, ending.outcome, ending.report)
 
-    def _run_back(self, order: Order, outcome: str, result: bytes | None, data: bytes | None) -> None:
+    def _run_back(self, order: Order, ending: Ending) -> None:
         call_out: CallOut = order.key
         ask = self.asks.get(call_out.rpc.ident)
         if ask is None or call_out not in ask.orders:
             self.counts["late"] += 1
             return
-        names = self.station.seat.report
-        if outcome == "ok":
-            ran = _read(back.Ran, result)
-            if ran is None:  # it ran, and what it said can't be read
-                self._ended(ask, call_out, "error")
-                return
-            self.ward.stood(call_out.rpc.program.name)
+        if ending.outcome == "ok":
+            if self.ward:
+                self.ward.stood(call_out.rpc.program.name)
             if not ask.done:
-                self.ward.ran(call_out.rpc.program.name, ask.call.input)
-                self._final(ask, front.ok(ask.ident, bytes(ran.output), len(call_out.rpc.call_outs)), "ok")
-            self._ended(ask, call_out, "ok", ran.standing, ran.company, back.report(ran.report, names))
+                if self.ward:
+                    self.ward.ran(call_out.rpc.program.name, ask.call.input)
+                self._final(ask, "ok", ending.output, len(call_out.rpc.call_outs))
+            self._ended(ask, call_out, ending)
             return
-        told = _read(back.Told, data)
-        self._ended(ask, call_out, outcome, None, told.company if told else 0,
-                    back.report(told.report, names) if told else None)
-        self._harmed(ask, call_out, outcome, told.inside if told else 0)
+        self._ended(ask, call_out, ending)
+        if self.ward:
+            self._harmed(ask, call_out, ending)
 
-    def _harmed(self, ask: Ask, call_out: CallOut, outcome: str, inside: int) -> None:
+    def _harmed(self, ask: Ask, call_out: CallOut, ending: Ending) -> None:
         """A call-out did not come to its answer: what that says of its program, or of the call."""
         program, worker = call_out.rpc.program.name, call_out.place.worker.listing.ident
-        if outcome == "miss" and self.station.stock.loads_on_call:
+        if ending.outcome == "miss" and self.station.stock.loads_on_call:
             self.ward.load_failed(program, worker, clock())
-        if ask.done or not (inside or outcome == "cut"):
+        if ask.done or not (ending.inside or ending.outcome == "cut"):
             return
-        mark = wards.digest(ask.call.input)
-        if inside:
-            self.ward.copy_ended(program, mark, inside, clock())
+        mark = self.ward.digest(ask.call.input)
+        if ending.inside:
+            self.ward.copy_ended(program, mark, ending.inside, clock())
         else:
             seen = self.roster.seen.get(worker)
             if self.ward.cut(worker, seen.start if seen else 0, program, mark):
@@ -322,7 +322,7 @@
         # Danger: taken before the bar, it goes on from copy to copy by its attempts. Idempotent: denied is as good.
         rpc = call_out.rpc
         if rpc.method.effect == "idempotent" and not rpc.closed and self.ward.is_barred(program, mark):
-            self._final(ask, front.denied(ask.ident, "poison", self.ward.calls.pauses.first), "denied")
+            self._final(ask, "denied", "poison", self.ward.calls.pauses.first)
             self._inform("left", ask.told)
             self._forget(ask)
 
@@ -330,18 +330,19 @@
         seen, link = self.roster.seen.get(worker), self.links.get(worker)
         self.ward.settle(worker, seen.start if seen and link and link.up else None, clock())
 
-    def _ended(self, ask: Ask, call_out: CallOut, outcome: str, standing: str | None = None, company: int = 0,
-               report: tuple[float, ...] | None = None) -> None:
+    def _ended(self, ask: Ask, call_out: CallOut, ending: Ending) -> None:
+        outcome = ending.outcome
         del ask.orders[call_out]
         self.counts[f"call_outs_{outcome}"] += 1
         self.log.debug("call-out ended", rpc=ask.told, call_out=call_out.number, outcome=outcome,
                        worker=call_out.place.worker.listing.ident, took_ms=round(clock() - call_out.sent, 1))
-        self._inform("ended", ask.told, call_out.number, outcome, ask.done, standing, company, report)
+        self._inform("ended", ask.told, call_out.number, outcome, ask.done, ending.standing,
+                     ending.company, ending.report)
         self._forget(ask)
 
     def _withdrawn(self, ask: Ask, call_out: CallOut, outcome: str) -> None:
         if call_out in ask.orders:
-            self._ended(ask, call_out, outcome)
+            self._ended(ask, call_out, Ending(outcome))
 
     def _forget(self, ask: Ask) -> None:
         if ask.done and not ask.orders:
@@ -349,10 +350,10 @@
             if ask.rpc is not None:  # it is closed: without the circle it goes at once, not by the collector
                 ask.rpc.call_outs.clear()
 
-    def _final(self, ask: Ask, body: bytes, answer: str) -> None:
+    def _final(self, ask: Ask, answer: str, *said: object) -> None:
         ask.done = True
         self.counts[answer] += 1
-        ask.answer(body)
+        getattr(ask, answer)(*said)
         self.log.debug("answered", rpc=ask.told, answer=answer, client=ask.client.number)
         ask.call.input = None  # of megabytes, maybe, while a call-out that was given up ends
 
@@ -361,16 +362,14 @@
     def _call(self, rpc, worker: Worker, patience: float | None) -> None:
         ask = self.asks[rpc.ident]
         ask.rpc = rpc
-        call_out, call = rpc.call_outs[ask.sent], ask.call
+        call_out = rpc.call_outs[ask.sent]
         ask.sent += 1
         name = worker.listing.ident
         left = max(0.0, min(rpc.ends - clock(), rpc.ends if patience is None else patience))
-        run = back.Run(rpc.method.name, rpc.program.name, call.input, rpc.program.memory, rpc.program.lanes, left,
-                       call.load_ms, call.token)
-        order = ask.orders[call_out] = Order("run", call_out, "run", jsonrpc.encode(run))
+        order = ask.orders[call_out] = self.speech.run(call_out, ask, left)
         link = order.link = self.links.get(name)
         if link is None:
-            self.events.put(("back", None, order, "unsent", None, None))
+            self.events.put(("back", None, order, "unsent"))
             return
         if patience is not None and clock() + patience < rpc.ends:
             self._at(clock() + patience, self._patience_up, ask, call_out)
@@ -381,7 +380,7 @@
             if self.station.allowance.cancel:
                 self._withdraw(ask, call_out, "timeout")
             else:  # it is out no more as far as the module goes; the check of routes has seen to the rest
-                self._ended(ask, call_out, "timeout")
+                self._ended(ask, call_out, Ending("timeout"))
 
     def _cancel(self, call_out: CallOut) -> None:
         ask = self.asks.get(call_out.rpc.ident)
@@ -412,12 +411,12 @@
 
     def _deny(self, rpc, wait: float | None) -> None:
         ask = self.asks[rpc.ident]
-        self._final(ask, front.denied(ask.ident, self._why(rpc), wait), "denied")
+        self._final(ask, "denied", self._why(rpc), wait)
         self._forget(ask)
 
     def _abort(self, rpc) -> None:
         ask = self.asks[rpc.ident]
-        self._final(ask, front.aborted(ask.ident, self._why(rpc)), "aborted")
+        self._final(ask, "aborted", self._why(rpc))
         self._forget(ask)
 
     def _why(self, rpc) -> str:
@@ -427,28 +426,27 @@
     def _hold(self, worker: Worker, program: Program, copies: int) -> None:
         name = worker.listing.ident
         link = self.links.get(name)
-        hold = back.Hold(program.name, program.memory, program.lanes, copies, program.load_hint or None)
-        order = Order("hold", (name, program.name, clock()), "hold", jsonrpc.encode(hold))
+        order = self.speech.hold((name, program.name, clock()), program, copies)
         self.counts["holds"] += 1
         if link is None:
-            self.events.put(("back", None, order, "unsent", None, None))
+            self.events.put(("back", None, order, "unsent"))
             return
         self._at(clock() + self.station.stock.hold_wait, self._unanswered, link, order)
         link.send(order)
 
     def _probe(self, worker: Worker) -> None:
         name = worker.listing.ident
-        link, order = self.links.get(name), Order("probe", name, "probe", b"{}")
+        link, order = self.links.get(name), self.speech.probe(name)
         self.counts["probes"] += 1
         if link is None:
-            self.events.put(("back", None, order, "unsent", None, None))
+            self.events.put(("back", None, order, "unsent"))
             return
         self._at(clock() + self.station.probe_wait, self._unanswered, link, order)
         link.send(order)
 
     def _unanswered(self, link: Link, order: Order) -> None:
         if link.forget(order):
-            self._back(link, order, "timeout", None, None)
+            self._back(link, order, "timeout")
 
     def _follow(self, on: bool) -> None:
         self.log.info("list followed", on=on)  # the list is pushed to us by its watcher in any case
@@ -456,13 +454,3 @@
     def _note(self, text: str) -> None:
         event, keys = logs.keys(text)
         self.log.info(event, **keys)
-
-
-def _read(kind: type, raw: bytes | None):
-    """A value of that kind, or None where it can't be read."""
-    if not raw:
-        return None
-    try:
-        return msgspec.json.decode(raw, type=kind)
-    except (msgspec.MsgspecError, ValueError, RecursionError):
-        return None
--- a/wickdyke/gateway/door.py
+++ b/wickdyke/gateway/door.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from wickdyke.gateway import parts
 from wickdyke.wire.outbox import Outbox, Parcel, Unread
 from wickdyke.wire.server import listener
 from wickdyke.interface import Method, Timing
@@ -38,17 +39,27 @@
         self.client.write(b"[" + b",".join(self.bodies) + b"]\n")
 
 
-class Ask:
-    """One call of a client, checked. The desk answers it once, or drops it when the client has left."""
+class Ask(parts.Ask):
+    """One call of a client."""
 
-    __slots__ = ("client", "ident", "method", "call", "left", "batch", "timing", "rpc", "sent", "done", "orders",
-                 "told")
+    __slots__ = ("batch",)
 
     def __init__(self, client: "Client", ident: jsonrpc.Ident, method: Method, call: front.Call, left: float,
                  batch: Batch | None, timing: Timing | None) -> None:
-        self.client, self.ident, self.method, self.call, self.left = client, ident, method, call, left
-        self.timing = timing  # as the routes are now; a file read later is for those that come later
-        self.batch, self.rpc, self.sent, self.done, self.orders, self.told = batch, None, 0, False, {}, None
+        super().__init__(client, ident, method, call, left, timing)
+        self.batch = batch
+
+    def ok(self, output: bytes, call_outs: int) -> None:
+        """Its final answer, with what the worker gave."""
+        self.answer(front.ok(self.ident, output, call_outs))
+
+    def denied(self, why: str, wait: float | None = None) -> None:
+        """Its final answer: nothing was done."""
+        self.answer(front.denied(self.ident, why, wait))
+
+    def aborted(self, why: str) -> None:
+        """Its final answer: nothing is promised."""
+        self.answer(front.aborted(self.ident, why))
 
     def answer(self, body: bytes) -> None:
         """Sends the final answer, unless the client has left the call."""
--- a/wickdyke/gateway/link.py
+++ b/wickdyke/gateway/link.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from wickdyke.gateway import parts
 from wickdyke.wire.outbox import Outbox, Parcel, Unread
 from wickdyke.protocol import back, jsonrpc
 from wickdyke.protocol.lines import Lines, TooLong
@@ -23,16 +24,16 @@
 CHUNK = 1 << 18  # bytes read at a time
 
 
-class Order:
-    """One message that is owed an answer: a call-out, a hold or a probe. `key` is the desk's."""
+class Order(parts.Order):
+    """One message that is owed an answer, as it is sent."""
 
-    __slots__ = ("kind", "key", "method", "params", "parcel", "number", "link")
+    __slots__ = ("method", "params", "parcel", "number")
 
     def __init__(self, kind: str, key: Any, method: str, params: bytes) -> None:
-        self.kind, self.key, self.method, self.params = kind, key, method, params
+        super().__init__(kind, key)
+        self.method, self.params = method, params
         self.parcel: Parcel | None = None
         self.number = -1
-        self.link: Link | None = None
 
 
 class Link:
--- /dev/null
+++ b/wickdyke/gateway/parts.py
@@ -0,0 +1,112 @@
+"""What the desk uses of the ways in and out: asks, links, their orders, and the view of the list.
+
+JSON-RPC (door, link, speech, roster beside this) is one set of them, wickdyke/platform the other.
+"""
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from wickdyke.interface import CallOut, Listing, Method, Program, Timing
+
+
+class Ask:
+    """One RPC of a client, checked. The desk answers it once, or drops it when the client has left.
+
+    `call` has the program, its figures (memory_mb, lanes, load_ms, work_ms), repeat, token and input.
+    """
+
+    __slots__ = ("client", "ident", "method", "call", "left", "timing", "rpc", "sent", "done", "orders", "told")
+
+    def __init__(self, client: Any, ident: Any, method: Method, call: Any, left: float,
+                 timing: Timing | None = None) -> None:
+        self.client, self.ident, self.method, self.call, self.left = client, ident, method, call, left
+        self.timing = timing  # as the routes are now; a file read later is for those that come later
+        self.rpc, self.sent, self.done, self.orders, self.told = None, 0, False, {}, None
+
+    def ok(self, output: bytes, call_outs: int) -> None:
+        """Its final answer, with what the worker gave."""
+        raise NotImplementedError
+
+    def denied(self, why: str, wait: float | None = None) -> None:
+        """Its final answer: nothing was done; worth asking again after `wait` ms."""
+        raise NotImplementedError
+
+    def aborted(self, why: str) -> None:
+        """Its final answer: nothing is promised."""
+        raise NotImplementedError
+
+
+class Order:
+    """One message that is owed an answer: a call-out (run), a hold or a probe. `key` is the desk's."""
+
+    __slots__ = ("kind", "key", "link")
+
+    def __init__(self, kind: str, key: Any) -> None:
+        self.kind, self.key = kind, key
+        self.link: Link | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Ending:
+    """How an order ended, and what came with it; `inside` is how many calls were in a copy that ended."""
+
+    outcome: str
+    output: bytes = b""
+    standing: str | None = None
+    company: int = 0
+    report: tuple[float, ...] | None = None
+    copies: int = 0
+    inside: int = 0
+
+
+class Link(Protocol):
+    """One worker. It tells `("back", link, order, outcome, result, data)` of each order once."""
+
+    name: str
+
+    def send(self, order: Order) -> None:
+        """Sends it, or has it sent once connected."""
+
+    def cancel(self, order: Order, done: Any) -> str | None:
+        """Withdraws a call-out; see wickdyke/gateway/link.py for what it returns."""
+
+    def forget(self, order: Order) -> bool:
+        """No answer is waited for any more; False where it has ended already."""
+
+    def cut(self) -> None:
+        """Ends the connection."""
+
+    def retire(self) -> None:
+        """No more is to be sent; it ends with the last of what is out."""
+
+    def close(self) -> None:
+        """Ends it at once."""
+
+
+class Speech(Protocol):
+    """How workers are spoken to."""
+
+    def link(self, name: str, address: str, tell: Any) -> Link:
+        """The way to one worker."""
+
+    def run(self, call_out: CallOut, ask: Ask, left: float) -> Order:
+        """A call-out, to be waited for so many ms."""
+
+    def hold(self, key: tuple, program: Program, copies: int) -> Order:
+        """An order to have so many copies standing."""
+
+    def probe(self, key: str) -> Order:
+        """A question for a report."""
+
+    def ending(self, order: Order, outcome: str, result: object, data: object) -> Ending:
+        """What a link told of an order's end."""
+
+
+class Roster(Protocol):
+    """The view of the list."""
+
+    def rows(self, rows: list, now: float) -> list[Listing]:
+        """What came from the list, and what it changed."""
+
+    def addresses(self) -> dict[str, str]:
+        """Where the listed workers are."""
--- a/wickdyke/gateway/roster.py
+++ b/wickdyke/gateway/roster.py
@@ -54,6 +54,10 @@
             changes += self._changed(row.name)
         return changes
 
+    def addresses(self) -> dict[str, str]:
+        """Where the listed workers are."""
+        return {name: seen.row.address for name, seen in self.seen.items()}
+
     def hello(self, name: str, standing: Standing, now: float) -> list[Listing]:
         """A worker was connected to and said who it is."""
         seen = self.seen.get(name)
--- a/wickdyke/gateway/serve.py
+++ b/wickdyke/gateway/serve.py
@@ -10,7 +10,10 @@
 from wickdyke.gateway import door as doors
 from wickdyke.gateway.desk import Desk, clock
 from wickdyke.gateway.door import Door
+from wickdyke.gateway.roster import Roster
+from wickdyke.gateway.speech import JsonRpc
 from wickdyke.gateway.tape import Tape
+from wickdyke.gateway.ward import Ward
 from wickdyke.logic import TICK
 from wickdyke.settings import roll, routes
 from wickdyke.settings.sexp import NotYet, Unusable
@@ -89,7 +92,8 @@
         self.station, self.log = station, log
         seed = station.seed if station.seed is not None else random.SystemRandom().getrandbits(48)
         self.tape = Tape(station.tape) if station.tape else None
-        self.desk = Desk(station, seed, log, self.tape)
+        self.desk = Desk(station, seed, log, JsonRpc(station), Roster(station.zones, station.kinds), self.tape,
+                         Ward(station.isolation, station.seat.of, log))
         self.door = Door(station, self.desk.take, self.desk.busy, log.warning)
         self.watchers = [Watcher("list", station.workers, station.reread, lambda path: roll.read(
             path, station.zones, station.kinds), self._listed, log)]
--- /dev/null
+++ b/wickdyke/gateway/speech.py
@@ -0,0 +1,65 @@
+"""How the gateway speaks to workers in JSON-RPC: call-outs, holds and probes as messages, and their ends read."""
+
+import msgspec
+
+from wickdyke.gateway.link import Link, Order
+from wickdyke.gateway.parts import Ask, Ending
+from wickdyke.interface import CallOut, Program
+from wickdyke.protocol import back, jsonrpc
+from wickdyke.settings.station import Station
+
+
+class JsonRpc:
+    """The speech of one gateway."""
+
+    def __init__(self, station: Station) -> None:
+        self.station, self.names = station, station.seat.report
+
+    def link(self, name: str, address: str, tell) -> Link:
+        """The way to one worker."""
+        bounds = self.station.bounds
+        return Link(name, address, self.station.name, tell, self.station.allowance.dial, bounds.line, bounds.unread)
+
+    def run(self, call_out: CallOut, ask: Ask, left: float) -> Order:
+        """A call-out, to be waited for so many ms."""
+        program, call = call_out.rpc.program, ask.call
+        run = back.Run(call_out.rpc.method.name, program.name, call.input, program.memory, program.lanes, left,
+                       call.load_ms, call.token)
+        return Order("run", call_out, "run", jsonrpc.encode(run))
+
+    def hold(self, key: tuple, program: Program, copies: int) -> Order:
+        """An order to have so many copies standing."""
+        hold = back.Hold(program.name, program.memory, program.lanes, copies, program.load_hint or None)
+        return Order("hold", key, "hold", jsonrpc.encode(hold))
+
+    def probe(self, key: str) -> Order:
+        """A question for a report."""
+        return Order("probe", key, "probe", b"{}")
+
+    def ending(self, order: Order, outcome: str, result: bytes | None, data: bytes | None) -> Ending:
+        """What a link told of an order's end."""
+        if order.kind == "hold":
+            held = _read(back.Held, result if result is not None else data)
+            return Ending(outcome, copies=held.copies if held else 0)
+        if order.kind == "probe":
+            probed = _read(back.Probed, result)
+            return Ending(outcome, report=back.report(probed.report, self.names) if probed else None)
+        if outcome == "ok":
+            ran = _read(back.Ran, result)
+            if ran is None:  # it ran, and what it said can't be read
+                return Ending("error")
+            return Ending("ok", bytes(ran.output), ran.standing, ran.company, back.report(ran.report, self.names))
+        told = _read(back.Told, data)
+        if told is None:
+            return Ending(outcome)
+        return Ending(outcome, company=told.company, report=back.report(told.report, self.names), inside=told.inside)
+
+
+def _read(kind: type, raw: bytes | None):
+    """A value of that kind, or None where it can't be read."""
+    if not raw:
+        return None
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return None
--- a/wickdyke/gateway/ward.py
+++ b/wickdyke/gateway/ward.py
@@ -23,6 +23,8 @@
 class Ward:
     """Programs that do not load and calls that end copies, for one gateway."""
 
+    digest = staticmethod(digest)
+
     def __init__(self, isolation: Isolation, front_ends: int, log) -> None:
         self.log = log
         self.programs = Programs(isolation.workers, isolation.loads_window,
--- /dev/null
+++ b/wickdyke/platform/__main__.py
@@ -0,0 +1,8 @@
+"""`python -m wickdyke.platform`: one front end of the platform, told what it is by its environment."""
+
+import sys
+
+from wickdyke.platform.serve import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wickdyke/platform/back.py
@@ -0,0 +1,408 @@
+"""Connections to one worker: call-outs, holds and probes go out, and the desk is told how each ended.
+
+A call-out has a connection to itself while the pool has one to give: what spoils or resets a connection then costs
+no other. Holds and probes share one beside them.
+"""
+
+import errno
+import socket
+from collections import Counter, deque
+from collections.abc import Callable
+
+from wickdyke.gateway import parts
+from wickdyke.gateway.parts import Ask, Ending
+from wickdyke.interface import CallOut, Program
+from wickdyke.platform import resp
+from wickdyke.settings.terms import REPORTS
+from wickdyke.wire.loop import Loop, clock
+from wickdyke.wire.outbox import Outbox, Parcel, Unread
+
+CHUNK = 1 << 16  # bytes read at a time
+UNREAD = 1 << 20  # bytes that may wait for a worker
+STREAMS = 32  # orders on one connection at most
+IDLE_PART = 0.7  # of the time after which the worker ends an idle connection, we leave it
+GIVEN_UP = 64  # ids given up on a connection that are remembered, so that a late answer is known
+
+OUTCOMES = {b"ACK": "ok", b"NOENT": "miss", b"AGAIN": "full", b"EIO": "error", b"STALE": "unsent",
+            b"READY": "ok", b"AILING": "error"}
+NOTES = {"w": "stood", "c": "began", "j": "awaited", "f": "load failed"}
+# Reports come under the protocol's words or under those of the settings.
+WORDS = REPORTS | {"inflight": "held", "util": "busy", "latency_ms": "recent", "qps": "rate", "eps": "errors"}
+
+
+def report(text: str, names: tuple[str, ...]) -> tuple[float, ...] | None:
+    """A report in the order of `names`; None where it is not whole."""
+    values = {}
+    try:
+        for pair in text.split(";"):
+            name, _, value = pair.partition(":")
+            values[WORDS.get(name, name)] = float(value)
+    except ValueError:
+        return None
+    if any(not abs(values.get(name, float("inf"))) < 1e12 for name in names):
+        return None
+    return tuple(values[name] for name in names)
+
+
+def ending(answer: list[bytes], names: tuple[str, ...]) -> Ending:
+    """How an order ended, from the worker's answer; raises Spoilt."""
+    if len(answer) != 4 or answer[1] not in OUTCOMES:
+        raise resp.Spoilt(f"an answer of {len(answer)} parts, {answer[1:2]!r}")
+    told = resp.fields(answer[2])
+    try:
+        company, copies = int(told.get("ahead", "0")), int(told.get("units", "0"))
+    except ValueError:
+        raise resp.Spoilt("counts that are no numbers") from None
+    return Ending(OUTCOMES[answer[1]], answer[3], NOTES.get(told.get("why", "")), company,
+                  report(told["rep"], names) if "rep" in told else None, copies)
+
+
+class Order(parts.Order):
+    """One message that is owed an answer, as it is sent."""
+
+    __slots__ = ("ident", "line", "parcel", "wire", "sent")
+
+    def __init__(self, kind: str, key: object, ident: bytes, line: bytes) -> None:
+        super().__init__(kind, key)
+        self.ident, self.line, self.parcel, self.wire, self.sent = ident, line, None, None, 0.0
+
+
+class Pool:
+    """How many connections to workers there may be, over all links."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.used = most, 0
+        self.counts: Counter[str] = Counter()
+
+
+class Speech:
+    """How workers of the platform are spoken to."""
+
+    def __init__(self, loop: Loop, station, log) -> None:
+        self.loop, self.station, self.log = loop, station, log
+        self.pool, self.names = Pool(station.sockets * 2 // 5), station.seat.report
+        self.number = 0
+
+    def _tag(self) -> bytes:
+        self.number += 1
+        return b"t%d" % self.number
+
+    def link(self, name: str, address: str, tell) -> "Link":
+        """The way to one worker."""
+        return Link(name, address, tell, self.loop, self.pool, self.station.allowance.dial,
+                    self.station.allowance.idle_close * IDLE_PART, self.names)
+
+    def run(self, call_out: CallOut, ask: Ask, left: float) -> Order:
+        """A call-out, to be waited for so many ms."""
+        ident = ask.call.ident
+        told = f"lane={call_out.rpc.method.name},name={call_out.rpc.program.name},ttl={max(1, round(left))}"
+        return Order("run", call_out, ident, resp.command(b"invoke", ident, told.encode(), ask.call.input))
+
+    def hold(self, key: tuple, program: Program, copies: int) -> Order:
+        """An order to have so many copies standing."""
+        tag = self._tag()
+        return Order("hold", key, tag, resp.command(b"prewarm", tag, f"name={program.name},units={copies}".encode()))
+
+    def probe(self, key: str) -> Order:
+        """A question for a report."""
+        tag = self._tag()
+        return Order("probe", key, tag, resp.command(b"gauges", tag))
+
+    def ending(self, order: Order, outcome: str, result: Ending | None, data: object) -> Ending:
+        """What a link told of an order's end: read already where an answer came."""
+        return result if result is not None else Ending(outcome)
+
+
+class Wire:
+    """One connection to a worker."""
+
+    first = True
+
+    def __init__(self, link: "Link") -> None:
+        self.link, self.loop = link, link.loop
+        self.open: dict[bytes, Order] = {}
+        self.pending: list[Order] = []  # until it is up
+        self.given_up: deque[bytes] = deque(maxlen=GIVEN_UP)
+        self.answers = resp.Answers()
+        self.up = self.closed = self.stale = False
+        self.used = self.heard = clock()
+        self.sock = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.outbox = Outbox(sock, UNREAD, link.name, self._waits)
+        link.pool.used += 1
+        link.pool.counts["dialled"] += 1
+        code = sock.connect_ex(link.at)
+        self.failed = code not in (0, errno.EINPROGRESS)
+        if self.failed:
+            link.pool.used -= 1
+            self.closed = True
+            sock.close()
+        else:
+            self.loop.add(sock, self, write=True)
+            self.loop.at(clock() + link.dial, self._late)
+
+    @property
+    def load(self) -> int:
+        """Orders on it."""
+        return len(self.open) + len(self.pending)
+
+    def takes(self, ident: bytes) -> bool:
+        """Whether an order under that id may go here: never two under one, nor one whose late answer may come."""
+        return (not self.closed and not self.stale and self.load < STREAMS and ident not in self.open
+                and ident not in self.given_up and all(order.ident != ident for order in self.pending))
+
+    def alive(self) -> bool:
+        """Whether it still stands, as far as this side can tell without waiting."""
+        # Danger: one that was ended while idle takes an RPC with it that can't be repeated. Also resets. Could
+        # hurt nowhere: one more call to the kernel for an idle one.
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+
+    def send(self, order: Order) -> None:
+        """Sends it, or has it sent once the connection is up."""
+        order.wire, order.sent, self.used = self, clock(), clock()
+        if not self.up:
+            self.pending.append(order)
+            return
+        order.parcel, self.open[order.ident] = Parcel(order.line), order
+        try:
+            self.outbox.put(order.parcel)
+        except (Unread, OSError) as bad:
+            self.end(f"{type(bad).__name__}: {bad}")
+
+    def _waits(self, waits: bool) -> None:
+        if not self.closed:
+            self.loop.want(self.sock, waits)
+
+    def _late(self) -> None:
+        if not self.up and not self.closed:
+            self.end("no connection in time")
+
+    def writable(self) -> None:
+        """It has come up or failed, or what waits may go on."""
+        if not self.up:
+            if code := self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self.end(f"connect: {errno.errorcode.get(code, code)}")
+                return
+            self.up, pending, self.pending = True, self.pending, []
+            self.loop.want(self.sock, False)
+            for order in pending:
+                if self.closed:
+                    self.link.back(order, "unsent")
+                else:
+                    self.send(order)
+            return
+        try:
+            self.outbox.pump()
+        except OSError as bad:
+            self.end(f"{type(bad).__name__}: {bad}")
+
+    def readable(self) -> None:
+        """Answers, or its end."""
+        if not self.up:
+            return self.writable()
+        try:
+            data = self.sock.recv(CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return None
+        except OSError as bad:
+            return self.end(f"{type(bad).__name__}: {bad}")
+        if not data:
+            return self.end("ended by the worker")
+        self.heard = clock()
+        try:
+            for answer in self.answers.feed(data):
+                self._answer(answer)
+        except resp.Spoilt as bad:
+            for answer in list(self.answers.whole):  # what was whole before it stands
+                try:
+                    self._answer(answer)
+                except resp.Spoilt:
+                    break
+            self.link.pool.counts["spoilt"] += 1
+            return self.end(f"spoilt: {bad}")
+        if self.stale and not self.load:
+            self.end("given up")
+        return None
+
+    def _answer(self, answer: list[bytes]) -> None:
+        order = self.open.get(answer[0])
+        if order is None:  # after it was given up, a second time, or for what was never asked
+            if answer[0] in self.given_up:
+                self.given_up.remove(answer[0])
+            self.link.pool.counts["strays"] += 1
+            return
+        found = ending(answer, self.link.names)
+        del self.open[answer[0]]
+        self.used = self.heard
+        self.link.back(order, found.outcome, found)
+
+    def end(self, why: str) -> None:
+        """Ends the connection; tells how that leaves what was on it."""
+        if self.closed:
+            return
+        was_up, self.closed = self.up, True
+        self.loop.remove(self.sock)
+        self.sock.close()
+        self.link.pool.used -= 1
+        self.link.gone(self)
+        for order in self.pending:
+            self.link.back(order, "unsent" if was_up else "unreached")
+        if self.open:
+            self.link.pool.counts["cut"] += 1
+        for order in self.open.values():
+            self.link.back(order, "cut" if order.parcel.begun else "unsent")
+        self.pending, self.open = [], {}
+
+
+class Link:
+    """All connections to one worker."""
+
+    def __init__(self, name: str, address: str, tell: Callable[..., None], loop: Loop, pool: Pool, dial: float,
+                 idle: float, names: tuple[str, ...]) -> None:
+        self.name, self.tell, self.loop, self.pool = name, tell, loop, pool
+        host, _, port = address.rpartition(":")
+        self.at, self.dial, self.idle, self.names = (host, int(port)), dial, idle, names
+        self.wires: list[Wire] = []  # for call-outs; the last used at the end
+        self.beside: Wire | None = None  # for holds and probes
+        self.retired = self.closed = False
+
+    def send(self, order: Order) -> None:
+        """Sends it on a connection that fits; its end comes by `tell`."""
+        if self.closed:
+            self.back(order, "unsent")
+            return
+        order.link = self
+        wire = self._for_run(order.ident) if order.kind == "run" else self._for_others(order.ident)
+        if wire is None or wire.failed:
+            self.back(order, "unsent" if wire is None else "unreached")
+        else:
+            wire.send(order)
+
+    def _for_run(self, ident: bytes) -> Wire | None:
+        self.sweep()
+        for wire in reversed(self.wires):
+            if not wire.load and wire.takes(ident):
+                if wire.alive():
+                    return wire
+                wire.end("ended while idle")
+        wire = None
+        if self.pool.used < self.pool.most:
+            wire = Wire(self)
+            if not wire.failed:
+                self.wires.append(wire)
+            return wire
+        return min((wire for wire in self.wires if wire.takes(ident)), key=lambda w: w.load, default=None)
+
+    def _for_others(self, ident: bytes) -> Wire | None:
+        wire = self.beside
+        if wire is not None and wire.load == 0 and not (clock() - wire.used < self.idle and wire.alive()):
+            wire.end("idle")
+        if self.beside is None or not self.beside.takes(ident):
+            wire = Wire(self)
+            if wire.failed:
+                return wire
+            if self.beside is not None:  # it ends with what is on it
+                self.wires.insert(0, self.beside)
+                self.beside.stale = True
+            self.beside = wire
+        return self.beside
+
+    def sweep(self) -> None:
+        """Leaves connections before the worker ends them as idle."""
+        now = clock()
+        for wire in [wire for wire in self.wires if not wire.load and (wire.stale or now - wire.used > self.idle)]:
+            wire.end("idle")
+
+    def back(self, order: Order, outcome: str, found: Ending | None = None) -> None:
+        """Tells how an order ended."""
+        self.tell("back", self, order, outcome, found, None)
+        if self.retired:
+            self._maybe_close()
+
+    def gone(self, wire: Wire) -> None:
+        """A connection has ended."""
+        if wire is self.beside:
+            self.beside = None
+        elif wire in self.wires:
+            self.wires.remove(wire)
+
+    def cancel(self, order: Order, done: Callable[[], None]) -> str | None:
+        """Withdraws a call-out: as wickdyke/gateway/link.py has it."""
+        wire = order.wire
+        if wire is None or wire.closed:
+            return "ended"
+        if order in wire.pending:
+            wire.pending.remove(order)
+            return "unsent"
+        if wire.open.get(order.ident) is not order:
+            return "ended"
+        if wire.outbox.withdraw(order.parcel):
+            del wire.open[order.ident]
+            return "unsent"
+        if len(wire.open) == 1 and not wire.pending:
+            # Ending the connection gives up what is on it. Danger: what said nothing in all that time may be cut
+            # off, and the next on it would wait in vain. Also an answer that never comes.
+            del wire.open[order.ident]
+            wire.end("given up")
+            return "cancelled"
+        try:
+            with_kernel = wire.outbox.put(Parcel(resp.command(b"abort", order.ident), lambda: self._cancelled(
+                wire, order, done)))
+        except (Unread, OSError) as bad:
+            wire.end(f"{type(bad).__name__}: {bad}")  # which tells of all that was on it
+            return None
+        if not with_kernel:
+            return None
+        self._given_up(wire, order)
+        return "cancelled"
+
+    def _cancelled(self, wire: Wire, order: Order, done: Callable[[], None]) -> None:
+        if wire.open.get(order.ident) is order:
+            self._given_up(wire, order)
+            done()
+
+    def _given_up(self, wire: Wire, order: Order) -> None:
+        del wire.open[order.ident]
+        wire.given_up.append(order.ident)
+        wire.stale = wire.stale or wire.heard <= order.sent
+
+    def forget(self, order: Order) -> bool:
+        """No answer is waited for any more; False where it has ended already."""
+        wire = order.wire
+        if wire is None or wire.closed:
+            return False
+        if order in wire.pending:
+            wire.pending.remove(order)
+            return True
+        if wire.open.get(order.ident) is not order:
+            return False
+        self._given_up(wire, order)
+        if wire.stale and not wire.load:
+            wire.end("silent")
+        return True
+
+    def cut(self) -> None:
+        """Ends all connections; what is out there ends as cut."""
+        for wire in [*self.wires, *([self.beside] if self.beside else [])]:
+            wire.end("cut")
+
+    def retire(self) -> None:
+        """No more is to be sent; it ends with the last of what is out."""
+        self.retired = True
+        self._maybe_close()
+
+    def _maybe_close(self) -> None:
+        if not self.closed and not any(wire.load for wire in self.wires) and not (self.beside and self.beside.load):
+            self.closed = True
+            self.cut()
+
+    def close(self) -> None:
+        """Ends it at once."""
+        self.closed = True
+        self.cut()
--- /dev/null
+++ b/wickdyke/wire/loop.py
@@ -0,0 +1,91 @@
+"""One selector loop for all sockets of a program that runs in one thread, with its timers."""
+
+import heapq
+import itertools
+import select
+import socket
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+EVENTS = 256  # events taken from the kernel in one turn
+
+
+class Handler(Protocol):
+    """Whoever owns a socket. Those that come `first` are served before the others in each turn."""
+
+    first: bool
+
+    def readable(self) -> None:
+        """There is something to read, or the connection has ended."""
+
+    def writable(self) -> None:
+        """What waits may be written, or the connection has come up or failed."""
+
+
+def clock() -> float:
+    """Monotonic time in ms."""
+    return time.monotonic() * 1000
+
+
+class Loop:
+    """Waits for sockets and for times."""
+
+    def __init__(self) -> None:
+        self.epoll, self.handlers = select.epoll(), {}
+        self.timers: list[tuple[float, int, Callable, tuple]] = []
+        self.turn_number = itertools.count()
+
+    def add(self, sock: socket.socket, handler: Handler, write: bool = False) -> None:
+        """Serves that socket from now on."""
+        number = sock.fileno()
+        self.handlers[number] = handler
+        self.epoll.register(number, select.EPOLLIN | (select.EPOLLOUT if write else 0))
+
+    def want(self, sock: socket.socket, write: bool, read: bool = True) -> None:
+        """What is waited for on that socket."""
+        self.epoll.modify(sock.fileno(), (select.EPOLLIN if read else 0) | (select.EPOLLOUT if write else 0))
+
+    def remove(self, sock: socket.socket) -> None:
+        """Serves it no more; to be called before it is closed."""
+        if self.handlers.pop(sock.fileno(), None) is not None:
+            self.epoll.unregister(sock.fileno())
+
+    def at(self, when: float, act: Callable, *args: object) -> None:
+        """Calls that at that time of `clock`."""
+        heapq.heappush(self.timers, (when, next(self.turn_number), act, args))
+
+    def next_at(self) -> float:
+        """When the next timer is due."""
+        return self.timers[0][0] if self.timers else float("inf")
+
+    def turn(self, wait: float, between: Callable[[], object]) -> None:
+        """Waits so many ms at most, serves the first, does what is due, calls `between`, then serves the others."""
+        # Danger: who floods us with requests would delay the answers of workers and all that is due. Also many
+        # connects at once. Could hurt where workers flood: each is read a bounded piece at a time.
+        # Rounded up: a wait that ends too early would turn for nothing until its time has come.
+        found = self.epoll.poll(max(0.0, wait + 0.5) / 1000 if wait > 0 else 0, EVENTS)
+        others = []
+        for number, events in found:
+            handler = self.handlers.get(number)
+            if handler is not None and handler.first:
+                self._serve(number, handler, events)
+            elif handler is not None:
+                others.append((number, handler, events))
+        now = clock()
+        while self.timers and self.timers[0][0] <= now:
+            _, _, act, args = heapq.heappop(self.timers)
+            act(*args)
+        between()
+        for number, handler, events in others:
+            self._serve(number, handler, events)
+
+    def _serve(self, number: int, handler: Handler, events: int) -> None:
+        if events & select.EPOLLOUT and self.handlers.get(number) is handler:
+            handler.writable()
+        if events & ~select.EPOLLOUT and self.handlers.get(number) is handler:
+            handler.readable()
+
+    def close(self) -> None:
+        """Ends it."""
+        self.epoll.close()
--- a/wickdyke/wire/outbox.py
+++ b/wickdyke/wire/outbox.py
@@ -20,14 +20,15 @@
 
 
 class Outbox:
-    """Sends at once what the kernel takes at once; a thread of its own writes the rest.
+    """Sends at once what the kernel takes at once; a thread of its own writes the rest, or a loop by `pump`.
 
     `most` is the greatest number of bytes that may wait. The thread is begun only when something has to wait, so
-    that a peer that reads costs none.
+    that a peer that reads costs none. With `waits` there is no thread: it is told when something begins to wait
+    (True) and when nothing does any more.
     """
 
-    def __init__(self, sock: socket.socket, most: int, name: str) -> None:
-        self.sock, self.most, self.name = sock, most, name
+    def __init__(self, sock: socket.socket, most: int, name: str, waits: Callable[[bool], None] | None = None) -> None:
+        self.sock, self.most, self.name, self.waits = sock, most, name, waits
         self.lock = threading.Lock()
         self.more = threading.Condition(self.lock)
         self.waiting: deque[Parcel] = deque()
@@ -56,6 +57,10 @@
                 raise Unread(f"{self.held} bytes wait to be read")
             self.held += len(parcel.data)
             self.waiting.append(parcel)
+            if self.waits is not None:
+                if len(self.waiting) == 1:
+                    self.waits(True)
+                return False
             if self.thread is None:
                 self.thread = threading.Thread(target=self._write, name=self.name, daemon=True)
                 self.thread.start()
@@ -71,6 +76,23 @@
             self.held -= len(parcel.data)
             return True
 
+    def pump(self) -> None:
+        """For the loop: sends what the kernel takes now; raises OSError where the connection has ended."""
+        while self.waiting:
+            parcel = self.waiting[0]
+            try:
+                sent = self.sock.send(parcel.data, socket.MSG_DONTWAIT)
+            except (BlockingIOError, InterruptedError):
+                return
+            parcel.begun, self.held = True, self.held - sent
+            if sent < len(parcel.data):
+                parcel.data = memoryview(parcel.data)[sent:]
+                return
+            self.waiting.popleft()
+            if parcel.written is not None:
+                parcel.written()
+        self.waits(False)
+
     def empty(self) -> bool:
         """Whether nothing waits to be written."""
         with self.lock:
