--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -181,6 +181,8 @@
     # ---- what happens ----
 
     def _asked(self, ask: Ask) -> None:
+        if ask.done:  # taken back before its turn: it is no load, and the module need not hear of it
+            return
         if self.stopping or len(self.asks) >= self.station.bounds.open_rpcs:
             ask.denied("stopping" if self.stopping else "gateway-full")
             return
@@ -225,11 +227,12 @@
             self._inform("left", ident)
 
     def _left(self, ask: Ask) -> None:
-        if ask.told is not None and not ask.done:
+        if not ask.done:
             ask.done = True
             self.counts["left"] += 1
-            self._inform("left", ask.told)
-            self._forget(ask)
+            if ask.told is not None:
+                self._inform("left", ask.told)
+                self._forget(ask)
 
     def _gone(self, asks: list[Ask]) -> None:
         for ask in asks:
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -199,6 +199,7 @@
     lots: dict[Worker, float] = field(default_factory=dict)
     ring: list[Worker] = field(default_factory=list)
     ringed: list[Worker] | None = None
+    proven: bool = False
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -79,10 +79,8 @@
 
     def weigh(self, worker: Worker, now: float) -> None:
         trim(worker.ratios, now - SAMPLE_AGE)
-        took = work = 0.0
-        for _, ms, cost in worker.ratios:
-            took, work = took + ms, work + cost
-        worker.took, worker.work = took, work
+        worker.took = sum(ms for _, ms, _ in worker.ratios)
+        worker.work = sum(cost for _, _, cost in worker.ratios)
 
     def pace(self, worker: Worker) -> float:
         prior = PRIOR * worker.work / (len(worker.ratios) or 1) or 1.0  # an unheard worker counts as average
@@ -159,7 +157,7 @@
 
 
 PERIOD, RETHINK, LOOKS = 500.0, 5000.0, 8  # ms: between fills, homes are kept; workers looked at for one RPC
-TARGET, BOUND, HEADROOM = 0.6, 0.7, 1.5  # busy share to open workers, to fill one for; deviations kept free
+TARGET, BOUND, HEADROOM = 0.4, 0.7, 1.5  # busy share to open workers, to fill one for; deviations kept free
 SLACK, STAY = 1.2, 1.4  # times its even part that a worker is given, times that that it may keep
 SMALL, CLOSE, HOT, TIRED = 0.15, 0.75, 1.2, 0.8  # of room: may go over, given up; of mean busy share; least
 CROWDED, EASED, BELOW, NEXT = 0.85, 0.75, 0.2, 0.125  # busy share of ours; less of others; their first part
@@ -241,7 +239,7 @@
         return program.ring
 
     def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
-        used = [p for p in programs if now - p.called < self.idle_life]
+        used = [p for p in programs if now - p.called < self.idle_life and (p.proven or self.asks)]
         many = sum(len(p.calls) for p in used)
         work = sum(len(p.calls) * self.latency.usual(p) for p in used)
         self.latency.survey(workers, work / max(1, many), now)
@@ -360,7 +358,7 @@
     return None
 
 
-EARLY, JUDGED = 0.33, 8  # of the soft deadline that answers should take on average; answers that tell it
+EARLY, JUDGED = 0.5, 8  # of the soft deadline that answers should take on average; answers that tell it
 FULL_CORES, LIMIT_LEAST = 0.85, 1.0  # busy share from which late answers tell of the worker's own queue
 LIMIT_START, LESS, NEAR = 8.0, 0.5, 0.7  # call-outs out to a worker; least a cut leaves; part used to grow
 SHUN, SHUN_MOST = 1500.0, 4000.0  # ms for which a worker is left alone: at first, doubled each time up to
@@ -587,7 +585,7 @@
             rpc.purse = purse = self.purses.setdefault(timing.account, Purse())
             purse.taken.extend([(now,)] if timing.budget else ())
             purse.seconds = min(SAVED, purse.seconds + (timing.second[2] if timing.second else 0.0))
-        self.guards.taken.append((now,))
+        self.guards.taken.extend([(now,)] if program.proven or self.fill.asks else ())
         for times in (program.times, method.times) if work is not None else ():
             times.append(work)
         self.todo.append(rpc)
@@ -625,6 +623,7 @@
                 took = now - place.loading - self.latency.cost(rpc)
                 self.latency.loaded(rpc.program, took, standing == "began")
             place.standing, place.used, place.loading = max(1, place.standing), now, None
+            rpc.program.proven = True
         elif outcome == "miss":
             place.standing, place.loading, place.missed = 0, None, now
         elif outcome == "full":
@@ -634,7 +633,9 @@
             if not company and self.stock.tells_company and not place.out:  # no copy, no memory for one
                 worker.budget *= SHRINK if worker.crammed <= now else 1.0
                 worker.crammed, place.standing, place.used = now + CRAMMED, 0, 0.0
-        self.health.saw(worker, outcome, now)
+        # Danger: clients that ask for what nobody has make workers look ill, and earn load orders. Also
+        # programs that are broken. Hurts where a worker fails all programs that only it has had.
+        self.health.saw(worker, outcome if rpc.program.proven or outcome != "error" else "miss", now)
         self.latency.reported(worker, report, now)
         if rpc.timing and outcome != "ok":
             spend(rpc, outcome, self.chance, now)
@@ -795,11 +796,10 @@
         timing, most = rpc.timing, most_of(rpc, self.allowance)
         more = not timing or (len(rpc.call_outs) < most
                               and may_pay(rpc, rpc.call_outs[-1].outcome if rpc.call_outs else None, now))
-        place = None
-        if more and now >= rpc.not_before:
-            place = self.place_for(rpc, set(), now)
-            more = not (place and not rpc.call_outs and self.doomed(place, rpc, now))
-            if place and more:
+        place = self.place_for(rpc, set(), now) if more and now >= rpc.not_before else None
+        if place:
+            more = not (not rpc.call_outs and self.fill.asks and self.doomed(place, rpc, now))
+            if more:
                 # Danger: each of many front ends spends its ration on copies that others' orders brought.
                 # Asked by a call-out, a miss proves that none stands. Hurts where misses are slow.
                 load_time = self.latency.load_time(place.program)
--- a/wickdyke/platform/front.py
+++ b/wickdyke/platform/front.py
@@ -153,6 +153,8 @@
         elif message.verb == "cancelRequest":
             if (ask := self.open.get(message.about)) is not None:
                 self.done(ask)
+                if ask.told is None:  # still waits for the desk: hundreds taken back at once are no load
+                    ask.done = True
                 self.front.take(("left", ask))
         elif message.verb != "dispatch":
             self.front.counts["unfit"] += 1
@@ -234,6 +236,7 @@
         front.clients.pop(self.number, None)
         for ask in asks:
             front.open.pop(ask.call.ident, None)
+            ask.done = ask.done or ask.told is None
         self.open.clear()
         if asks:
             front.take(("gone", asks))
