An answer that got lost at a worker that lives is no cut of the worker

Checked: each spoilt answer was told as cut, which empties the worker's books and counts it as cold (Health.saw); workers had not restarted, their other connections stood. Ruled out: the list (one silence, followed again). At fault: Wire.end of the platform, cut for all that was on it. Now error (may have run) where the worker has just spoken or another connection to it stands, and a lost hold as a lost hold.

--- a/wickdyke/platform/back.py
+++ b/wickdyke/platform/back.py
@@ -25,6 +25,7 @@
 
 OUTCOMES = {b"ACK": "ok", b"NOENT": "miss", b"AGAIN": "full", b"EIO": "error", b"STALE": "unsent",
             b"READY": "ok", b"AILING": "error"}
+LOST = {"run": "error", "probe": "error", "hold": "timeout"}  # an answer that got lost, at a worker that lives
 NOTES = {"w": "stood", "c": "began", "j": "awaited", "f": "load failed"}
 # Reports come under the protocol's words or under those of the settings.
 WORDS = REPORTS | {"inflight": "held", "util": "busy", "latency_ms": "recent", "qps": "rate", "eps": "errors"}
@@ -225,7 +226,7 @@
                 except resp.Spoilt:
                     break
             self.link.pool.counts["spoilt"] += 1
-            return self.end(f"spoilt: {bad}")
+            return self.end(f"spoilt: {bad}", spoke=True)
         if self.stale and not self.load:
             self.end("given up")
         return None
@@ -242,10 +243,16 @@
         self.used = self.heard
         self.link.back(order, found.outcome, found)
 
-    def end(self, why: str) -> None:
-        """Ends the connection; tells how that leaves what was on it."""
+    def end(self, why: str, spoke: bool = False) -> None:
+        """Ends the connection; tells how that leaves what was on it. `spoke`: the worker has just sent something."""
         if self.closed:
             return
+        # Danger: a cut says that the process is gone, with all that it had loaded: that resets all its connections.
+        # One that ends beside others that stand, or on an answer that can't be read, tells of one answer only. Also
+        # a reset in between. Could hurt where a process goes and one connection of it is told of late.
+        lives = spoke or bool(self.open) and any(
+            wire.up and wire.alive() for wire in (*self.link.wires, self.link.beside)
+            if wire is not None and wire is not self and not wire.closed)
         was_up, self.closed = self.up, True
         self.loop.remove(self.sock)
         self.sock.close()
@@ -256,7 +263,7 @@
         if self.open:
             self.link.pool.counts["cut"] += 1
         for order in self.open.values():
-            self.link.back(order, "cut" if order.parcel.begun else "unsent")
+            self.link.back(order, "unsent" if not order.parcel.begun else LOST[order.kind] if lives else "cut")
         self.pending, self.open = [], {}
 
 
