--- /dev/null
+++ b/tests/platform_rig.py
@@ -0,0 +1,214 @@
+"""The other sides of the platform's protocol, written apart from the code under test: client, worker, bus, settings."""
+
+import json
+import socket
+import struct
+import threading
+
+LONG = 20.0
+
+SETTINGS = {
+    "lanes": [{"name": "look", "repeat": "pure", "aim": 500000, "deadline": 4000000, "gain": 2.0},
+              {"name": "pay", "repeat": "side_effect", "aim": 500000, "deadline": 4000000, "gain": 5.0}],
+    "instances": 2, "self-index": 0, "zones": ["hall"], "flavors": ["std", "slow"], "discovery": "automatic",
+    "report": {"source": "pull", "fields": ["utilization", "outstanding"]},
+    "limits": {"send-cap": 4, "second-copies": False, "cancelling": True, "probing": True, "dial-timeout": 250000,
+               "idle-close": 15000000},
+    "family-info": {"memory-mb-by-kind": [32000.0, 32000.0], "idle-life": 4000000, "may-load": True,
+                    "if-cold": "load", "load-wait": 4000000, "warm-notes": True, "says-company": True,
+                    "free-loads": 6.0, "load-part": 0.2, "load-window": 5000000},
+    "rules": {"cold-from": 0.2, "ramp-time": 18000000, "overload-factor": 2.0, "tip-after": 2000000,
+              "stop-sending-within": 500000},
+}
+
+
+def instance(name, address, **more):
+    return {"instanceId": name, "hostPort": address, "zone": "hall", "machineType": "std", "cell": 1,
+            "lifecycle": "SERVING", "weight": 4, "startedAtMs": 0, **more}
+
+
+def event(offset, *instances, reset=False):
+    return {"offset": offset, "topology": {"generation": offset, "reset": reset, "instances": list(instances)}}
+
+
+def config(listen, bus, *instances, **more):
+    return {"name": "n0", "listen": listen, "bus": bus, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "known": {"offset": 1, "batch": [event(1, *instances, reset=True)]}, "settings": SETTINGS, **more}
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+# ---- Thrift, as a client writes and reads it ----
+
+def text(value):
+    value = value.encode() if isinstance(value, str) else value
+    return struct.pack(">i", len(value)) + value
+
+
+def table(fields):
+    return b"\x0b\x0b" + struct.pack(">i", len(fields)) + b"".join(text(k) + text(v) for k, v in fields.items())
+
+
+def message(verb, number, args, kind=1):
+    return struct.pack(">I", 0x80010000 | kind) + text(verb) + struct.pack(">i", number) + args
+
+
+def framed(data):
+    return struct.pack(">i", len(data)) + data
+
+
+def fields(ident="9b1f03aa5c7e2d41", name="look", **more):
+    return {"c": name, "i": ident, "d": "1500", "o": "7f3a9c21e0b4d655", "tags": "memory_mb:512;lanes:2", **more}
+
+
+def dispatch(number, given, body=b"hello"):
+    return framed(message("dispatch", number, b"\x0d\x00\x01" + table(given) + b"\x0b\x00\x02" + text(body) + b"\x00"))
+
+
+def cancel(number, about):
+    return framed(message("cancelRequest", number, b"\x08\x00\x01" + struct.pack(">i", about) + b"\x00", 4))
+
+
+def alive(number):
+    return framed(message("alive", number, b"\x02\x00\x01\x01\x00"))
+
+
+class Client:
+    """One connection: `answer()` gives (number, word, body), the word "closed" at its end."""
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        self.sock = socket.create_connection((host, int(port)), LONG)
+        self.sock.settimeout(LONG)
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def _take(self, many):
+        data = b""
+        while len(data) < many:
+            data += (more := self.sock.recv(many - len(data)))
+            if not more:
+                raise ConnectionError
+        return data
+
+    def answer(self):
+        try:
+            data = self._take(struct.unpack(">i", self._take(4))[0])
+        except OSError:
+            return None, "closed", b""
+        kind, length = data[3], struct.unpack_from(">i", data, 4)[0]
+        verb, (number,) = data[8:8 + length], struct.unpack_from(">i", data, 8 + length)
+        rest = data[12 + length:]
+        if kind == 3:
+            return number, "exception", rest
+        place = struct.unpack_from(">h", rest, 1)[0]
+        if place:
+            return number, {1: "shed", 2: "fault"}[place], rest
+        size = struct.unpack_from(">i", rest, 6)[0]
+        good = rest[10 + size + 3 + 6 + 3]
+        return number, ("good" if good else "bad") if verb == b"alive" else "answer", rest[10:10 + size]
+
+    def close(self):
+        self.sock.close()
+
+
+# ---- a worker ----
+
+def bulk(*parts):
+    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(p), p) for p in parts)
+
+
+class Worker:
+    """Answers by `play(worker, sock, command)`; by itself it serves all. `commands` holds what came."""
+
+    def __init__(self, play=None):
+        self.play, self.commands, self.socks, self.lock = play, [], [], threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            with self.lock:
+                self.socks.append(sock)
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        source = sock.makefile("rb")
+        try:
+            while line := source.readline():
+                parts = []
+                for _ in range(int(line[1:])):
+                    parts.append(source.read(int(source.readline()[1:]) + 2)[:-2])
+                with self.lock:
+                    self.commands.append(parts)
+                if not (self.play and self.play(self, sock, parts)):
+                    self.serve(sock, parts)
+        except (OSError, ValueError):
+            pass
+
+    def serve(self, sock, parts):
+        verb = parts[0]
+        if verb == b"invoke":
+            sock.sendall(bulk(parts[1], b"ACK", b"why=w,ahead=0", b"did " + parts[3]))
+        elif verb == b"gauges":
+            sock.sendall(bulk(parts[1], b"READY", b"rep=inflight:2;util:0.25", b""))
+        elif verb == b"prewarm":
+            sock.sendall(bulk(parts[1], b"ACK", b"units=1", b""))
+
+    def came(self, verb):
+        with self.lock:
+            return [parts for parts in self.commands if parts[0] == verb]
+
+    def close(self):
+        self.listener.close()
+        with self.lock:
+            for sock in self.socks:
+                sock.close()
+
+
+# ---- the bus ----
+
+class Bus:
+    """Serves `GET /bus/read`: `asked` holds each Last-Event-ID, `tell` writes to whoever reads."""
+
+    def __init__(self):
+        self.asked, self.readers = [], []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+                head = b""
+                while not head.endswith(b"\r\n\r\n"):
+                    head += sock.recv(1)
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: hi\n\n")
+                self.readers.append(sock)
+                self.asked.append(next(int(line.split(b":")[1]) for line in head.split(b"\r\n")
+                                       if line.lower().startswith(b"last-event-id")))
+            except OSError:
+                return
+
+    def tell(self, raw):
+        self.readers[-1].sendall(raw)
+
+    def event(self, told):
+        self.tell(f"id: {told['offset']}\ndata: {json.dumps(told)}\n\n".encode())
+
+    def close(self):
+        self.listener.close()
+        for sock in self.readers:
+            sock.close()
