Programs whose only home is slow go to idle workers; no limit on all call-outs where they load

Seen: fleet, wide and garble+fleet on sockets deny 5 to 15% without a call-out while a trouble lasts. Checked by a note at each denial with the state of each place: of 129, all but 3 had one home, standing and placed, whose worker was at its limit (1.2 to 4.9, 0.6 to 1.06 busy) while the other five were 0.2 to 0.5 busy with next to nothing of ours. At fault: choose, which waits wherever a copy stands.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -285,13 +285,18 @@
                 self.assertGreater(worker.limit, before * 0.2)
 
     def test_waits_for_a_full_home_and_leaves_one_that_drains(self):
-        """(state of the home) -> whether a call goes elsewhere while the home is at its limit."""
-        for state, elsewhere in (("ready", False), ("draining", True)):
-            with self.subTest(state=state):
-                fleet = Fleet(workers=3)
+        """(state of the home, how busy others are, loads on call) -> whether a call goes elsewhere while the home is
+        at its limit."""
+        for state, busy, on_call, elsewhere in (
+                ("ready", 0.6, True, False), ("ready", 0.2, True, True), ("ready", 0.2, False, False),
+                ("draining", 0.6, True, True)):
+            with self.subTest(state=state, busy=busy, on_call=on_call):
+                fleet = Fleet(workers=3, loads_on_call=on_call)
                 home = called(fleet.serve(calls=200))[-1]
                 for place in fleet.fe.programs["p"].places if state == "ready" else ():
                     place.worker.limit *= place.standing == 0
+                for worker in fleet.fe.ready:
+                    worker.busy = busy
                 fleet.list([row(home, state=state)], whole=False)
                 self.assertEqual(bool(called(fleet.take())), elsewhere)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -204,8 +204,10 @@
                 sock.shutdown(socket.SHUT_RDWR)
                 return True
         for name, play, beside, outcome in (
-                ("served", None, False, "ok"), ("reset", resets, False, "error"), ("gone", dies, False, "cut"), ("reset beside", resets, True, "error"),
-                ("breaks off", stops_short, False, "error"), ("breaks off beside", stops_short, True, "error"),
+                ("served", None, False, "ok"), ("reset", resets, False, "error"), ("gone", dies, False, "cut"),
+                ("reset beside", resets, True, "error"),
+                ("breaks off", stops_short, False, "error"),
+                ("breaks off beside", stops_short, True, "error"),
                 ("noise", writes(lambda p: b"\x01\x02noise"), False, "error"),
                 ("another's answer first", writes(lambda p: rig.bulk(b"other", b"EIO", b"-", b"")
                                                   + rig.bulk(p[1], b"ACK", b"-", b"x") * 2), False, "ok"),
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -413,8 +413,9 @@
             link.cut()
 
     def _deny(self, rpc, wait: float | None) -> None:
-        ask = self.asks[rpc.ident]
-        self._final(ask, "denied", self._why(rpc), wait)
+        ask, why = self.asks[rpc.ident], self._why(rpc)
+        self.counts[f"denied_{why}"] += 1
+        self._final(ask, "denied", why, wait)
         self._forget(ask)
 
     def _abort(self, rpc) -> None:
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -40,8 +40,7 @@
 
 
 SAMPLE_AGE, PRIOR, FRESH = 15000.0, 6.0, 4000.0  # ms samples count; its kind's in a pace; ms reports fade
-LOAD_GUESS, LOAD_LEAST, COST_GUESS = 1000.0, 50.0, 0.25  # ms of a load unseen; least; work, of soft deadline
-LOADS_TOLD = 4  # loads seen of a program from which its hint counts no more
+LOAD_GUESS, LOAD_LEAST, COST_GUESS, LOADS_TOLD = 1000.0, 50.0, 0.25, 4  # ms unseen, least; of soft; loads
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
 PROMISED, LOCAL = 0.8, 0.5  # of what a fleet can do, to tenants; of a zone's workers that are to be well
 OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
@@ -343,12 +342,15 @@
             new = fill.asks and not standing and all(p.loading is None for p in places)
             return min(places, key=lambda p: lot(program, p.worker) if new else (
                 latency.expect(p, rpc, now) * (1 + TIE * chance.below(99) / 99)))
-    if any(latency.stands(p, now) and p.full_until <= now + FULL_WAIT for p in usable):
+    stuck = [p for p in usable if latency.stands(p, now) and p.full_until <= now + FULL_WAIT]
+    if stuck and (fill.asks or any(working(p.worker, now) < p.worker.limit for p in stuck)):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
+    # Danger: its only home is slow and at its limit, and a program is denied while others idle. Also a
+    # crowded neighbour. Hurts where that is over sooner than a load.
     ring = fill.ring(program)
     for pool in ((w for w in ring if w in fill.opened), ring):
         free = [w for w in islice(pool, LOOKS) if w not in fled and able(w) and working(w, now) < w.limit
-                and has_room(w, program, fill, now)]
+                and has_room(w, program, fill, now) and not (stuck and w.busy > TARGET)]
         if free:
             # Danger: until its first fill each of hundreds of front ends goes to the same agreed home. Also a
             # start of all at once. Hurts what few call: it may stand at several.
@@ -358,7 +360,7 @@
     return None
 
 
-EARLY, JUDGED = 0.5, 8  # of the soft deadline that answers should take on average; answers that tell it
+EARLY, JUDGED = 0.33, 8  # of the soft deadline that answers should take on average; answers that tell it
 FULL_CORES, LIMIT_LEAST = 0.85, 1.0  # busy share from which late answers tell of the worker's own queue
 LIMIT_START, LESS, NEAR = 8.0, 0.5, 0.7  # call-outs out to a worker; least a cut leaves; part used to grow
 SHUN, SHUN_MOST = 1500.0, 4000.0  # ms for which a worker is left alone: at first, doubled each time up to
@@ -694,9 +696,8 @@
 
     def tick(self, now: float) -> None:
         self.acts, self.followed = deque([*self.acts, *[("follow_list", True)] * (not self.followed)]), True
-        out = ((co.place.worker, now - co.sent) for co in self.whole.out)
-        old = [worker for worker, age in out if age >= SILENT_LEAST or worker.shuns]
-        for worker in dict.fromkeys(old + self.muted):  # nothing else there can be overdue yet
+        out = ((co.place.worker, now - co.sent) for co in self.whole.out)  # nothing else can be overdue yet
+        for worker in dict.fromkeys([w for w, age in out if age >= SILENT_LEAST or w.shuns] + self.muted):
             self.rescue(worker, now)
             if worker.shun_until <= now and self.health.silent(worker, now):
                 self.health.shun(worker, now, f"silent with {len(worker.out)} out")
@@ -741,9 +742,8 @@
             rpc, most = call_out.rpc, most_of(call_out.rpc, self.allowance)
             left = {co.place.worker for co in rpc.call_outs if co.fled} | {worker}  # it goes back to none
             if (not rpc.closed and not call_out.fled and rpc.method.effect == "idempotent"
-                    and len(rpc.call_outs) < most and may_pay(rpc, "cancelled", now)
-                    and worker.heard <= call_out.sent
-                    and any(w not in left and w.shun_until <= now for w in self.ready)):
+                    and len(rpc.call_outs) < most and may_pay(rpc, "cancelled", now) and worker.heard
+                    <= call_out.sent and any(w not in left and w.shun_until <= now for w in self.ready)):
                 call_out.fled = True
                 self.acts.append(("cancel", call_out))
 
@@ -767,7 +767,7 @@
 
     def place_for(self, rpc: RPC, besides: set[Worker], now: float) -> Place | None:
         most = most_of(rpc, self.allowance)
-        if not now < rpc.ends - 2 * TICK or working(self.whole, now) >= self.whole.limit:
+        if not now < rpc.ends - 2 * TICK or self.fill.asks and working(self.whole, now) >= self.whole.limit:
             return None
         missed = {co.place.worker for co in rpc.call_outs if co.outcome == "miss"
                   and co.place.ordered is None and not self.latency.stands(co.place, now)}
