Links of silent workers end with the last given up; idle connections make room; nothing kept of gone workers

Found in review, each with a test that fails without it: a retired link whose last order was taken back, not answered, kept its connections and its place in the pool; an idle worker's connections held the pool's room against busy ones; Program.lots and Health.met kept each worker that ever was.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -300,6 +300,14 @@
                 fleet.list([row(home, state=state)], whole=False)
                 self.assertEqual(bool(called(fleet.take())), elsewhere)
 
+    def test_nothing_is_kept_of_workers_that_have_gone(self):
+        fleet = Fleet(workers=1)
+        for name in "bcdefgh" * 3:
+            fleet.list([row(name)])
+            fleet.serve(calls=3)
+            fleet.pass_time(600)
+        self.assertEqual((len(fleet.fe.programs["p"].lots), len(fleet.fe.health.met)), (1, 1))
+
     def test_homes_leave_a_closed_worker(self):
         fleet = Fleet(workers=6)
         for name in "abcdef" * 8:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -295,6 +295,39 @@
             self.ended(3 * many)
         self.assertEqual((self.pool.counts["dialled"], self.pool.used), (3, 3))
 
+    def test_the_pool_is_shared_and_what_idles_makes_room(self):
+        first, other = self.link(most=2), self.link(most=2)
+        other.pool = first.pool
+        first.pool.links.add(other)
+        for at in range(2):
+            first.send(self.order(b"%016d" % at))
+        self.ended(2)
+        other.send(self.order())  # both places idle at the first worker
+        self.assertEqual(self.ended(3)[2], (b"9b1f03aa5c7e2d41", "ok"))
+        self.assertEqual((first.pool.used, len(first.wires), len(other.wires)), (2, 1, 1))
+        first.idle = other.idle = 0.0
+        ends = clock() + 5
+        self.until(lambda: clock() > ends)
+        first.pool.sweep()
+        self.assertEqual(first.pool.used, 0)
+
+    def test_a_retired_worker_that_says_nothing_ends_with_the_last_given_up(self):
+        """(how the last goes) -> all connections ended, nothing kept."""
+        for kind in ("run", "probe"):
+            with self.subTest(kind):
+                link = self.link(lambda worker, sock, parts: True)
+                orders = [self.order(b"a" * 16), self.order(b"t1", "probe")]
+                for order in orders:
+                    link.send(order)
+                self.until(lambda: len(self.worker.came(b"invoke") + self.worker.came(b"gauges")) == 2)
+                link.retire()
+                for order in orders if kind == "probe" else orders[::-1]:
+                    if order.kind == "run":
+                        self.assertEqual(link.cancel(order, lambda: None), "cancelled")
+                    else:
+                        self.assertTrue(link.forget(order))
+                self.assertEqual((self.pool.used, self.pool.links, link.closed), (0, set(), True))
+
     def test_a_retired_worker_ends_with_what_is_out(self):
         link = self.link()
         link.send(self.order())
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -563,7 +563,8 @@
             if row is None or row.state == "gone" or row.born != worker.listing.born:  # or the same id, empty
                 worker.listing, worker.mute = replace(worker.listing, state="gone"), 0
                 forget(list(worker.places.values()))
-                self.health.shunned.pop(worker, None)
+                for kept in (self.health.shunned, self.health.met, *[p.lots for p in self.programs.values()]):
+                    kept.pop(worker, None)
                 del self.workers[ident]
         for row in (row for row in rows if row.state != "gone"):
             few = (deque(maxlen=many) for many in (KEPT_RATIOS, KEPT // 2, KEPT // 2, JUDGED))
@@ -797,21 +798,20 @@
         more = not timing or (len(rpc.call_outs) < most
                               and may_pay(rpc, rpc.call_outs[-1].outcome if rpc.call_outs else None, now))
         place = self.place_for(rpc, set(), now) if more and now >= rpc.not_before else None
-        if place:
-            more = not (not rpc.call_outs and self.fill.asks and self.doomed(place, rpc, now))
-            if more:
-                # Danger: each of many front ends spends its ration on copies that others' orders brought.
-                # Asked by a call-out, a miss proves that none stands. Hurts where misses are slow.
-                load_time = self.latency.load_time(place.program)
-                asks = (len(rpc.call_outs) + 1 < most and now - place.missed > load_time
-                        and not any(co.place is place for co in rpc.call_outs))
-                if (self.stock.loads_on_call or self.latency.stands(place, now) or asks
-                        or place.ordered is not None and place.ordered < now):
-                    if timing and timing.budget and rpc.call_outs:
-                        rpc.purse.paid.append((now,))
-                    return self.call(rpc, place, now)
-                if place.ordered is None:  # a call-out would miss, and might overtake the hold
-                    self.order(place, 1, False, now)
+        more = more and not (place and not rpc.call_outs and self.fill.asks and self.doomed(place, rpc, now))
+        if place and more:
+            # Danger: each of many front ends spends its ration on copies that others' orders brought.
+            # Asked by a call-out, a miss proves that none stands. Hurts where misses are slow.
+            load_time = self.latency.load_time(place.program)
+            asks = (len(rpc.call_outs) + 1 < most and now - place.missed > load_time
+                    and not any(co.place is place for co in rpc.call_outs))
+            if (self.stock.loads_on_call or self.latency.stands(place, now) or asks
+                    or place.ordered is not None and place.ordered < now):
+                if timing and timing.budget and rpc.call_outs:
+                    rpc.purse.paid.append((now,))
+                return self.call(rpc, place, now)
+            if place.ordered is None:  # a call-out would miss, and might overtake the hold
+                self.order(place, 1, False, now)
         if more and now < rpc.ends - 2 * TICK:
             late = now + self.latency.cost(rpc) * self.latency.average >= rpc.soft
             if timing:  # in its pause it is not late; before its first place it is by its queueing time
--- a/wickdyke/platform/back.py
+++ b/wickdyke/platform/back.py
@@ -75,8 +75,22 @@
 
     def __init__(self, most: int) -> None:
         self.most, self.used = most, 0
+        self.links: set[Link] = set()
         self.counts: Counter[str] = Counter()
 
+    def room(self) -> bool:
+        """Whether there may be one more: the idle one longest of no use is left for it."""
+        if self.used >= self.most:
+            idle = [wire for link in self.links for wire in link.wires if not wire.load and wire.up]
+            if idle:
+                min(idle, key=lambda wire: wire.used).end("left for another")
+        return self.used < self.most
+
+    def sweep(self) -> None:
+        """Leaves what is idle for too long, everywhere."""
+        for link in list(self.links):
+            link.sweep()
+
 
 class Speech:
     """How workers of the platform are spoken to."""
@@ -289,6 +303,7 @@
         self.doubt: list[Order] = []  # lost with the last connection, until a new one tells whether the worker lives
         self.check: Wire | None = None
         self.retired = self.closed = False
+        pool.links.add(self)
 
     def send(self, order: Order) -> None:
         """Sends it on a connection that fits; its end comes by `tell`."""
@@ -310,7 +325,7 @@
                     return wire
                 wire.end("ended while idle")
         wire = None
-        if self.pool.used < self.pool.most:
+        if self.pool.room() or not self.wires:  # one for each worker at least, within what the rest leaves
             wire = Wire(self)
             if not wire.failed:
                 self.wires.append(wire)
@@ -391,6 +406,12 @@
 
     def cancel(self, order: Order, done: Callable[[], None]) -> str | None:
         """Withdraws a call-out: as wickdyke/gateway/link.py has it."""
+        said = self._cancel(order, done)
+        if self.retired:  # that may have been the last
+            self._maybe_close()
+        return said
+
+    def _cancel(self, order: Order, done: Callable[[], None]) -> str | None:
         wire = order.wire
         if order in self.doubt:
             order.wire = None
@@ -429,12 +450,18 @@
             done()
 
     def _given_up(self, wire: Wire, order: Order) -> None:
-        del wire.open[order.ident]
+        wire.open.pop(order.ident, None)
         wire.given_up.append(order.ident)
         wire.stale = wire.stale or wire.heard <= order.sent
 
     def forget(self, order: Order) -> bool:
         """No answer is waited for any more; False where it has ended already."""
+        was_out = self._forget(order)
+        if self.retired:
+            self._maybe_close()
+        return was_out
+
+    def _forget(self, order: Order) -> bool:
         wire = order.wire
         if order in self.doubt:
             order.wire = None
@@ -465,10 +492,10 @@
     def _maybe_close(self) -> None:
         if not (self.closed or self.doubt or any(wire.load for wire in self.wires)
                 or self.beside and self.beside.load):
-            self.closed = True
-            self.cut()
+            self.close()
 
     def close(self) -> None:
         """Ends it at once."""
         self.closed = True
+        self.pool.links.discard(self)
         self.cut()
--- a/wickdyke/platform/serve.py
+++ b/wickdyke/platform/serve.py
@@ -19,6 +19,7 @@
 
 GRACE = 750.0  # ms after SIGTERM in which requests are taken as before
 COUNTS = 5000.0  # ms between lines of counts
+SWEEP = 1000.0  # ms between looks for idle connections to workers
 LONGEST = 100.0  # ms that one turn waits at most, so that a signal's flag is seen
 
 
@@ -87,6 +88,7 @@
         self.log.info("serving", listen=":".join(map(str, self.station.listen)),
                       workers=len(self.roster.listed), sockets=self.station.sockets)
         self._count()
+        self._sweep()
         gc.collect()
         gc.freeze()
 
@@ -97,6 +99,10 @@
                       **{f"bus_{name}": many for name, many in self.bus.counts.items()})
         self.loop.at(clock() + COUNTS, self._count)
 
+    def _sweep(self) -> None:
+        self.speech.pool.sweep()
+        self.loop.at(clock() + SWEEP, self._sweep)
+
     def _reread(self) -> None:
         self.asked_to_read = False
         try:
