Connections that have only just come are the last to make room

Ruled out: restarts (the same share before the first), workers (1 full in 5 s), CPU (0.33 of a second at most). At fault: Front._make_room, which closed those that had never asked first: the newest, with their request under way.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -463,6 +463,17 @@
             self.until(lambda: clock() > ends)
             self.assertEqual(len(self.front.clients), 1)
 
+    def test_with_all_places_taken_who_has_only_just_come_stays(self):
+        idle = self.client()
+        idle.send(rig.alive(1))
+        self.answer(idle)
+        new = [self.client() for _ in range(20)]
+        self.until(lambda: self.front.number == 21)
+        self.assertEqual(self.answer(idle)[1], "closed")
+        for client in new:
+            client.send(rig.alive(1))
+            self.assertEqual(self.answer(client)[1], "bad")
+
     def test_with_all_places_taken_the_one_of_least_use_goes(self):
         first = self.client()
         first.send(rig.alive(1))
@@ -472,6 +483,8 @@
         self.until(lambda: self.told)
         silent = [self.client() for _ in range(18)]
         self.until(lambda: len(self.front.clients) == 20)
+        for client in self.front.clients.values():
+            client.since -= front.NEW
         more = self.client()
         more.send(rig.alive(1))
         self.assertEqual(self.answer(more)[1], "bad")
--- a/wickdyke/platform/front.py
+++ b/wickdyke/platform/front.py
@@ -21,6 +21,7 @@
 ACCEPTS = 64  # connections taken in one turn
 BACKLOG = 512
 SILENT = 2000.0  # ms in which a connection brings its first request, and any frame that has begun
+NEW = 500.0  # ms in which a connection counts as one that has only just come
 SWEEP = 200.0  # ms between looks for those that did not
 
 IDENT = re.compile(r"[0-9a-f]{16}", re.ASCII)
@@ -300,11 +301,16 @@
         """Never waited for."""
 
     def _make_room(self) -> bool:
-        """Ends the connection without open requests that is longest of no use; those that never asked go first."""
+        """Ends the connection without open requests that is longest of no use: of those that have said nothing for a
+        while, else of those that were answered, last of those that have only just come."""
         idle = [client for client in self.clients.values() if not client.open]
         if not idle:
             return False
-        min(idle, key=lambda client: (client.answered, client.used)).close()
+        # Danger: the request of a new connection is under way as it is closed for the next, which fares no better.
+        # Also clients that connect for each request. Could hurt who keeps a connection idle: it connects again.
+        old = clock() - NEW
+        min(idle, key=lambda client: (0 if not client.answered and client.since < old else 1 if client.answered else 2,
+                                      client.used)).close()
         self.counts["made_room"] += 1
         return True
 
