--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -161,6 +161,40 @@
             self.loop.turn(10.0, lambda: None)
 
 
+class Loops(Turned):
+    """Handlers made for the purpose, on socket pairs with something to read."""
+
+    def handler(self, act, first=False):
+        mine, theirs = socket.socketpair()
+        self.addCleanup(mine.close)
+        self.addCleanup(theirs.close)
+        theirs.send(b"x")
+        made = SimpleNamespace(first=first, readable=lambda: act(mine), writable=lambda: None,
+                               broken=lambda: (self.loop.remove(mine), self.told.append("broken")))
+        self.loop.add(mine, made)
+        return made
+
+    def test_who_floods_does_not_keep_workers_waiting(self):
+        for _ in range(20):
+            self.handler(lambda sock: (time.sleep(0.02), self.told.append("client")))  # always more to read
+        self.handler(lambda sock: self.told.append("worker"), first=True)
+        for _ in range(3):
+            self.loop.turn(10.0, lambda: self.told.append("desk"))
+        self.assertEqual(self.told, ["worker", "desk", "client"] * 3)
+
+    def test_one_that_breaks_ends_alone(self):
+        def breaks(sock):
+            raise KeyError("unforeseen")
+        faults = []
+        self.loop.fault = faults.append
+        self.handler(breaks)
+        self.handler(lambda sock: (sock.recv(1), self.told.append("read")))
+        self.loop.at(0.0, breaks, None)
+        self.until(lambda: len(self.told) == 2)
+        self.assertEqual((sorted(self.told), len(faults)), (["broken", "read"], 2))
+        self.assertEqual(len(self.loop.handlers), 1)
+
+
 class Links(Turned):
     def link(self, play=None, dial=5000.0, most=20):
         self.worker = rig.Worker(play)
@@ -530,6 +564,7 @@
             got = station.read(path)
         self.assertEqual(([m.effect for m in got.methods], got.methods[0].soft, got.seat.of, got.seat.report,
                           got.sockets), (["idempotent", "side-effecting"], 500.0, 2, ("busy", "held"), 256))
+        self.assertEqual(got.bounds.open_rpcs, 1024)  # of 64 MB
         self.assertEqual((got.allowance.cancel, got.allowance.overlap, got.ration.free, got.kinds),
                          (True, False, 6.0, ("std", "slow")))
 
--- a/wickdyke/platform/back.py
+++ b/wickdyke/platform/back.py
@@ -220,6 +220,10 @@
         except OSError as bad:
             self.end(f"{type(bad).__name__}: {bad}")
 
+    def broken(self) -> None:
+        """It ends; what was on it may have run."""
+        self.end("fault")
+
     def readable(self) -> None:
         """Answers, or its end."""
         if not self.up:
--- a/wickdyke/platform/bus.py
+++ b/wickdyke/platform/bus.py
@@ -106,6 +106,11 @@
             return
         self.loop.want(self.sock, False)
 
+    def broken(self) -> None:
+        """It is asked for again."""
+        self._end("fault")
+        self._again("fault")
+
     def readable(self) -> None:
         """Something came."""
         try:
--- a/wickdyke/platform/front.py
+++ b/wickdyke/platform/front.py
@@ -216,6 +216,10 @@
         if self.ending and not self.open and self.outbox.empty():
             self.close()
 
+    def broken(self) -> None:
+        """It ends."""
+        self.close()
+
     def end(self) -> None:
         """Reads no more; closes when what is open is answered."""
         if self.closed or self.ending:
@@ -300,6 +304,9 @@
     def writable(self) -> None:
         """Never waited for."""
 
+    def broken(self) -> None:
+        """It goes on."""
+
     def _make_room(self) -> bool:
         """Ends the connection without open requests that is longest of no use: of those that have said nothing for a
         while, else of those that were answered, last of those that have only just come."""
--- a/wickdyke/platform/serve.py
+++ b/wickdyke/platform/serve.py
@@ -6,6 +6,7 @@
 import socket
 import sys
 import time
+import traceback
 
 from wickdyke.gateway import log as logs
 from wickdyke.gateway.desk import Desk, clock
@@ -42,6 +43,9 @@
         except OSError:
             pass
 
+    def broken(self) -> None:
+        """It goes on."""
+
     def writable(self) -> None:
         """Never waited for."""
 
@@ -51,7 +55,7 @@
 
     def __init__(self, station: Station, path: str, log) -> None:
         self.station, self.path, self.log = station, path, log
-        self.loop = Loop()
+        self.loop = Loop(self._fault)
         # One difference between the clocks for good: a start time read twice is the same number both times.
         self.roster = Roster(station.zones, station.kinds, time.time() * 1000 - clock())
         self.speech = Speech(self.loop, station, log)
@@ -62,6 +66,11 @@
         self.ending: float | None = None
         self.asked_to_end = self.asked_to_read = False
 
+    def _fault(self, bad: Exception) -> None:
+        last = traceback.extract_tb(bad.__traceback__)[-1]
+        self.log.error("fault in the loop", why=f"{type(bad).__name__}: {bad}"[:200],
+                       where=f"{os.path.basename(last.filename)}:{last.lineno}")
+
     def _events(self, events: list[dict]) -> None:
         self.desk.take(("rows", events))
 
--- a/wickdyke/platform/station.py
+++ b/wickdyke/platform/station.py
@@ -9,7 +9,7 @@
 from wickdyke.platform.roster import Unusable, change
 from wickdyke.settings import terms
 
-RPCS = 4096  # open at once at most
+RPCS, LEAST, EACH_MB = 4096, 256, 16.0  # open at once at most, at least; of each MB that there is
 EVENTS = 20000  # events that wait for the desk at most
 ANSWER_WAY = 10.0  # ms that an answer may take to its client
 PROBE_WAIT = 250.0  # ms that an answer to a probe is waited for
@@ -101,12 +101,13 @@
         raise BadConfig(f"{path}: known.batch has {bad}") from None
     if not started["methods"]:
         raise BadConfig(f"{path}: settings has no classes, expected one at least")
+    memory = _limit(given, path, "memory_mb", 1)
     return Station(
         name=name or str(given.get("name") or "gateway"),
         listen=address(listen or given.get("listen"), f"{path}: listen"), bus=bus(given, path), known=events,
-        seed=number, memory_mb=_limit(given, path, "memory_mb", 1), sockets=int(_limit(given, path, "sockets", 64)),
+        seed=number, memory_mb=memory, sockets=int(_limit(given, path, "sockets", 64)),
         zones=pairs.names("zones"), kinds=pairs.names("flavors"),
-        bounds=SimpleNamespace(open_rpcs=RPCS, events=EVENTS), **started)
+        bounds=SimpleNamespace(open_rpcs=int(max(LEAST, min(RPCS, memory * EACH_MB))), events=EVENTS), **started)
 
 
 def bus(given: dict, path: str) -> tuple[str, int]:
--- a/wickdyke/wire/loop.py
+++ b/wickdyke/wire/loop.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 EVENTS = 256  # events taken from the kernel in one turn
+SLICE = 10.0  # ms of a turn that go to those that do not come first, but for one at least
 
 
 class Handler(Protocol):
@@ -22,6 +23,9 @@
     def writable(self) -> None:
         """What waits may be written, or the connection has come up or failed."""
 
+    def broken(self) -> None:
+        """Serving it raised what nobody foresaw: it is to end."""
+
 
 def clock() -> float:
     """Monotonic time in ms."""
@@ -31,8 +35,8 @@
 class Loop:
     """Waits for sockets and for times."""
 
-    def __init__(self) -> None:
-        self.epoll, self.handlers = select.epoll(), {}
+    def __init__(self, fault: Callable[[Exception], None] | None = None) -> None:
+        self.epoll, self.handlers, self.fault = select.epoll(), {}, fault
         self.timers: list[tuple[float, int, Callable, tuple]] = []
         self.turn_number = itertools.count()
 
@@ -75,16 +79,32 @@
         now = clock()
         while self.timers and self.timers[0][0] <= now:
             _, _, act, args = heapq.heappop(self.timers)
-            act(*args)
+            try:
+                act(*args)
+            except Exception as bad:
+                self._broken(bad)
         between()
+        ends = clock() + SLICE
         for number, handler, events in others:
             self._serve(number, handler, events)
+            if clock() > ends:  # the kernel tells of the rest again, those that had no turn first
+                break
 
     def _serve(self, number: int, handler: Handler, events: int) -> None:
-        if events & select.EPOLLOUT and self.handlers.get(number) is handler:
-            handler.writable()
-        if events & ~select.EPOLLOUT and self.handlers.get(number) is handler:
-            handler.readable()
+        try:
+            if events & select.EPOLLOUT and self.handlers.get(number) is handler:
+                handler.writable()
+            if events & ~select.EPOLLOUT and self.handlers.get(number) is handler:
+                handler.readable()
+        except Exception as bad:
+            self._broken(bad)
+            handler.broken()
+
+    def _broken(self, bad: Exception) -> None:
+        # Danger: one bad connection must not end the one thread that all hang on. Nothing known leads here.
+        if self.fault is None:
+            raise bad
+        self.fault(bad)
 
     def close(self) -> None:
         """Ends it."""
