--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -228,8 +228,9 @@
                 return True
 
         def dies(worker, sock, parts):
-            worker.listener.shutdown(socket.SHUT_RDWR)
-            worker.listener.close()
+            if parts[0] == b"invoke":
+                worker.listener.shutdown(socket.SHUT_RDWR)
+                worker.listener.close()
             return resets(worker, sock, parts)
         half = writes(lambda p: rig.bulk(p[1], b"ACK", b"-", b"whole")[:-4])
 
@@ -238,7 +239,9 @@
                 sock.shutdown(socket.SHUT_RDWR)
                 return True
         for name, play, beside, outcome in (
-                ("served", None, False, "ok"), ("reset", resets, False, "error"), ("gone", dies, False, "cut"),
+                ("served", None, False, "ok"), ("reset", resets, False, "error"),
+                ("gone", dies, False, "cut"),
+                ("takes no new", dies, True, "error"),
                 ("reset beside", resets, True, "error"),
                 ("breaks off", stops_short, False, "error"),
                 ("breaks off beside", stops_short, True, "error"),
@@ -316,6 +319,9 @@
         self.assertEqual(link.cancel(first, lambda: None), "ended")
         self.until(lambda: self.worker.came(b"abort"))
         self.assertEqual(self.worker.came(b"abort"), [[b"abort", b"a" * 16]])
+        link.send(self.order(b"a" * 16))  # its late answer may still come there, and would end this one
+        self.assertEqual(self.ended(), [(b"a" * 16, "unsent")])
+        self.told.clear()
         self.assertEqual(link.cancel(other, lambda: None), "cancelled")
         self.assertEqual((self.pool.used, self.told), (0, []))
         link.send(self.order(b"c" * 16))
