--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import os
+import random
 import signal
 import socket
 import struct
@@ -17,6 +18,7 @@
 from tests import platform_rig as rig
 from wickdyke.interface import Method
 from wickdyke.platform import back, front, resp, roster, sse, station, thrift
+from wickdyke.platform.serve import Serving
 from wickdyke.wire.loop import Loop, clock
 
 GOOD = rig.message("dispatch", 7, b"\x0d\x00\x01" + rig.table({"c": "look"}) + b"\x0b\x00\x02" + rig.text(b"hi")
@@ -535,6 +537,105 @@
         self.assertEqual(self.answer(busy)[1], "answer")
 
 
+class Heard(unittest.TestCase):
+    """What the module is told of load and health, beside what passed the sockets of a whole front end."""
+
+    def test_call_outs_reports_and_holds_match_the_traffic(self):
+        held = []
+
+        def play(worker, sock, parts):
+            if parts[0] == b"invoke":
+                held.append((sock, parts[1]))
+            return parts[0] == b"invoke"
+        worker, bus = rig.Worker(play), rig.Bus()
+        self.addCleanup(worker.close)
+        self.addCleanup(bus.close)
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "config.json")
+            with open(path, "w") as out:
+                json.dump(rig.config(rig.free_address(), bus.address, rig.instance("w0", worker.address)), out)
+            serving = Serving(station.read(path), path, Mock())
+        self.addCleanup(serving.loop.close)
+        self.addCleanup(lambda: [client.close() for client in list(serving.front.clients.values())])
+        self.addCleanup(serving.bus.close)
+        self.addCleanup(lambda: [link.close() for link in list(serving.desk.links.values())])
+        serving.open()
+        self.addCleanup(serving.front.shut)
+        told = serving.desk.front_end.workers["w0"]
+
+        def until(done):
+            ends = time.monotonic() + rig.LONG
+            while not done():
+                self.assertLess(time.monotonic(), ends)
+                serving.turn()
+        client = rig.Client(":".join(map(str, serving.station.listen)))
+        self.addCleanup(client.close)
+        client.send(b"".join(rig.dispatch(n, rig.fields(f"{n:016x}", d="60000")) for n in (1, 2, 3)))
+        until(lambda: len(held) == 3)
+        self.assertEqual(len(told.out), 3)
+        for answer, results in ((b"ACK", [True]), (b"EIO", [True, False])):
+            sock, ident = held.pop(0)
+            sock.sendall(rig.bulk(ident, answer, b"why=w,ahead=2", b""))
+            until(lambda results=results: [good for _, good in told.results] == results)
+        # an idempotent one that failed goes again: as many are out as the worker has
+        until(lambda: len(held) == len(told.out))
+        until(lambda: told.reports)
+        self.assertEqual(told.reports[-1][1], {"busy": 0.25, "held": 2.0})
+        until(lambda: worker.came(b"prewarm"))
+        place, = serving.desk.front_end.programs["7f3a9c21e0b4d655"].places
+        until(lambda: place.ordered is None)
+        self.assertEqual(place.standing, 1)
+        client.close()
+        until(lambda: not told.out and not serving.desk.asks)
+        self.assertEqual(serving.front.open, {})
+        self.assertEqual(sum(wire.load for wire in serving.desk.links["w0"].wires), 0)
+
+
+class Random(unittest.TestCase):
+    """Codecs before cut, changed and random bytes: what they give or their one error, and bounded memory."""
+
+    def test_nothing_but_the_one_error(self):
+        draws = random.Random(11)
+        whole = {
+            "thrift": rig.dispatch(1, rig.fields(), b"body") + rig.cancel(2, 1) + rig.alive(3),
+            "resp": rig.bulk(b"a", b"ACK", b"why=w,ahead=1", b"x") * 3,
+            "sse": b"id: 1\ndata: {\"offset\": 1}\n\n: x\n\n" * 3}
+
+        def thrift_reads(data, size):
+            frames = thrift.Frames()
+            for at in range(0, len(data), size):
+                for frame in frames.feed(data[at:at + size]):
+                    thrift.read(frame)
+                self.assertLessEqual(len(frames.buffer), thrift.FRAME + 4 + size)
+
+        def resp_reads(data, size):
+            answers = resp.Answers()
+            for at in range(0, len(data), size):
+                for answer in answers.feed(data[at:at + size]):
+                    back.ending(answer, ("busy",))
+                self.assertLessEqual(len(answers.buffer), resp.PART + 2 + size)
+
+        def sse_reads(data, size):
+            events = sse.Events()
+            for at in range(0, len(data), size):
+                for found in events.feed(data[at:at + size]):
+                    roster.Roster((), (), 0.0).rows([roster.change(found.data)], 0.0)
+        reads = {"thrift": thrift_reads, "resp": resp_reads, "sse": sse_reads}
+        errors = {"thrift": thrift.Unreadable, "resp": resp.Spoilt, "sse": (sse.TooMuch, roster.Unusable)}
+        for name, good in whole.items():
+            raised = 0
+            for _ in range(1500):
+                data = bytearray(good if draws.random() < 0.8 else draws.randbytes(draws.randrange(300)))
+                for _ in range(draws.randrange(4)):
+                    at = draws.randrange(len(data) + 1)
+                    data[at:at + draws.randrange(3)] = draws.randbytes(draws.randrange(3))
+                try:
+                    reads[name](bytes(data[:draws.randrange(len(data) + 1)]), draws.randrange(1, 40))
+                except errors[name]:
+                    raised += 1
+            self.assertGreater(raised, 50, name)
+
+
 class Config(unittest.TestCase):
     def test_bad_ones_give_one_line_and_2(self):
         """(what is wrong) -> words of the line."""
--- a/wickdyke/platform/bus.py
+++ b/wickdyke/platform/bus.py
@@ -9,7 +9,7 @@
 
 from wickdyke.platform import sse
 from wickdyke.platform.roster import Unusable, change
-from wickdyke.wire.loop import Loop, clock
+from wickdyke.wire.loop import Loop, clock, received
 
 PATH = "/bus/read"
 CHUNK = 1 << 16
@@ -113,12 +113,8 @@
 
     def readable(self) -> None:
         """Something came."""
-        try:
-            data = self.sock.recv(CHUNK)
-        except (BlockingIOError, InterruptedError):
+        if (data := received(self.sock, CHUNK)) is None:
             return
-        except OSError:
-            data = b""
         self.heard = clock()
         over = not data
         try:
--- a/wickdyke/platform/front.py
+++ b/wickdyke/platform/front.py
@@ -12,7 +12,7 @@
 
 from wickdyke.gateway import parts
 from wickdyke.platform import thrift
-from wickdyke.wire.loop import Loop, clock
+from wickdyke.wire.loop import Loop, clock, received
 from wickdyke.wire.outbox import Outbox, Parcel, Unread
 
 CHUNK = 1 << 15  # bytes read at a time
@@ -117,14 +117,10 @@
 
     def readable(self) -> None:
         """Frames, or its end."""
-        try:
-            data = self.sock.recv(CHUNK)
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
-            data = b""
+        data = received(self.sock, CHUNK)
         if not data:
-            self.close()
+            if data is not None:
+                self.close()
             return
         begun = self.frames.begun
         try:
--- a/wickdyke/wire/loop.py
+++ b/wickdyke/wire/loop.py
@@ -32,6 +32,16 @@
     return time.monotonic() * 1000
 
 
+def received(sock: socket.socket, most: int) -> bytes | None:
+    """What has come on a socket that does not block: None for nothing yet, empty where the connection has ended."""
+    try:
+        return sock.recv(most)
+    except (BlockingIOError, InterruptedError):
+        return None
+    except OSError:
+        return b""
+
+
 class Loop:
     """Waits for sockets and for times."""
 
