--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -124,11 +124,11 @@
     return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(p), p) for p in parts)
 
 
-class Worker:
-    """Answers by `play(worker, sock, command)`; by itself it serves all. `commands` holds what came."""
+class Listener:
+    """Takes connections on loopback, each with a thread that calls `_serve(sock)`."""
 
-    def __init__(self, play=None):
-        self.play, self.commands, self.socks, self.lock = play, [], [], threading.Lock()
+    def __init__(self):
+        self.socks, self.lock = [], threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -143,6 +143,20 @@
                 self.socks.append(sock)
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
+    def close(self):
+        self.listener.close()
+        with self.lock:
+            for sock in self.socks:
+                sock.close()
+
+
+class Worker(Listener):
+    """Answers by `play(worker, sock, command)`; by itself it serves all. `commands` holds what came."""
+
+    def __init__(self, play=None):
+        self.play, self.commands = play, []
+        super().__init__()
+
     def _serve(self, sock):
         source = sock.makefile("rb")
         try:
@@ -170,45 +184,30 @@
         with self.lock:
             return [parts for parts in self.commands if parts[0] == verb]
 
-    def close(self):
-        self.listener.close()
-        with self.lock:
-            for sock in self.socks:
-                sock.close()
-
 
 # ---- the bus ----
 
-class Bus:
+class Bus(Listener):
     """Serves `GET /bus/read`: `asked` holds each Last-Event-ID, `tell` writes to whoever reads."""
 
     def __init__(self):
         self.asked, self.readers = [], []
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__()
 
-    def _accept(self):
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-                head = b""
-                while not head.endswith(b"\r\n\r\n"):
-                    head += sock.recv(1)
-                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: hi\n\n")
-                self.readers.append(sock)
-                self.asked.append(next(int(line.split(b":")[1]) for line in head.split(b"\r\n")
-                                       if line.lower().startswith(b"last-event-id")))
-            except OSError:
-                return
+    def _serve(self, sock):
+        try:
+            head = b""
+            while not head.endswith(b"\r\n\r\n"):
+                head += sock.recv(1)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: hi\n\n")
+        except OSError:
+            return
+        self.readers.append(sock)
+        self.asked.append(next(int(line.split(b":")[1]) for line in head.split(b"\r\n")
+                               if line.lower().startswith(b"last-event-id")))
 
     def tell(self, raw):
         self.readers[-1].sendall(raw)
 
     def event(self, told):
         self.tell(f"id: {told['offset']}\ndata: {json.dumps(told)}\n\n".encode())
-
-    def close(self):
-        self.listener.close()
-        for sock in self.readers:
-            sock.close()
