Turns at cold workers go by seat: what the fleet sends stays under N + 2 root N + 2

Seen in a probe without sockets, all front ends with an RPC waiting for the one cold worker throughout (settings of the site, 60 ms of work, 6 cores, N 80 at its start, 200 front ends): 119 RPCs in the first two seconds where 99.9 are allowed (test_cold_ramp_holds_for_the_fleet on the text before).

Cause, Guards.may_call: each front end drew its turn by its own seed, so that many could draw well at once, and the turn under way as a worker starts counted as a whole one, so that each had two chances in the first window. Ruled out: shares rounded up (parts of RPCs are rounded down, `even` is one front end of all).

Now the draw is the worker's and the turn's, and each front end stands at its seat in it: as many have a turn as the parts add up to. Turns begin spread over the window, and the one under way at the start does not count. The rig gives front ends seats of their own.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -6,13 +6,13 @@
 import unittest
 from collections import deque
 from dataclasses import replace
-from math import ceil
+from math import ceil, sqrt
 from unittest.mock import Mock
 
 from tests.helpers import Fleet, called, row, verbs
-from wickdyke.chance import mark
-from wickdyke.interface import Program, Ration, place_of
-from wickdyke.logic import lot
+from wickdyke.chance import draw, mark
+from wickdyke.interface import Listing, Program, Ration, Seat, Warmup, Worker, place_of
+from wickdyke.logic import Guards, lot
 
 NEVER = ("full", "unreached", "miss")
 MAYBE = ("error", "timeout", "cut", "cancelled")
@@ -105,7 +105,7 @@
             with self.subTest(many=many):
                 ages, gap = [], 1000.0 * many / 60
                 for seed in range(many):
-                    fleet = Fleet(front_ends=many, seed=seed)
+                    fleet = Fleet(front_ends=many, seed=seed, seat=seed)
                     fleet.pass_time(seed * gap / many, step=1.0 + seed * gap / many)
                     for _ in range(12):
                         fleet.serve(calls=1)
@@ -116,12 +116,54 @@
                     fleet.list([row("z", born=born)])
                     for _ in range(ceil(8000 / gap)):
                         ages += [fleet.clock - born for _ in called(fleet.serve(calls=1))]
-                        fleet.pass_time(gap - 100, step=gap - 100)
+                        ages += [fleet.clock - born for _ in called(fleet.pass_time(gap - 100, step=gap - 100))]
                 for start in range(0, 6000, 250):
                     stands = 2.0 * (0.2 + 0.8 * start / 18000) * 4 * 2000 / 100
                     self.assertLess(sum(start <= age < start + 2000 for age in ages), stands)
                 self.assertGreater(len(ages), 10)
 
+    def test_cold_ramp_holds_for_the_fleet(self):
+        """(settings, ms of work, cores) -> what all front ends send that always have an RPC for the one cold worker, in
+        any span of the window, never over N + 2 x root of N + 2, N being what the settings allow as it begins."""
+        least, site, most = (Warmup(0.17, 12000.0, 2.0, 1000.0), Warmup(0.2, 18000.0, 2.0, 2000.0),
+                             Warmup(0.45, 5000.0, 4.0, 2000.0))
+        for warm, work, size in ((least, 330.0, 3.0), (least, 1500.0, 2.0), (site, 60.0, 6.0), (site, 330.0, 3.0),
+                                 (most, 60.0, 6.0), (most, 1500.0, 2.0)):
+            for many in (20, 30, 200):
+                with self.subTest(warm=warm, work=work, size=size, many=many):
+                    sent = self.sent_cold(warm, work, size, many)
+                    self.assertTrue(sent)
+                    for start in range(0, int(warm.ramp - warm.window), 100):
+                        allowed = (warm.multiple * (warm.start_share + (1 - warm.start_share) * start / warm.ramp)
+                                   * size * warm.window / work)
+                        self.assertLessEqual(sum(start <= at < start + warm.window for at in sent),
+                                             allowed + 2 * sqrt(allowed) + 2, start)
+
+    def sent_cold(self, warm, work, size, many):
+        """When all front ends sent to one cold worker; they carried half of what twelve like it can do, unevenly."""
+        def worker(name, born):
+            few = (deque(maxlen=8) for _ in range(4))
+            return Worker(Listing(name, 0, 0, 0, "ready", size, born), *few, 1e4, 8.0, born, mark(name))
+        rpc = Mock()
+        rpc.method.times, rpc.method.soft = [work], 4 * work
+        front_ends, sent = [], []
+        for seat in range(many):
+            guards = Guards(warm, Ration(0.0, 0.0, 0.0), Seat(seat, many, 0, (), False))
+            old = worker("old", None)
+            old.reports.append((0.0, {}, 0))
+            old.busy = 0.5
+            part = 2 * draw(mark("part"), seat)  # of the mean
+            guards.carried.extend([(5000.0, 12 * size * 0.5 * 5000 / many * part)])
+            guards.survey([old], 5000.0)
+            guards.rate /= 12
+            front_ends.append((guards, worker("z", 5000.0)))
+        for now in range(5000, int(5000 + warm.ramp), 50):
+            for guards, cold in front_ends:
+                while guards.may_call(cold, rpc, float(now)):
+                    cold.sends.append((float(now), work))
+                    sent.append(now - 5000)
+        return sent
+
     def test_ration(self):
         """(free, share, window): orders of any window never exceed free + share x RPCs taken in it."""
         for free, share, window in ((2.0, 0.1, 5000.0), (0.0, 0.05, 3000.0), (6.0, 0.0, 1000.0)):
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -487,12 +487,12 @@
 
 
 COLD_MARGIN, BUSY_LEAST, RATION_KEPT = 0.6, 0.3, 0.34  # of what the cold stand; least busy share; of holds
-CARRIED, FADE = 5000.0, 0.9  # ms over which what we carry is counted; of a fleet's size left a survey later
+CARRIED, FADE, GOLDEN = 5000.0, 0.9, 0.618034  # ms what we carry counts; of a fleet's size left; lies evenly
 
 
 class Guards:  # the rules: every call-out and every hold passes here, and there is no way round
-    def __init__(self, warmup: Warmup, ration: Ration, seed: int, front_ends: int) -> None:
-        self.warmup, self.ration, self.mark, self.even = warmup, ration, seed, 1 / front_ends
+    def __init__(self, warmup: Warmup, ration: Ration, seat: Seat) -> None:
+        self.warmup, self.ration, self.seat, self.even = warmup, ration, seat.number / seat.of, 1 / seat.of
         self.taken, self.ordered, self.carried, self.rate, self.size = deque(), deque(), deque(), 0.0, 0.0
 
     def cold(self, worker: Worker, now: float) -> bool:
@@ -514,10 +514,10 @@
         part = COLD_MARGIN * share * self.rate * worker.listing.size * warmup.window
         if part >= weight:
             return sum(cost for _, cost in sends) + weight <= part
-        # Danger: one RPC of each of many front ends is too much; each waits for its turn, rare as its part is
-        # small. Should also catch a third of the fleet cold at once. Could hurt where all copies stand there.
-        turn = int(age / warmup.window + draw(self.mark, worker.mark))
-        return not sends and draw(self.mark, worker.mark, turn) <= max(part / weight, self.even)
+        # Danger: one RPC of each of many front ends is too much, also if many draw well at once: by seat each
+        # has whole turns, rare as its part is small. Also many cold at once. Hurts if all stand there.
+        turn = 0 if sends else int(age / warmup.window + self.seat / self.even * GOLDEN % 1)
+        return turn > 0 and (draw(worker.mark, turn) + self.seat) % 1 < max(part / weight, self.even)
 
     def weight(self, rpc: RPC) -> float:
         return max(1.0, mean(rpc.method.times, rpc.method.soft * COST_GUESS))
@@ -547,7 +547,7 @@
         self.notes, self.todo, self.waiting, self.stuck = deque(), deque(), [], set()
         self.orders, self.acts, self.chance, self.purses = deque(), deque(), Chance(seed), {}
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
-        self.latency, self.guards = Latency(stock, seat, shares), Guards(warmup, ration, seed, seat.of)
+        self.latency, self.guards = Latency(stock, seat, shares), Guards(warmup, ration, seat)
         self.ready, self.rota, self.muted, self.probes, self.fresh = [], deque(), [], PROBES, FEW
         self.fill = Fill(self.latency, stock, seat, tariff, now)
         self.health = Health(self.notes.append, self.latency)
