A connection whose answer stopped short takes nothing more

From a reading: Wire._given_up took a connection for silent only where nothing had come since the order, so that one with half an answer stayed and the next order on it was read as its rest; the same after a second copy that broke off (Wire.takes).

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -699,6 +699,28 @@
                 self.assertEqual(self.told, [(ASCII_A, "cut")] if how == "retire" else [])
                 self.assertEqual((link.doubt, link.closed), ([], how == "retire"))
 
+    def test_an_answer_that_stops_short(self):
+        """The connection is of no further use, also where its call-out was only forgotten or ended by itself."""
+        for how in ("forget", "answered"):
+            with self.subTest(how):
+                self.told.clear()
+                socks = []
+                worker = rig.Worker(lambda _, sock, parts, socks=socks: (socks.append(sock), True)[1])
+                self.addCleanup(worker.close)
+                link = self.link(worker.address, dial=60000.0)
+                order = self.order()
+                link.send(order)
+                self.until(lambda socks=socks: socks)
+                whole = rig.bulk(ASCII_A, b"ACK", b"-", b"body")
+                socks[0].sendall(whole[:-4] if how == "forget" else whole + whole[:-4])
+                self.until(lambda link=link: link.wires[0].answers.begun)
+                if how == "forget":
+                    self.assertTrue(link.forget(order))
+                self.assertFalse(any(wire.takes(ASCII_B) for wire in link.wires))
+                link.send(self.order(ASCII_B))
+                self.until(lambda socks=socks: len(socks) == 2)
+                self.assertIsNot(socks[0], socks[1])
+
     def test_a_second_answer_that_comes_late(self):
         """It meets no later call-out of the same id on that connection: that one goes on another."""
         socks = []
--- a/wickdyke/platform/back.py
+++ b/wickdyke/platform/back.py
@@ -167,8 +167,10 @@
 
     def takes(self, ident: bytes) -> bool:
         """Whether an order under that id may go here: never two under one, nor one of which an answer may yet come."""
-        return (not self.closed and not self.stale and self.load < STREAMS and ident not in self.open
-                and ident not in self.past and all(order.ident != ident for order in self.pending))
+        # Danger: where an answer stopped short, all that comes after it on that connection is taken for its rest.
+        return (not self.closed and not self.stale and self.load < STREAMS and not self.answers.begun
+                and ident not in self.open and ident not in self.past
+                and all(order.ident != ident for order in self.pending))
 
     def alive(self) -> bool:
         """Whether it still stands, as far as this side can tell without waiting."""
@@ -493,7 +495,7 @@
     def _given_up(self, wire: Wire, order: Order) -> None:
         wire.open.pop(order.ident, None)
         wire.past.append(order.ident)
-        wire.stale = wire.stale or wire.heard <= order.sent
+        wire.stale = wire.stale or wire.heard <= order.sent or wire.answers.begun
 
     def unsend(self, order: Order) -> bool:
         """Takes back what has not begun to go out; True where it was so, and it has ended."""
