--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -461,12 +461,12 @@
         client.send(rig.dispatch(1, rig.fields(A), b"a"))
         self.answer(client)
         link = serving.desk.links["w0"]
-        kept = [weakref.ref(thing) for thing in (link.wires[0], next(iter(serving.front.clients.values())))]
+        kept = [weakref.ref(thing) for thing in (link.connections[0], next(iter(serving.front.clients.values())))]
         gc.disable()
         self.addCleanup(gc.enable)
         client.close()
         self.until(lambda: not serving.front.clients)
-        link.wires[0].end("idle")
+        link.connections[0].end("idle")
         serving.loop.timers.clear()  # when a connection would have been late
         self.assertEqual([each() for each in kept], [None, None])
 
@@ -481,7 +481,7 @@
                     client = self.client()
                     client.send(rig.dispatch(1, rig.fields(A, "pay"), b"x"))
                     link = serving.desk.links["w0"]
-                    self.until(lambda link=link: any(wire.pending for wire in link.wires))
+                    self.until(lambda link=link: any(conn.pending for conn in link.connections))
                     if how == "cancel":
                         client.send(rig.cancel(2, 1))
                     elif how == "reset":
@@ -492,7 +492,7 @@
                             self.until(lambda s=serving: any(c.ending for c in s.front.clients.values()))
                         client.close()
                     self.until(lambda s=serving: not s.desk.asks, "its leaving")
-                    self.assertFalse(any(wire.load for wire in link.wires))
+                    self.assertFalse(any(conn.load for conn in link.connections))
                     self.assertEqual(self.faults(), [])
                     self.end()
 
@@ -568,8 +568,8 @@
         """The first that does not come up is tried again; with the second in a row nobody is there."""
         link = self.link(Full(self).address)
         dials = []
-        init = back.Wire.__init__
-        with patch.object(back.Wire, "__init__", lambda *to: (dials.append(list(self.told)), init(*to))[1]):
+        init = back.Connection.__init__
+        with patch.object(back.Connection, "__init__", lambda *to: (dials.append(list(self.told)), init(*to))[1]):
             link.send(self.order())
             self.until(lambda: self.told)
         self.assertEqual((dials, self.told), ([[], []], [(ASCII_A, "unreached")]))
@@ -578,10 +578,10 @@
         link = self.link(Full(self).address, dial=60000.0)
         for at in range(5):
             link.send(self.order(b"%016d" % at))
-        for wire in list(link.wires):
-            wire._late()
-        self.assertEqual((link.misses, self.told, len(link.wires)), (1, [], 5))
-        link.wires[0]._late()
+        for conn in list(link.connections):
+            conn._late()
+        self.assertEqual((link.misses, self.told, len(link.connections)), (1, [], 5))
+        link.connections[0]._late()
         self.assertEqual([outcome for _, outcome in self.told], ["unreached"])
 
     def test_one_that_came_up_takes_the_misses_back(self):
@@ -605,7 +605,7 @@
         link.at = host, int(port)
         link.send(self.order(ASCII_B))
         link.at = at
-        self.assertEqual([wire.load for wire in link.wires], [1, 1])
+        self.assertEqual([conn.load for conn in link.connections], [1, 1])
         held[0][0].sendall(rig.bulk(held[0][1][1], b"ACK", b"-", b""))
         self.until(lambda: len(self.told) == 2)
         self.assertEqual(self.told, [(ASCII_A, "ok"), (ASCII_B, "ok")])
@@ -620,7 +620,7 @@
                 link.send(self.order(b"t1", "hold"))
                 getattr(link, how)()
                 self.assertEqual(sorted(self.told), [(ASCII_A, "unsent"), (b"t1", "unsent")])
-                self.assertEqual([wire.load for wire in link.all()], [0] * len(link.all()))
+                self.assertEqual([conn.load for conn in link.all()], [0] * len(link.all()))
 
     def test_no_descriptor_is_no_word_of_the_worker(self):
         worker = rig.Worker()
@@ -641,7 +641,7 @@
         self.addCleanup(worker.close)
         link = self.link(worker.address)
         link.send(self.order())
-        self.until(lambda: link.wires and link.wires[0].up)
+        self.until(lambda: link.connections and link.connections[0].up)
         with no_descriptor():
             self.until(lambda: self.told)
         self.assertEqual((self.told, link.doubt, link.check), ([(ASCII_A, "error")], [], None))
@@ -713,10 +713,10 @@
                 self.until(lambda socks=socks: socks)
                 whole = rig.bulk(ASCII_A, b"ACK", b"-", b"body")
                 socks[0].sendall(whole[:-4] if how == "forget" else whole + whole[:-4])
-                self.until(lambda link=link: link.wires[0].answers.begun)
+                self.until(lambda link=link: link.connections[0].answers.begun)
                 if how == "forget":
                     self.assertTrue(link.forget(order))
-                self.assertFalse(any(wire.takes(ASCII_B) for wire in link.wires))
+                self.assertFalse(any(conn.takes(ASCII_B) for conn in link.connections))
                 link.send(self.order(ASCII_B))
                 self.until(lambda socks=socks: len(socks) == 2)
                 self.assertIsNot(socks[0], socks[1])
@@ -853,9 +853,9 @@
         client.send(rig.dispatch(1, rig.fields(A, "pay", d="400"), b"slow"))
         self.assertEqual(self.answer(client)[1], "fault")
         link = serving.desk.links["w0"]
-        self.assertEqual((len(self.held), [wire.load for wire in link.wires]), (1, [1]))
-        self.until(lambda: not any(wire.load for wire in link.wires), "its place")
-        self.assertEqual((worker.came(b"abort"), serving.desk.asks, link.wires), ([], {}, []))
+        self.assertEqual((len(self.held), [conn.load for conn in link.connections]), (1, [1]))
+        self.until(lambda: not any(conn.load for conn in link.connections), "its place")
+        self.assertEqual((worker.came(b"abort"), serving.desk.asks, link.connections), ([], {}, []))
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -345,7 +345,7 @@
         self.ended(2)
         other.send(self.order())  # both places idle at the first worker
         self.assertEqual(self.ended(3)[2], (b"9b1f03aa5c7e2d41", "ok"))
-        self.assertEqual((first.pool.used, len(first.wires), len(other.wires)), (2, 1, 1))
+        self.assertEqual((first.pool.used, len(first.connections), len(other.connections)), (2, 1, 1))
         first.idle = other.idle = 0.0
         ends = clock() + 5
         self.until(lambda: clock() > ends)
@@ -590,7 +590,7 @@
         client.close()
         until(lambda: not told.out and not serving.desk.asks)
         self.assertEqual(serving.front.open, {})
-        self.assertEqual(sum(wire.load for wire in serving.desk.links["w0"].wires), 0)
+        self.assertEqual(sum(conn.load for conn in serving.desk.links["w0"].connections), 0)
 
 
 class Random(unittest.TestCase):
--- a/wickdyke/platform/back.py
+++ b/wickdyke/platform/back.py
@@ -65,11 +65,11 @@
 class Order(parts.Order):
     """One message that is owed an answer, as it is sent."""
 
-    __slots__ = ("ident", "line", "parcel", "wire", "sent", "tries")
+    __slots__ = ("ident", "line", "parcel", "connection", "sent", "tries")
 
     def __init__(self, kind: str, key: object, ident: bytes, line: bytes) -> None:
         super().__init__(kind, key)
-        self.ident, self.line, self.parcel, self.wire, self.sent, self.tries = ident, line, None, None, 0.0, 0
+        self.ident, self.line, self.parcel, self.conn, self.sent, self.tries = ident, line, None, None, 0.0, 0
 
 
 class Pool:
@@ -83,9 +83,9 @@
     def room(self) -> bool:
         """Whether there may be one more: the idle one longest of no use is left for it."""
         if self.used >= self.most:
-            idle = [wire for link in self.links for wire in link.all() if not wire.load and wire.up]
+            idle = [conn for link in self.links for conn in link.all() if not conn.load and conn.up]
             if idle:
-                min(idle, key=lambda wire: wire.used).end("left for another")
+                min(idle, key=lambda conn: conn.used).end("left for another")
         return self.used < self.most
 
     def sweep(self) -> None:
@@ -133,7 +133,7 @@
         return result if result is not None else Ending(outcome)
 
 
-class Wire:
+class Connection:
     """One connection to a worker."""
 
     first = True
@@ -185,7 +185,7 @@
 
     def send(self, order: Order) -> None:
         """Sends it, or has it sent once the connection is up."""
-        order.wire, order.sent, self.used = self, clock(), clock()
+        order.conn, order.sent, self.used = self, clock(), clock()
         if not self.up:
             self.pending.append(order)
             return
@@ -311,17 +311,17 @@
         self.name, self.tell, self.loop, self.pool = name, tell, loop, pool
         host, _, port = address.rpartition(":")
         self.at, self.dial, self.idle, self.names = (host, int(port)), dial, idle, names
-        self.wires: list[Wire] = []  # for call-outs; the last used at the end
-        self.beside: Wire | None = None  # for holds and probes
+        self.connections: list[Connection] = []  # for call-outs; the last used at the end
+        self.beside: Connection | None = None  # for holds and probes
         self.doubt: list[Order] = []  # lost with the last connection, until a new one tells whether the worker lives
-        self.check: Wire | None = None
+        self.check: Connection | None = None
         self.retired = self.closed = False
         self.misses, self.missed_at = 0, float("-inf")  # in a row; the last
         pool.links.add(self)
 
-    def all(self) -> list[Wire]:
+    def all(self) -> list[Connection]:
         """Its connections."""
-        return [*self.wires, *([self.beside] if self.beside else [])]
+        return [*self.connections, *([self.beside] if self.beside else [])]
 
     def send(self, order: Order) -> None:
         """Sends it on a connection that fits; its end comes by `tell`."""
@@ -329,49 +329,50 @@
         if self.closed or self.retired:
             self.back(order, "unsent")
             return
-        wire = self._for_run(order.ident) if order.kind == "run" else self._for_others(order.ident)
-        if wire is None or wire.failed:
-            self.back(order, "unsent" if wire is None else wire.failed)
+        conn = self._for_run(order.ident) if order.kind == "run" else self._for_others(order.ident)
+        if conn is None or conn.failed:
+            self.back(order, "unsent" if conn is None else conn.failed)
         else:
-            wire.send(order)
+            conn.send(order)
 
-    def _for_run(self, ident: bytes) -> Wire | None:
+    def _for_run(self, ident: bytes) -> Connection | None:
         self.sweep()
-        for wire in reversed(self.wires):
-            if not wire.load and wire.takes(ident):
-                if wire.alive():
-                    return wire
-                wire.end("ended while idle")
+        for conn in reversed(self.connections):
+            if not conn.load and conn.takes(ident):
+                if conn.alive():
+                    return conn
+                conn.end("ended while idle")
         if self.pool.room():
-            wire = Wire(self)
-            if not wire.failed:
-                self.wires.append(wire)
-                return wire
-            if wire.failed != "unsent":
-                return wire
-        return min((wire for wire in self.wires if wire.takes(ident)), key=lambda w: w.load, default=None)
-
-    def _for_others(self, ident: bytes) -> Wire | None:
-        wire = self.beside
-        if wire is not None and wire.load == 0 and not (clock() - wire.used < self.idle and wire.alive()):
-            wire.end("idle")
+            conn = Connection(self)
+            if not conn.failed:
+                self.connections.append(conn)
+                return conn
+            if conn.failed != "unsent":
+                return conn
+        return min((conn for conn in self.connections if conn.takes(ident)), key=lambda w: w.load, default=None)
+
+    def _for_others(self, ident: bytes) -> Connection | None:
+        conn = self.beside
+        if conn is not None and conn.load == 0 and not (clock() - conn.used < self.idle and conn.alive()):
+            conn.end("idle")
         if self.beside is None or not self.beside.takes(ident):
             if not self.pool.room():
                 return None
-            wire = Wire(self)
-            if wire.failed:
-                return wire
+            conn = Connection(self)
+            if conn.failed:
+                return conn
             if self.beside is not None:  # it ends with what is on it
-                self.wires.insert(0, self.beside)
+                self.connections.insert(0, self.beside)
                 self.beside.stale = True
-            self.beside = wire
+            self.beside = conn
         return self.beside
 
     def sweep(self) -> None:
         """Leaves connections before the worker ends them as idle."""
         now = clock()
-        for wire in [wire for wire in self.wires if not wire.load and (wire.stale or now - wire.used > self.idle)]:
-            wire.end("idle")
+        for conn in list(self.connections):
+            if not conn.load and (conn.stale or now - conn.used > self.idle):
+                conn.end("idle")
 
     def back(self, order: Order, outcome: str, found: Ending | None = None) -> None:
         """Tells how an order ended."""
@@ -392,8 +393,8 @@
         # Danger: a cut says that the process is gone, with all that it had loaded. What ends beside connections that
         # stand, or on an answer that can't be read, tells of answers only; where none stands, a new connection tells.
         # Also resets of many at once. Could hurt where a process is back before that connection: the list tells.
-        others = [wire for wire in (*self.wires, self.beside) if wire is not None and not wire.closed and wire.up]
-        if spoke or any(wire.alive() for wire in others):
+        others = [conn for conn in (*self.connections, self.beside) if conn is not None and not conn.closed and conn.up]
+        if spoke or any(conn.alive() for conn in others):
             self._found(orders, True)
             return
         self.doubt += orders
@@ -401,9 +402,9 @@
             self._check()
 
     def _check(self) -> None:
-        self.check = Wire(self) if not self.closed and self.pool.room() else None
+        self.check = Connection(self) if not self.closed and self.pool.room() else None
         if self.check is not None and not self.check.failed:
-            self.wires.insert(0, self.check)
+            self.connections.insert(0, self.check)
             return
         # Nothing is known of it where no descriptor is left, and then no copies of it are taken for gone.
         lives = not self.closed and (self.check is None or self.check.failed == "unsent")
@@ -421,37 +422,37 @@
             self.check = None
         return None
 
-    def missed(self, wire: Wire) -> bool:
+    def missed(self, conn: Connection) -> bool:
         """A connection has not come up in time; whether that may yet be the connection alone."""
         # Danger: one connection of many comes up late or never, and the module takes a worker it could not reach for
         # one that starts anew: all its copies forgotten, cold for the whole ramp. Also an answer to the first step
         # that got lost. Could hurt where a machine has vanished: the first order there learns it a dial later.
-        if wire.begun >= self.missed_at:
+        if conn.begun >= self.missed_at:
             self.misses, self.missed_at = self.misses + 1, clock()
         return self.misses < MISSES
 
-    def idles(self, wire: Wire) -> None:
+    def idles(self, conn: Connection) -> None:
         """A connection has nothing on it: what waits for one that is still being made goes there."""
-        if wire.closed or wire.stale or wire not in self.wires:
+        if conn.closed or conn.stale or conn not in self.connections:
             return
-        for other in self.wires:
+        for other in self.connections:
             for order in other.pending if not other.up else ():
-                if wire.takes(order.ident):
+                if conn.takes(order.ident):
                     other.pending.remove(order)
-                    wire.send(order)
+                    conn.send(order)
                     return
 
     def _found(self, orders: list[Order], lives: bool) -> None:
         for order in orders:
-            if order.wire is not None:  # else it was taken back meanwhile
+            if order.conn is not None:  # else it was taken back meanwhile
                 self.back(order, LOST[order.kind] if lives else "cut")
 
-    def gone(self, wire: Wire) -> None:
+    def gone(self, conn: Connection) -> None:
         """A connection has ended."""
-        if wire is self.beside:
+        if conn is self.beside:
             self.beside = None
-        elif wire in self.wires:
-            self.wires.remove(wire)
+        elif conn in self.connections:
+            self.connections.remove(conn)
 
     def cancel(self, order: Order, done: Callable[[], None]) -> str | None:
         """Withdraws a call-out: as wickdyke/gateway/link.py has it."""
@@ -461,41 +462,41 @@
         return said
 
     def _cancel(self, order: Order, done: Callable[[], None]) -> str | None:
-        wire = order.wire
+        conn = order.conn
         if order in self.doubt:
-            order.wire = None
+            order.conn = None
             self.doubt.remove(order)
             return "cancelled"
         if self._unsend(order):
             return "unsent"
-        if wire is None or wire.closed or wire.open.get(order.ident) is not order:
+        if conn is None or conn.closed or conn.open.get(order.ident) is not order:
             return "ended"
-        if len(wire.open) == 1 and not wire.pending:
+        if len(conn.open) == 1 and not conn.pending:
             # Ending the connection gives up what is on it. Danger: what said nothing in all that time may be cut
             # off, and the next on it would wait in vain. Also an answer that never comes.
-            del wire.open[order.ident]
-            wire.end("given up")
+            del conn.open[order.ident]
+            conn.end("given up")
             return "cancelled"
         try:
-            with_kernel = wire.outbox.put(Parcel(resp.command(b"abort", order.ident), lambda: self._cancelled(
-                wire, order, done)))
+            with_kernel = conn.outbox.put(Parcel(resp.command(b"abort", order.ident), lambda: self._cancelled(
+                conn, order, done)))
         except (Unread, OSError) as bad:
-            wire.end(f"{type(bad).__name__}: {bad}")  # which tells of all that was on it
+            conn.end(f"{type(bad).__name__}: {bad}")  # which tells of all that was on it
             return None
         if not with_kernel:
             return None
-        self._given_up(wire, order)
+        self._given_up(conn, order)
         return "cancelled"
 
-    def _cancelled(self, wire: Wire, order: Order, done: Callable[[], None]) -> None:
-        if wire.open.get(order.ident) is order:
-            self._given_up(wire, order)
+    def _cancelled(self, conn: Connection, order: Order, done: Callable[[], None]) -> None:
+        if conn.open.get(order.ident) is order:
+            self._given_up(conn, order)
             done()
 
-    def _given_up(self, wire: Wire, order: Order) -> None:
-        wire.open.pop(order.ident, None)
-        wire.past.append(order.ident)
-        wire.stale = wire.stale or wire.heard <= order.sent or wire.answers.begun
+    def _given_up(self, conn: Connection, order: Order) -> None:
+        conn.open.pop(order.ident, None)
+        conn.past.append(order.ident)
+        conn.stale = conn.stale or conn.heard <= order.sent or conn.answers.begun
 
     def unsend(self, order: Order) -> bool:
         """Takes back what has not begun to go out; True where it was so, and it has ended."""
@@ -505,21 +506,21 @@
         return taken
 
     def _unsend(self, order: Order) -> bool:
-        wire = order.wire
-        if wire is None or wire.closed:
+        conn = order.conn
+        if conn is None or conn.closed:
             return False
-        if order in wire.pending:
-            wire.pending.remove(order)
+        if order in conn.pending:
+            conn.pending.remove(order)
             return True
-        if wire.open.get(order.ident) is order and wire.outbox.withdraw(order.parcel):
-            del wire.open[order.ident]
+        if conn.open.get(order.ident) is order and conn.outbox.withdraw(order.parcel):
+            del conn.open[order.ident]
             return True
         return False
 
     def recall(self) -> None:
         """Nothing new goes there: what has not begun to go out ends as unsent."""
-        for wire in self.all():
-            for order in [*wire.pending, *wire.open.values()]:
+        for conn in self.all():
+            for order in [*conn.pending, *conn.open.values()]:
                 if self._unsend(order):
                     self.back(order, "unsent")
 
@@ -531,27 +532,27 @@
         return was_out
 
     def _forget(self, order: Order) -> bool:
-        wire = order.wire
+        conn = order.conn
         if order in self.doubt:
-            order.wire = None
+            order.conn = None
             self.doubt.remove(order)
             return True
-        if wire is None or wire.closed:
+        if conn is None or conn.closed:
             return False
-        if order in wire.pending:
-            wire.pending.remove(order)
+        if order in conn.pending:
+            conn.pending.remove(order)
             return True
-        if wire.open.get(order.ident) is not order:
+        if conn.open.get(order.ident) is not order:
             return False
-        self._given_up(wire, order)
-        if wire.stale and not wire.load:
-            wire.end("silent")
+        self._given_up(conn, order)
+        if conn.stale and not conn.load:
+            conn.end("silent")
         return True
 
     def cut(self) -> None:
         """Ends all connections; what is out there ends as cut."""
-        for wire in self.all():
-            wire.end("cut")
+        for conn in self.all():
+            conn.end("cut")
 
     def retire(self) -> None:
         """No more is to be sent; it ends with the last of what is out."""
@@ -560,7 +561,7 @@
         self._maybe_close()
 
     def _maybe_close(self) -> None:
-        if not (self.closed or self.doubt or any(wire.load for wire in self.wires)
+        if not (self.closed or self.doubt or any(conn.load for conn in self.connections)
                 or self.beside and self.beside.load):
             self.close()
 
--- a/wickdyke/platform/serve.py
+++ b/wickdyke/platform/serve.py
@@ -96,7 +96,7 @@
 
     def _count(self) -> None:
         self.log.info("counts", clients=len(self.front.clients), open=len(self.desk.asks),
-                      wires=self.speech.pool.used, workers=len(self.desk.links),
+                      connections=self.speech.pool.used, workers=len(self.desk.links),
                       **self.desk.counts, **self.front.counts, **self.speech.pool.counts,
                       **{f"bus_{name}": many for name, many in self.bus.counts.items()})
 
