--- a/wickdyke/platform/back.py
+++ b/wickdyke/platform/back.py
@@ -65,7 +65,7 @@
 class Order(parts.Order):
     """One message that is owed an answer, as it is sent."""
 
-    __slots__ = ("ident", "line", "parcel", "connection", "sent", "tries")
+    __slots__ = ("ident", "line", "parcel", "conn", "sent", "tries")
 
     def __init__(self, kind: str, key: object, ident: bytes, line: bytes) -> None:
         super().__init__(kind, key)
