The list is reached also where settings leave next to no time for a drain

From a reading of the change before: pauses and the time to connect both follow rules.stop-sending-within, and with 0 every try would have been over as it began (Bus.__init__). Both have a least now. test_no_time_for_a_drain fails without it.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -373,6 +373,16 @@
         self.until(lambda: made.up)
         self.assertEqual(self.source.asked, [7])
 
+    def test_no_time_for_a_drain(self):
+        """Settings that leave none: the list is reached all the same, and not asked for without a pause."""
+        made = self.follow(self.source.address, most=0.0)
+        self.later(100)
+        self.until(lambda: made.up)
+        made.close()
+        made = self.follow(rig.free_address(), most=0.0)
+        self.later(1000)
+        self.assertLess(made.counts["asked"], 1000 / 25 + 2)
+
     def test_half_events(self):
         for raw, begun in ((b"", False), (b": x\n", False), (b": x", False), (b"id: 1", True), (b"id: 1\n", True),
                            (b"id: 1\n: x\n", True), (b"data: x\n\n", False), (b"data: x\n\nid", True)):
--- a/wickdyke/platform/bus.py
+++ b/wickdyke/platform/bus.py
@@ -15,7 +15,7 @@
 PATH = "/bus/read"
 CHUNK = 1 << 16
 PULSE = 1500.0  # ms without a sign of life after which the other side has stopped: it gives one each second
-DIAL, ANSWER = 400.0, 1500.0  # ms for a connection; for the head of its answer
+DIAL, DIAL_LEAST, ANSWER = 400.0, 200.0, 1500.0  # ms for a connection, at most, at least; for the head of its answer
 PAUSE, GROWTH = 50.0, 1.5  # ms after the first failure, before it is drawn; what each further one makes of that
 
 
@@ -27,7 +27,9 @@
     def __init__(self, loop: Loop, address: tuple[str, int], last: Callable[[], int],
                  tell: Callable[[list[dict]], None], log, most: float, seed: int) -> None:
         self.loop, self.address, self.last, self.tell, self.log = loop, address, last, tell, log
-        self.dial, self.most = min(DIAL, most), most  # ms that one try may take to connect; to the next at most
+        # ms that one try may take to connect, and to the next at most: also where drains leave next to no time, a bus
+        # that is slow to take a connection has to be reached.
+        self.dial, self.most = min(DIAL, max(DIAL_LEAST, most)), max(PAUSE, most)
         self.chance = random.Random(seed)
         self.counts: Counter[str] = Counter()
         self.sock: socket.socket | None = None
