Four cases made stricter: each mend of the network code taken out fails one

A leave was waited for until the books were empty, which the RPC's time does too; the connection for the backlog was taken in the turn itself; the client that closes after what can't be read sent a reset for what it had not read, which the kernel tells in any case; and a drain told to the desk had no case.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -158,14 +158,20 @@
         half.send(whole[:25])
         self.at_worker(1)
         self.until(lambda: any(client.frames.begun for client in serving.front.clients.values()))
-        waits = self.client()  # taken by the kernel, not by the program
-        waits.send(rig.dispatch(1, rig.fields(C), b"c"))
+        shut, waiting = serving.front.shut, []
+
+        def just_before():  # taken by the kernel, and not by the program, as the door is shut
+            if not waiting:
+                waiting.append(self.client())
+                waiting[0].send(rig.dispatch(1, rig.fields(C), b"c"))
+            shut()
+        serving.front.shut = just_before
         serving._end(signal.SIGTERM, None)
         serving.asked_to_end -= serve.GRACE  # it is long ago: the door is shut in the next turn
         self.assertTrue(serving.turn())
         self.assertTrue(serving.front.shut_down)
         half.send(whole[25:])
-        self.assertEqual(self.answer(waits), (1, "answer", b"did c"))
+        self.assertEqual(self.answer(waiting[0]), (1, "answer", b"did c"))
         self.assertEqual(self.answer(half), (1, "answer", b"did b"))
         self.assertTrue(serving.turn())
         self.answer_held()
@@ -510,12 +516,32 @@
                         if how != "close":
                             client.send(struct.pack(">i", -1))
                             self.until(lambda s=serving: any(c.ending for c in s.front.clients.values()))
-                        client.close()
-                    self.until(lambda s=serving: not s.desk.asks, "its leaving")
+                            client.sock.shutdown(socket.SHUT_WR)  # an end, with no reset for what it has not read
+                        else:
+                            client.close()
+                    self.until(lambda s=serving: s.desk.counts["left"], "its leaving")
+                    serving.turn()
+                    self.assertEqual(serving.desk.asks, {})
                     self.assertFalse(any(conn.load for conn in link.connections))
                     self.assertEqual(self.faults(), [])
                     self.end()
 
+    def test_a_drain_while_a_call_out_waits_for_a_connection(self):
+        """(told how) -> it does not go there when the connection is up, and is answered by another worker."""
+        for state in ("DRAINING", "DELETED"):
+            with self.subTest(state):
+                full, other = Full(self), self.worker()
+                serving = self.front_end(full.address, settings=self.settings(**{"dial-timeout": 60000000}))
+                client = self.client()
+                client.send(rig.dispatch(1, rig.fields(A, "pay"), b"x"))
+                link = serving.desk.links["w0"]
+                self.until(lambda link=link: any(conn.pending for conn in link.connections))
+                serving.desk.take(("rows", [rig.event(2, rig.instance("w0", full.address, lifecycle=state),
+                                                      rig.instance("w9", other.address))]))
+                self.assertEqual(self.answer(client), (1, "answer", b"did x"))
+                self.assertFalse(any(conn.load for conn in link.connections))
+                self.end()
+
     def test_between_two_call_outs(self):
         """The worker's word that it is full comes with the close: no second call-out after the desk has heard both."""
         serving = self.front_end(self.worker().address)
