--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -114,6 +114,19 @@
         good = rest[10 + size + 3 + 6 + 3]
         return number, ("good" if good else "bad") if verb == b"alive" else "answer", rest[10:10 + size]
 
+    def waits(self):
+        """Whether an answer, or the connection's end, is there to be read."""
+        self.sock.setblocking(False)
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        finally:
+            self.sock.settimeout(LONG)
+        return True
+
     def close(self):
         self.sock.close()
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,6 +21,7 @@
 from unittest.mock import Mock, patch
 
 from tests import platform_rig as rig
+from tests.test_platform import Turned
 from wickdyke.interface import Method
 from wickdyke.platform import back, bus, front, resp, serve, sse, station, thrift
 from wickdyke.wire import loop
@@ -127,18 +128,7 @@
 
     def answer(self, client):
         """The next answer, the front end turned until it is there."""
-        client.sock.setblocking(False)
-
-        def came():
-            try:
-                client.sock.recv(1, socket.MSG_PEEK)
-            except BlockingIOError:
-                return False
-            except OSError:
-                pass
-            return True
-        self.until(came, "an answer")
-        client.sock.settimeout(rig.LONG)
+        self.until(client.waits, "an answer")
         return client.answer()
 
     def at_worker(self, many):
@@ -371,10 +361,10 @@
                 for _ in range(20):
                     if made.counts["silent"]:
                         break
-                    reads = made.reads
                     if drip:
-                        source.tell(drip)
-                        self.until(lambda made=made, reads=reads: made.reads > reads)
+                        with patch.object(made, "readable", Mock(wraps=made.readable)) as read:
+                            source.tell(drip)
+                            self.until(lambda read=read: read.called)
                     self.later(200)
                 self.assertEqual(made.counts["silent"] > 0, again)
                 made.close()
@@ -587,12 +577,11 @@
         order.link.unsend.assert_called_once_with(order)
 
 
-class Dialled(unittest.TestCase):
+class Dialled(Turned):
     """Links on a loop, to listeners that let nobody in, or late."""
 
     def setUp(self):
-        self.loop, self.told = loop.Loop(), []
-        self.addCleanup(self.loop.close)
+        super().setUp()
         self.pool = back.Pool(20)
 
     def link(self, address, dial=40.0):
@@ -604,11 +593,19 @@
     def order(self, ident=ASCII_A, kind="run"):
         return back.Order(kind, None, ident, resp.command(b"invoke", ident, b"lane=look,name=x,ttl=9", b"b"))
 
-    def until(self, done):
-        ends = time.monotonic() + rig.LONG
-        while not done():
-            self.assertLess(time.monotonic(), ends)
-            self.loop.turn(5.0, lambda: None)
+    def held(self):
+        """A link to a worker that answers nothing by itself, and what came there: (socket, command)."""
+        held = []
+        worker = rig.Worker(lambda _, sock, parts: (held.append((sock, parts)), True)[1])
+        self.addCleanup(worker.close)
+        self.told.clear()
+        return self.link(worker.address, dial=60000.0), held
+
+    def elsewhere(self, link):
+        """From now on nobody lets that link in; where it went before."""
+        here, (host, _, port) = link.at, Full(self).address.rpartition(":")
+        link.at = host, int(port)
+        return here
 
     def test_one_late_connection_is_not_a_worker_that_is_away(self):
         """The first that does not come up is tried again; with the second in a row nobody is there."""
@@ -640,19 +637,16 @@
         self.assertEqual((self.told, link.misses), ([(ASCII_A, "ok")], 0))
 
     def test_what_waits_for_a_connection_goes_on_one_that_idles(self):
-        held = []
-        worker = rig.Worker(lambda _, sock, parts: parts[1] == ASCII_A and (held.append((sock, parts)), True)[1])
-        self.addCleanup(worker.close)
-        link, full = self.link(worker.address, dial=60000.0), Full(self)
+        link, held = self.held()
         link.send(self.order())
         self.until(lambda: held)
-        at = link.at
-        host, _, port = full.address.rpartition(":")
-        link.at = host, int(port)
+        self.elsewhere(link)
         link.send(self.order(ASCII_B))
-        link.at = at
         self.assertEqual([conn.load for conn in link.connections], [1, 1])
-        held[0][0].sendall(rig.bulk(held[0][1][1], b"ACK", b"-", b""))
+        for at in range(2):
+            self.until(lambda at=at: len(held) > at)
+            held[at][0].sendall(rig.bulk(held[at][1][1], b"ACK", b"-", b""))
+        self.assertIs(held[0][0], held[1][0])
         self.until(lambda: len(self.told) == 2)
         self.assertEqual(self.told, [(ASCII_A, "ok"), (ASCII_B, "ok")])
 
@@ -696,16 +690,11 @@
         """(dials that come to nothing after the cut) -> error where a later one is met, cut where none is."""
         for misses, outcome in ((1, "error"), (2, "cut")):
             with self.subTest(misses):
-                self.told.clear()
-                hold = []
-                worker = rig.Worker(lambda _, sock, parts, hold=hold: (hold.append(sock), True)[1])
-                self.addCleanup(worker.close)
-                link, full = self.link(worker.address, dial=60000.0), Full(self)
+                link, held = self.held()
                 link.send(self.order())
-                self.until(lambda hold=hold: hold)
-                here, (host, _, port) = link.at, full.address.rpartition(":")
-                link.at = host, int(port)
-                hold[0].shutdown(socket.SHUT_RDWR)
+                self.until(lambda held=held: held)
+                here = self.elsewhere(link)
+                held[0][0].shutdown(socket.SHUT_RDWR)
                 self.until(lambda link=link: link.check is not None)
                 for _ in range(misses):
                     self.assertEqual(self.told, [])
@@ -719,17 +708,11 @@
         """(what meets a call-out in doubt) -> one end at most, and nothing kept."""
         for how in ("cancel", "forget", "retire"):
             with self.subTest(how):
-                self.told.clear()
-                hold = []
-                worker = rig.Worker(lambda _, sock, parts, hold=hold: (hold.append(sock), True)[1])
-                self.addCleanup(worker.close)
-                link, full = self.link(worker.address, dial=60000.0), Full(self)
-                order = self.order()
-                link.send(order)
-                self.until(lambda hold=hold: hold)
-                host, _, port = full.address.rpartition(":")
-                link.at = host, int(port)
-                hold[0].shutdown(socket.SHUT_RDWR)
+                link, held = self.held()
+                link.send(order := self.order())
+                self.until(lambda held=held: held)
+                self.elsewhere(link)
+                held[0][0].shutdown(socket.SHUT_RDWR)
                 self.until(lambda link=link: link.doubt)
                 if how == "cancel":
                     self.assertEqual(link.cancel(order, lambda: None), "cancelled")
@@ -749,30 +732,22 @@
         """The connection is of no further use, also where its call-out was only forgotten or ended by itself."""
         for how in ("forget", "answered"):
             with self.subTest(how):
-                self.told.clear()
-                socks = []
-                worker = rig.Worker(lambda _, sock, parts, socks=socks: (socks.append(sock), True)[1])
-                self.addCleanup(worker.close)
-                link = self.link(worker.address, dial=60000.0)
-                order = self.order()
-                link.send(order)
-                self.until(lambda socks=socks: socks)
+                link, held = self.held()
+                link.send(order := self.order())
+                self.until(lambda held=held: held)
                 whole = rig.bulk(ASCII_A, b"ACK", b"-", b"body")
-                socks[0].sendall(whole[:-4] if how == "forget" else whole + whole[:-4])
+                held[0][0].sendall(whole[:-4] if how == "forget" else whole + whole[:-4])
                 self.until(lambda link=link: link.connections[0].answers.begun)
                 if how == "forget":
                     self.assertTrue(link.forget(order))
                 self.assertFalse(any(conn.takes(ASCII_B) for conn in link.connections))
                 link.send(self.order(ASCII_B))
-                self.until(lambda socks=socks: len(socks) == 2)
-                self.assertIsNot(socks[0], socks[1])
+                self.until(lambda held=held: len(held) == 2)
+                self.assertIsNot(held[0][0], held[1][0])
 
     def test_a_second_answer_that_comes_late(self):
         """It meets no later call-out of the same id on that connection: that one goes on another."""
-        socks = []
-        worker = rig.Worker(lambda _, sock, parts: (socks.append((sock, parts)), True)[1])
-        self.addCleanup(worker.close)
-        link = self.link(worker.address, dial=60000.0)
+        link, socks = self.held()
         link.send(self.order())
         self.until(lambda: socks)
         full = rig.bulk(ASCII_A, b"AGAIN", b"-", b"")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -396,28 +396,12 @@
 
     def client(self):
         client = rig.Client(self.address)
-        client.sock.settimeout(0.02)
         self.addCleanup(client.close)
         return client
 
     def answer(self, client):
-        client.sock.setblocking(True)
-        client.sock.settimeout(0.02)
-        found = []
-
-        def came():
-            try:
-                client.sock.recv(1, socket.MSG_PEEK)
-            except TimeoutError:
-                return False
-            except OSError:
-                pass
-            client.sock.settimeout(rig.LONG)
-            found.append(client.answer())
-            client.sock.settimeout(0.02)
-            return True
-        self.until(came, "an answer")
-        return found[0]
+        self.until(client.waits, "an answer")
+        return client.answer()
 
     def test_a_request_reaches_the_desk_as_it_was_sent(self):
         client = self.client()
