Requests earn load orders once their function is proved; latencies of nought can't divide

And, with a made clock, a division by zero in Fill.wide at every fill after answers that took no reading of the clock. Ruled out: renewals (kept under a third of the ration), orders of restarted front ends (none restarted in those 5 s). To blame: FrontEnd.took, `if program.proven or self.fill.asks`: where attempts ask for copies, requests for functions that nobody has counted; Latency.learn, which took a time of 0 ms as it came, so that Latency.average and the usual times became 0. A latency is a microsecond at least, the finest unit in which the protocol tells times.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -549,6 +549,66 @@
                 self.assertEqual((bool(worker.shuns), len(fleet.fe.guards.taken) - before > 0), (proven, proven))
                 self.assertEqual(any(place.placed for place in fleet.fe.programs["p"].places), proven)
 
+    def test_requests_for_functions_nobody_has_earn_no_load_orders(self):
+        """Where attempts ask for copies: (functions asked for, whether one exists) -> most orders of a window."""
+        ration = Ration(3.0, 0.2, 5000.0)
+        for unknown, known in ((60, False), (60, True), (0, True)):
+            with self.subTest(unknown=unknown, known=known):
+                fleet = Fleet(workers=4, loads_on_call=False, ration=ration, holds=None)
+                done, legitimate = [], 0
+                for number in range(60):
+                    asked = ([f"nobody-has-{number}"] if unknown else []) + (["p"] if known else [])
+                    for name in asked:
+                        got = fleet.take(name)
+                        legitimate += name == "p"
+                        for decision in got:
+                            if decision[0] == "call":
+                                got += fleet.end(decision[1], "ok" if name == "p" else "miss", final=name == "p")
+                            elif decision[0] == "hold":
+                                found = "ok" if decision[2].name == "p" else "error"
+                                fleet.fe.held(decision[1].listing.ident, decision[2].name, found, 1, 1.0)
+                        done += got
+                    done += fleet.pass_time(20, step=20.0)
+                orders = verbs(done).count("hold")
+                self.assertLessEqual(orders, ration.free + ration.share * legitimate)
+                self.assertEqual(len(fleet.fe.guards.taken), legitimate)
+
+    def test_what_was_taken_before_the_first_answer_earns_orders_with_it(self):
+        """(what proves that the function exists, ms after the first request) -> requests counted in the window."""
+        for proof, wait, counted in (("answer", 100, 3), ("order", 100, 3), ("answer", 5100, 1), ("miss", 100, 0)):
+            with self.subTest(proof=proof, wait=wait):
+                fleet = Fleet(workers=1, loads_on_call=False, ration=Ration(3.0, 0.2, 5000.0), holds=None)
+                fleet.serve("other", calls=1)
+                fleet.fe.guards.taken.clear()
+                first = fleet.take()[0][1]
+                fleet.take()
+                fleet.pass_time(wait)
+                fleet.take()
+                if proof == "order":
+                    fleet.fe.held("a", "p", "ok", 1, 1.0)
+                else:
+                    fleet.end(first, "ok" if proof == "answer" else "miss", number=0)
+                self.assertEqual(len(fleet.fe.guards.taken), counted)
+                self.assertEqual(list(fleet.fe.guards.taken), sorted(fleet.fe.guards.taken))
+
+    def test_answers_within_one_reading_of_the_clock(self):
+        """Attempts that took no time at all by the clock leave every later fill and choice possible."""
+        for tells in (True, False):
+            for work in (None, 50.0):
+                with self.subTest(tells=tells, work=work):
+                    fleet = Fleet(workers=2, tells=tells)
+                    for number in range(200):
+                        fleet.fe.woke(fleet.clock)
+                        fleet.fe.took(1000 + number, 4000.0, fleet.method, "p", 4000.0, 2, None, work, False)
+                        for rpc in [d[1] for d in fleet.pull() if d[0] == "call"]:
+                            fleet.fe.ended(rpc.ident, 0, "ok", True, "stood", 3, (0.5, 2.0))
+                        fleet.pull()
+                        if number % 20 == 0:
+                            fleet.pass_time(1000, step=500.0)
+                    self.assertGreater(fleet.fe.latency.average, 0.0)
+                    self.assertTrue(fleet.fe.latency.usual(fleet.fe.programs["p"]) > 0.0)
+                    self.assertIn("call", verbs(fleet.take()))
+
     def test_what_would_be_late_at_a_full_home_is_denied_at_once(self):
         """(busy, held there, age of the report in ms, loads on call) -> the verb."""
         for busy, held, age, on_call, verb in (
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -5,6 +5,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from heapq import heappop
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -294,4 +295,22 @@
     call_out.outcome = outcome
 
 
+def working(worker: Worker, now: float) -> int:
+    """Our attempts that take its cores now: neither waiting for a load nor overdue at that time (ms).
+
+    Counted as they change, since thousands may be out.
+    """
+    while worker.lates and worker.lates[0][0] < now:
+        call_out = heappop(worker.lates)[-1]
+        worker.at_work -= call_out.warm and call_out.outcome is None
+    return worker.at_work
+
+
+def rest(call_out: CallOut, gates: tuple[Worker, ...], now: float) -> None:
+    """Takes an attempt out of the count of those at work at these workers."""
+    for gate in gates if call_out.warm and call_out.outcome is None else ():
+        working(gate, now)
+        gate.at_work -= call_out.late_at >= now
+
+
 Decision = tuple
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -7,14 +7,15 @@
 
 from collections import Counter, deque
 from dataclasses import replace
-from heapq import heappop, heappush
+from heapq import heappush, merge
 from itertools import accumulate, islice
 from math import ceil, inf, log, sqrt
 
 from wickdyke.chance import Chance, draw, mark
 from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place
 from wickdyke.interface import Program, Purse, Ration, Seat, Shares, Stock, Tariff, Timing, Warmup, Worker
-from wickdyke.interface import begin, empty, end, forget, place_of
+from wickdyke.interface import begin, empty, end, forget, place_of, rest, working
+from wickdyke.samples import mean, trim
 
 KEPT, KEPT_CALLS, KEPT_RATIOS = 16, 64, 40  # samples kept of most things; calls; latencies of a worker
 NEVER_RAN = frozenset({"full", "unreached", "unsent", "miss"})  # outcomes that prove it
@@ -26,15 +27,6 @@
     return program.lots[worker]
 
 
-def mean(samples, absent: float) -> float:
-    return sum(samples) / len(samples) if samples else absent
-
-
-def trim(samples: deque, before: float) -> None:
-    while samples and samples[0][0] <= before:
-        samples.popleft()
-
-
 def lanes(place: Place) -> int:
     return max(1, place.standing) * place.program.lanes
 
@@ -42,6 +34,7 @@
 SAMPLE_AGE, PRIOR, FRESH = 15000.0, 6.0, 4000.0  # ms samples count; its kind's in a pace; ms reports fade
 LOAD_GUESS, LOAD_LEAST, COST_GUESS, LOADS_TOLD = 1000.0, 50.0, 0.25, 4  # ms unseen, least; of soft; loads
 KEPT_WIDTHS, WIDTH_GUESS, WIDTH_LOW = 400, 4.0, 0.1  # samples; RPCs at once until then; part to be under
+READING = 0.001  # ms: times are told in microseconds, and an answer within one reading took part of it
 PROMISED, LOCAL = 0.8, 0.5  # of what a fleet can do, to tenants; of a zone's workers that are to be well
 OVERDUE, OVERDUE_LEAST = 3.0, 400.0  # a silent call-out is evidence after so many times its due, and ms
 
@@ -50,19 +43,6 @@
     return now - call_out.sent > max(OVERDUE_LEAST, (OVERDUE if call_out.warm else 1.0) * call_out.expected)
 
 
-def working(worker: Worker, now: float) -> int:  # our call-outs that take its cores, not waiting for loads
-    while worker.lates and worker.lates[0][0] < now:  # counted as they change: thousands may be out
-        call_out = heappop(worker.lates)[-1]
-        worker.at_work -= call_out.warm and call_out.outcome is None
-    return worker.at_work
-
-
-def rest(call_out: CallOut, gates: tuple[Worker, ...], now: float) -> None:  # takes cores no more
-    for gate in gates if call_out.warm and call_out.outcome is None else ():
-        working(gate, now)
-        gate.at_work -= call_out.late_at >= now
-
-
 class Latency:  # round trip plus run time as measured, against what the RPC takes on the average worker
     def __init__(self, stock: Stock, seat: Seat, shares: Shares) -> None:
         self.idle_life, self.report, self.promised = stock.idle_life, seat.report, sum(shares.quotas)
@@ -146,7 +126,7 @@
 
     def learn(self, call_out: CallOut, outcome: str, now: float) -> None:
         # Danger: one grows slower, what was given up never tells. Also lost answers. Hurts if all lose some.
-        worker, rpc, took = call_out.place.worker, call_out.rpc, now - call_out.sent
+        worker, rpc, took = call_out.place.worker, call_out.rpc, max(READING, now - call_out.sent)
         if outcome == "ok" or outcome in ("timeout", "cancelled") and took > call_out.expected:
             least = took if outcome == "ok" else min(took, OVERDUE * call_out.expected)  # given up: at least
             worker.ratios.append((now, least, self.cost(rpc)))
@@ -588,7 +568,7 @@
             rpc.purse = purse = self.purses.setdefault(timing.account, Purse())
             purse.taken.extend([(now,)] if timing.budget else ())
             purse.seconds = min(SAVED, purse.seconds + (timing.second[2] if timing.second else 0.0))
-        self.guards.taken.extend([(now,)] if program.proven or self.fill.asks else ())
+        self.guards.taken.extend([(now,)] if program.proven else ())
         for times in (program.times, method.times) if work is not None else ():
             times.append(work)
         self.todo.append(rpc)
@@ -626,7 +606,7 @@
                 took = now - place.loading - self.latency.cost(rpc)
                 self.latency.loaded(rpc.program, took, standing == "began")
             place.standing, place.used, place.loading = max(1, place.standing), now, None
-            rpc.program.proven = True
+            self.prove(rpc.program)
         elif outcome == "miss":
             place.standing, place.loading, place.missed = 0, None, now
         elif outcome == "full":
@@ -666,6 +646,7 @@
         if outcome == "ok":
             self.latency.loaded(program, 0.0 if place.standing else took)
             worker.heard, place.standing, place.used = now, copies, now
+            self.prove(program)
             worker.budget = min(worker.budget * GROWTH, self.fill.whole(worker.listing))
         elif outcome in ("full", "error"):
             place.standing, place.full_until = copies, now + self.stock.idle_life / 8
@@ -673,6 +654,14 @@
         else:
             self.health.saw(worker, outcome, now)
 
+    def prove(self, program: Program) -> None:  # it was answered or loaded: what was taken of it earns orders
+        # Danger: clients that ask for what nobody has earn load orders. Also programs that are broken. Hurts
+        # where nothing may be ordered before something was earned, and no copy stands anywhere.
+        if not program.proven:
+            program.proven, since = True, self.now - self.guards.ration.window
+            earned = ((at,) for at in program.calls if at > since)
+            self.guards.taken = deque(merge(self.guards.taken, earned))
+
     def probed(self, ident: str, outcome: str, report: tuple[float, ...] | None) -> None:
         if worker := self.workers.get(ident):
             self.latency.reported(worker, report, self.now)
