A worker's order for copies ends none of the copies that it counts as standing

Seen: once the tree was formatted, the state machine of tests/test_schedule.py, whose draws hang on its text, drew a course that no text before had drawn: "a load that nothing waits for". Checked: played by hand, an order for three copies of q, one standing and idle, room for one more, ended the standing one to load the third, counted it still, and was answered full while a load of it had begun. It does not hang on the formatting: the same course on the text before fails alike. To blame: Schedule._order, which made room by Schedule._room from all idle copies, those of its own program too. Changed: room for a further copy is never made of a copy of the same program.

--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -173,6 +173,24 @@
                 refused = [act for act in pull(schedule) if act[0] == "refuse"]
                 self.assertEqual((8 - len(refused), schedule.figures()["cold"]), (taken, cold))
 
+    def test_an_order_ends_none_of_the_copies_it_counts(self):
+        """(memory taken by another program) -> what an order for three copies of 10 MB comes to, one standing."""
+        for other, held in ((85, [("unheld", "h", "full")]), (70, [("held", "h")])):
+            with self.subTest(other=other):
+                schedule = made()
+                stand(schedule, "other", other)
+                copy = stand(schedule, "p")
+                schedule.call("busy", "other", other, 1, 400.0)
+                pull(schedule)
+                schedule.hold("h", "p", 10, 1, 3)
+                acts = pull(schedule)
+                for load in [it for verb, it, *_ in acts if verb == "load"]:
+                    schedule.loaded(load, None)
+                acts += pull(schedule)
+                self.assertEqual([act for act in said(acts) if act[0] in ("held", "unheld")], held)
+                self.assertNotIn("unload", [act[0] for act in acts])
+                self.assertEqual(copy.state, "standing")
+
     def test_drain(self):
         """Nothing new is begun, what is held goes on."""
         schedule = made()
--- a/wickdyke/worker/schedule.py
+++ b/wickdyke/worker/schedule.py
@@ -293,10 +293,12 @@
         share = self.ramp.share(self.now - self.born)
         return self.queue if share >= 1 else max(1.0, share * self.at_once)
 
-    def _room(self, memory: float, keep: Copy | None = None) -> bool:
-        """Makes room by ending idle copies, those idle longest first; ends none where that would not do."""
+    def _room(self, memory: float, keep: Copy | None = None, program: Program | None = None) -> bool:
+        """Makes room by ending idle copies, those idle longest first; ends none where that would not do, nor `keep`
+        nor a copy of `program`."""
         held = sum(copy.charge for copy in self._copies())
-        idle = sorted((copy for copy in self._copies() if copy.idle and copy is not keep and not copy.program.waiting),
+        idle = sorted((copy for copy in self._copies() if copy.idle and copy is not keep
+                       and copy.program is not program and not copy.program.waiting),
                       key=lambda copy: copy.used)
         if held - sum(copy.charge for copy in idle) + memory > self.memory:
             return False
@@ -307,7 +309,8 @@
         return True
 
     def _order(self, program: Program, memory: float, lanes: int) -> Copy | None:
-        if not self._room(memory):
+        # Danger: room for a further copy is made by ending one that the same order counts as standing.
+        if not self._room(memory, program=program):
             return None
         self.numbers += 1
         copy = Copy(program, self.numbers, memory, max(1, lanes))
