--- a/bench/compare.py
+++ b/bench/compare.py
@@ -31,8 +31,9 @@
 
 def load(path: str, how: str, figure: float, seconds: float) -> dict:
     """One load, by a process of its own."""
-    done = subprocess.run([sys.executable, "-m", "bench.load", path, how, str(figure), str(seconds)],
-                          capture_output=True, check=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "bench.load", path, how, str(figure), str(seconds)], capture_output=True, check=True
+    )
     return msgspec.json.decode(done.stdout)
 
 
@@ -66,8 +67,7 @@
     with tempfile.TemporaryDirectory(prefix="wd-") as folder:
         paths = [os.path.join(folder, f"w{at}.sock") for at in range(WORKERS)]
         with open(os.path.join(folder, "workers.sexp"), "w") as sink:
-            sink.write(written([Row(f"w{at}", path, None, None, 0, 8.0, "ready", 0)
-                                for at, path in enumerate(paths)]))
+            sink.write(written([Row(f"w{at}", path, None, None, 0, 8.0, "ready", 0) for at, path in enumerate(paths)]))
         with open(os.path.join(folder, "g.sexp"), "w") as sink:
             sink.write(GATEWAY)
         relay, gate = os.path.join(folder, "relay.sock"), os.path.join(folder, "g.sock")
@@ -100,13 +100,36 @@
                 costs.append(((cpu_after - cpu) * 1e6 / got["rpcs"], (woken_after - woken) / got["rpcs"]))
             pairs.append(pair)
         added = [[gated["ms"][p] - bare["ms"][p] for bare, gated in pairs] for p in ("p50", "p99")]
-        rows.append([f"{how} {figure}", spread([bare["rate"] for bare, _ in pairs]),
-                     spread([gated["rate"] / bare["rate"] for bare, gated in pairs]), spread(added[0]),
-                     spread(added[1]), f"{statistics.median(c for c, _ in costs[1::2]):.0f}",
-                     f"{statistics.median(c for c, _ in costs[::2]):.0f}",
-                     f"{statistics.median(w for _, w in costs[1::2]):.2f}", str(bad)])
-        print(table(("load", "relay RPCs/s", "gateway over relay", "added p50 ms", "added p99 ms", "us/RPC",
-                     "relay us/RPC", "woken/RPC", "not ok"), [rows[-1]]), flush=True)
+        rows.append(
+            [
+                f"{how} {figure}",
+                spread([bare["rate"] for bare, _ in pairs]),
+                spread([gated["rate"] / bare["rate"] for bare, gated in pairs]),
+                spread(added[0]),
+                spread(added[1]),
+                f"{statistics.median(c for c, _ in costs[1::2]):.0f}",
+                f"{statistics.median(c for c, _ in costs[::2]):.0f}",
+                f"{statistics.median(w for _, w in costs[1::2]):.2f}",
+                str(bad),
+            ]
+        )
+        print(
+            table(
+                (
+                    "load",
+                    "relay RPCs/s",
+                    "gateway over relay",
+                    "added p50 ms",
+                    "added p99 ms",
+                    "us/RPC",
+                    "relay us/RPC",
+                    "woken/RPC",
+                    "not ok",
+                ),
+                [rows[-1]],
+            ),
+            flush=True,
+        )
     if memory:
         for many in (10_000, 100_000):
             done = 0
--- a/bench/load.py
+++ b/bench/load.py
@@ -13,7 +13,7 @@
 
 from wickdyke.proving.report import histogram
 
-CALL = (b'{"jsonrpc":"2.0","method":"call","params":{"method":"m","program":"p%d","input":{"photo":"%b"}},"id":%d}\n')
+CALL = b'{"jsonrpc":"2.0","method":"call","params":{"method":"m","program":"p%d","input":{"photo":"%b"}},"id":%d}\n'
 POINTS = (50.0, 90.0, 99.0, 99.9)
 PHOTO = b"x" * 200
 
@@ -70,8 +70,9 @@
         took.extend(mine)
         bad[0] += wrong
 
-    threads = [threading.Thread(target=read, args=(sock, len(range(n, many, connections))))
-               for n, sock in enumerate(socks)]
+    threads = [
+        threading.Thread(target=read, args=(sock, len(range(n, many, connections)))) for n, sock in enumerate(socks)
+    ]
     for thread in threads:
         thread.start()
     for at in range(many):
@@ -90,9 +91,16 @@
     took, bad = closed(path, int(figure), seconds) if how == "closed" else opened(path, figure, seconds)
     spent = time.monotonic() - began
     kept = histogram(took)
-    print(msgspec.json.encode({
-        "rpcs": len(took), "not_ok": bad, "rate": len(took) / spent,
-        "ms": {f"p{point:g}": kept.get_value_at_percentile(point) / 1000 for point in POINTS}}).decode())
+    print(
+        msgspec.json.encode(
+            {
+                "rpcs": len(took),
+                "not_ok": bad,
+                "rate": len(took) / spent,
+                "ms": {f"p{point:g}": kept.get_value_at_percentile(point) / 1000 for point in POINTS},
+            }
+        ).decode()
+    )
 
 
 if __name__ == "__main__":
--- a/bench/ordinary.py
+++ b/bench/ordinary.py
@@ -23,13 +23,26 @@
 
     method = Method("m", "idempotent", "all", 2000.0, 800.0, 0.0, 4000.0, 1.0, 0.2)
     front_end = FrontEnd(
-        0.0, 7, [method], Seat(0, 2, 0, ("busy", "held"), False), Allowance(3, False, True, False, 0.0, 250.0),
-        Stock((32000.0,), 10000.0, True, True, 10000.0, True, True), Warmup(0.2, 18000.0, 2.0, 2000.0),
-        Ration(0.0, 0.0, 0.0), Directory(True, 10000.0, 1000.0), Tariff(0.1, 0.05, 0.05, 0.01, 0.0, 0.05))
+        0.0,
+        7,
+        [method],
+        Seat(0, 2, 0, ("busy", "held"), False),
+        Allowance(3, False, True, False, 0.0, 250.0),
+        Stock((32000.0,), 10000.0, True, True, 10000.0, True, True),
+        Warmup(0.2, 18000.0, 2.0, 2000.0),
+        Ration(0.0, 0.0, 0.0),
+        Directory(True, 10000.0, 1000.0),
+        Tariff(0.1, 0.05, 0.05, 0.01, 0.0, 0.05),
+    )
     front_end.woke(0.0)
     front_end.listed([Listing(f"w{at}", 0, 0, 0, "ready", 4.0, None) for at in range(WORKERS)], True)
-    timing = interface.Timing(800.0, 500.0, 3, (10.0, 2.0, 1e9, 0.5), frozenset({"full", "miss"}), None,
-                              (10000.0, 0.1, 5.0), 400.0, 0) if routed else None
+    timing = (
+        interface.Timing(
+            800.0, 500.0, 3, (10.0, 2.0, 1e9, 0.5), frozenset({"full", "miss"}), None, (10000.0, 0.1, 5.0), 400.0, 0
+        )
+        if routed
+        else None
+    )
     extra = (timing,) if routed else ()
     now, held = 1.0, []
 
@@ -58,8 +71,11 @@
 def once(tree: str, routed: bool) -> float:
     """The same in a process of its own in that checkout."""
     argv = [sys.executable, os.path.abspath(__file__), "--one", "routed" if routed else "plain"]
-    return float(subprocess.run(argv, cwd=tree, env={**os.environ, "PYTHONPATH": tree}, check=True,
-                                capture_output=True, text=True).stdout)
+    return float(
+        subprocess.run(
+            argv, cwd=tree, env={**os.environ, "PYTHONPATH": tree}, check=True, capture_output=True, text=True
+        ).stdout
+    )
 
 
 @click.command()
@@ -82,9 +98,11 @@
     base = next(iter(rows.values()))
     for name, figures in rows.items():
         ratios = sorted(figure / first for figure, first in zip(figures, base, strict=True))
-        print(f"{name}: {statistics.median(figures):.1f} us an RPC; over {next(iter(rows))} "
-              f"{statistics.median(ratios):.2f} ({ratios[0]:.2f} to {ratios[-1]:.2f}), of the least of each "
-              f"{min(figures) / min(base):.2f}")
+        print(
+            f"{name}: {statistics.median(figures):.1f} us an RPC; over {next(iter(rows))} "
+            f"{statistics.median(ratios):.2f} ({ratios[0]:.2f} to {ratios[-1]:.2f}), of the least of each "
+            f"{min(figures) / min(base):.2f}"
+        )
 
 
 if __name__ == "__main__":
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -29,12 +29,21 @@
     forms = sexp.parse(routes, "routes")
 
     def less(*names: str, more: str = "") -> str:
-        kept = [Form(form.name, [item for item in form.items if not (isinstance(item, Form) and item.name in names)],
-                     form.spot) for form in forms]
+        kept = [
+            Form(
+                form.name,
+                [item for item in form.items if not (isinstance(item, Form) and item.name in names)],
+                form.spot,
+            )
+            for form in forms
+        ]
         return " ".join(sexp.written(form)[:-1] + more + ")" for form in kept)
 
-    return {"one attempt": less("budget", "attempts", more=" (attempts 1)"), "budget": routes,
-            "no budget": less("budget")}
+    return {
+        "one attempt": less("budget", "attempts", more=" (attempts 1)"),
+        "budget": routes,
+        "no budget": less("budget"),
+    }
 
 
 def seconds(judge: Judge) -> tuple[Counter, Counter]:
@@ -79,8 +88,10 @@
     rows: dict[str, list[list]] = {name: [] for name in variants(script.routes)}
     for step in range(seeds):
         found: dict[str, list] = {name: [] for name in rows}
-        threads = [threading.Thread(target=play, args=(script, text, found[name]))
-                   for name, text in variants(script.routes).items()]
+        threads = [
+            threading.Thread(target=play, args=(script, text, found[name]))
+            for name, text in variants(script.routes).items()
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -96,12 +107,31 @@
                 print(name, " ".join(f"{good[at]}/{asks[at]}" for at in range(max(asks) + 1)), flush=True)
         script.seed += 1
     base = [row[0] for row in rows["one attempt"]]
-    print(report.table(("variant", "in time a s, burst", "over one attempt", "share after", "recovered, s",
-                        "runs an RPC", "findings"), [[
-        name, ", ".join(f"{row[0]:.0f}" for row in each),
-        f"{statistics.median(row[0] / b for row, b in zip(each, base, strict=True)):.2f}",
-        ", ".join(f"{row[1]:.2f}" for row in each), ", ".join(str(row[2]) for row in each),
-        ", ".join(f"{row[3]:.2f}" for row in each), str(sum(row[4] for row in each))] for name, each in rows.items()]))
+    print(
+        report.table(
+            (
+                "variant",
+                "in time a s, burst",
+                "over one attempt",
+                "share after",
+                "recovered, s",
+                "runs an RPC",
+                "findings",
+            ),
+            [
+                [
+                    name,
+                    ", ".join(f"{row[0]:.0f}" for row in each),
+                    f"{statistics.median(row[0] / b for row, b in zip(each, base, strict=True)):.2f}",
+                    ", ".join(f"{row[1]:.2f}" for row in each),
+                    ", ".join(str(row[2]) for row in each),
+                    ", ".join(f"{row[3]:.2f}" for row in each),
+                    str(sum(row[4] for row in each)),
+                ]
+                for name, each in rows.items()
+            ],
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/bench/worker.py
+++ b/bench/worker.py
@@ -65,9 +65,24 @@
         lines = []
         for _ in range(many):
             self.turn += 1
-            lines.append(msgspec.json.encode({"jsonrpc": "2.0", "method": "run", "id": self.turn, "params": {
-                "method": "m", "program": program, "input": asked, "memory_mb": 8.0, "lanes": 4,
-                "time_left_ms": 60000.0}}) + b"\n")
+            lines.append(
+                msgspec.json.encode(
+                    {
+                        "jsonrpc": "2.0",
+                        "method": "run",
+                        "id": self.turn,
+                        "params": {
+                            "method": "m",
+                            "program": program,
+                            "input": asked,
+                            "memory_mb": 8.0,
+                            "lanes": 4,
+                            "time_left_ms": 60000.0,
+                        },
+                    }
+                )
+                + b"\n"
+            )
         self.sock.sendall(b"".join(lines))
         for _ in range(many):
             told = msgspec.json.decode(self.source.readline())
@@ -77,8 +92,9 @@
 
     def drop(self, program: str) -> None:
         """Lets its idle copies go."""
-        self.sock.sendall(msgspec.json.encode(
-            {"jsonrpc": "2.0", "method": "drop", "params": {"program": program}}) + b"\n")
+        self.sock.sendall(
+            msgspec.json.encode({"jsonrpc": "2.0", "method": "drop", "params": {"program": program}}) + b"\n"
+        )
 
     def close(self) -> None:
         """Hangs up."""
@@ -116,9 +132,12 @@
         began = time.perf_counter()
         subprocess.run([sys.executable, "-c", "import msgspec, main; main.run(1)"], cwd=made, check=True)
         plain.append((time.perf_counter() - began) * 1000)
-    return [["first call, nothing in the cache, ms", spread(cold)], ["first call, from the cache, ms", spread(cached)],
-            ["a fresh interpreter with the package, ms", spread(plain)],
-            ["from the cache over a fresh interpreter", spread([a / b for a, b in zip(cached, plain, strict=True)])]]
+    return [
+        ["first call, nothing in the cache, ms", spread(cold)],
+        ["first call, from the cache, ms", spread(cached)],
+        ["a fresh interpreter with the package, ms", spread(plain)],
+        ["from the cache over a fresh interpreter", spread([a / b for a, b in zip(cached, plain, strict=True)])],
+    ]
 
 
 def calls(folder: str, rounds: int) -> list[list[str]]:
@@ -151,8 +170,12 @@
         pid, told = houses[f"m{mb}"]
         real = pss(pid)
         resident = psutil.Process(pid).memory_info().rss / (1 << 20)
-        rows.append([f"a package that holds {mb} MB", f"told {told:.1f}, read {real:.1f} MB "
-                     f"({100 * abs(told - real) / real:.1f}%); resident {resident:.1f}"])
+        rows.append(
+            [
+                f"a package that holds {mb} MB",
+                f"told {told:.1f}, read {real:.1f} MB ({100 * abs(told - real) / real:.1f}%); resident {resident:.1f}",
+            ]
+        )
     gate.close()
     worker.close()
     return rows
@@ -187,10 +210,14 @@
             share = sum(good[at] for at in span) / sum(asks[at] for at in span)
             rows[holds].append((recovery(until, good, starts_at + 1), share, len(judge.findings)))
         script.seed += 1
-    return [[f"orders ahead {'on' if holds else 'off'}",
-             f"{', '.join(str(row[0]) for row in each)} s to nine tenths; in time until the next restart "
-             f"{', '.join(f'{row[1]:.2f}' for row in each)}; findings {sum(row[2] for row in each)}"]
-            for holds, each in rows.items()]
+    return [
+        [
+            f"orders ahead {'on' if holds else 'off'}",
+            f"{', '.join(str(row[0]) for row in each)} s to nine tenths; in time until the next restart "
+            f"{', '.join(f'{row[1]:.2f}' for row in each)}; findings {sum(row[2] for row in each)}",
+        ]
+        for holds, each in rows.items()
+    ]
 
 
 def pss(pid: int) -> float:
@@ -242,9 +269,13 @@
             for watcher in watchers:
                 watcher.join()
     off = sorted(abs(told - real) / real for told, real in found)
-    return [["readings", str(len(off))], ["off, median", f"{100 * statistics.median(off):.2f}%"],
-            ["off, 95 of 100", f"{100 * off[int(len(off) * 0.95)]:.2f}%"], ["off, greatest", f"{100 * off[-1]:.2f}%"],
-            ["within 5%", f"{sum(each <= 0.05 for each in off)} of {len(off)}"]]
+    return [
+        ["readings", str(len(off))],
+        ["off, median", f"{100 * statistics.median(off):.2f}%"],
+        ["off, 95 of 100", f"{100 * off[int(len(off) * 0.95)]:.2f}%"],
+        ["off, greatest", f"{100 * off[-1]:.2f}%"],
+        ["within 5%", f"{sum(each <= 0.05 for each in off)} of {len(off)}"],
+    ]
 
 
 @click.command()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,19 +24,41 @@
 class Fleet:
     """One front end with workers a, b, c ...; `clock` is its time."""
 
-    def __init__(self, workers=4, effect="idempotent", scope="all", front_ends=2, call_outs=4, seed=7,
-                 ration=None, overlap=False, loads_on_call=True, rows=None, probe=False, holds="ok",
-                 report=("busy", "held"), tells=True, quotas=(), crossing=0.0, seat=0):
+    def __init__(
+        self,
+        workers=4,
+        effect="idempotent",
+        scope="all",
+        front_ends=2,
+        call_outs=4,
+        seed=7,
+        ration=None,
+        overlap=False,
+        loads_on_call=True,
+        rows=None,
+        probe=False,
+        holds="ok",
+        report=("busy", "held"),
+        tells=True,
+        quotas=(),
+        crossing=0.0,
+        seat=0,
+    ):
         self.clock, self.ids, self.holds, self.lanes = 1000.0, 0, holds, 2
         self.method = Method("m", effect, scope, 2000.0, 800.0, 0.0, 4000.0, 1.0, 0.2)
         self.fe = FrontEnd(
-            self.clock, seed, [self.method],
+            self.clock,
+            seed,
+            [self.method],
             Seat(seat, front_ends, 0, report, False),
             Allowance(call_outs, overlap, True, probe, 0.0, 250.0),
             Stock((32000.0,), 10000.0, True, loads_on_call, 10000.0, True, tells),
-            Warmup(0.2, 18000.0, 2.0, 2000.0), ration or Ration(0.0, 0.0, 0.0),
-            Directory(True, 10000.0, 1000.0), Tariff(0.1, 0.05, 0.05, 0.01, crossing, 0.05),
-            Shares(quotas))
+            Warmup(0.2, 18000.0, 2.0, 2000.0),
+            ration or Ration(0.0, 0.0, 0.0),
+            Directory(True, 10000.0, 1000.0),
+            Tariff(0.1, 0.05, 0.05, 0.01, crossing, 0.05),
+            Shares(quotas),
+        )
         self.list(rows if rows is not None else [row(name) for name in "abcdefghij"[:workers]])
 
     def list(self, rows, whole=True):
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -8,23 +8,58 @@
 LONG = 20.0
 
 SETTINGS = {
-    "lanes": [{"name": "look", "repeat": "pure", "aim": 500000, "deadline": 4000000, "gain": 2.0},
-              {"name": "pay", "repeat": "side_effect", "aim": 500000, "deadline": 4000000, "gain": 5.0}],
-    "instances": 2, "self-index": 0, "zones": ["hall"], "flavors": ["std", "slow"], "discovery": "automatic",
+    "lanes": [
+        {"name": "look", "repeat": "pure", "aim": 500000, "deadline": 4000000, "gain": 2.0},
+        {"name": "pay", "repeat": "side_effect", "aim": 500000, "deadline": 4000000, "gain": 5.0},
+    ],
+    "instances": 2,
+    "self-index": 0,
+    "zones": ["hall"],
+    "flavors": ["std", "slow"],
+    "discovery": "automatic",
     "report": {"source": "pull", "fields": ["utilization", "outstanding"]},
-    "limits": {"send-cap": 4, "second-copies": False, "cancelling": True, "probing": True, "dial-timeout": 250000,
-               "idle-close": 15000000},
-    "family-info": {"memory-mb-by-kind": [32000.0, 32000.0], "idle-life": 4000000, "may-load": True,
-                    "if-cold": "load", "load-wait": 4000000, "warm-notes": True, "says-company": True,
-                    "free-loads": 6.0, "load-part": 0.2, "load-window": 5000000},
-    "rules": {"cold-from": 0.2, "ramp-time": 18000000, "overload-factor": 2.0, "tip-after": 2000000,
-              "stop-sending-within": 500000},
+    "limits": {
+        "send-cap": 4,
+        "second-copies": False,
+        "cancelling": True,
+        "probing": True,
+        "dial-timeout": 250000,
+        "idle-close": 15000000,
+    },
+    "family-info": {
+        "memory-mb-by-kind": [32000.0, 32000.0],
+        "idle-life": 4000000,
+        "may-load": True,
+        "if-cold": "load",
+        "load-wait": 4000000,
+        "warm-notes": True,
+        "says-company": True,
+        "free-loads": 6.0,
+        "load-part": 0.2,
+        "load-window": 5000000,
+    },
+    "rules": {
+        "cold-from": 0.2,
+        "ramp-time": 18000000,
+        "overload-factor": 2.0,
+        "tip-after": 2000000,
+        "stop-sending-within": 500000,
+    },
 }
 
 
 def instance(name, address, **more):
-    return {"instanceId": name, "hostPort": address, "zone": "hall", "machineType": "std", "cell": 1,
-            "lifecycle": "SERVING", "weight": 4, "startedAtMs": 0, **more}
+    return {
+        "instanceId": name,
+        "hostPort": address,
+        "zone": "hall",
+        "machineType": "std",
+        "cell": 1,
+        "lifecycle": "SERVING",
+        "weight": 4,
+        "startedAtMs": 0,
+        **more,
+    }
 
 
 def event(offset, *instances, reset=False):
@@ -32,9 +67,16 @@
 
 
 def config(listen, bus, *instances, **more):
-    return {"name": "n0", "listen": listen, "bus": bus, "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
-            "known": {"offset": 1, "batch": [event(1, *instances, reset=True)]}, "settings": SETTINGS, **more}
+    return {
+        "name": "n0",
+        "listen": listen,
+        "bus": bus,
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": {"offset": 1, "batch": [event(1, *instances, reset=True)]},
+        "settings": SETTINGS,
+        **more,
+    }
 
 
 def free_address():
@@ -45,6 +87,7 @@
 
 # ---- Thrift, as a client writes and reads it ----
 
+
 def text(value):
     value = value.encode() if isinstance(value, str) else value
     return struct.pack(">i", len(value)) + value
@@ -103,8 +146,8 @@
         except OSError:
             return None, "closed", b""
         kind, length = data[3], struct.unpack_from(">i", data, 4)[0]
-        verb, (number,) = data[8:8 + length], struct.unpack_from(">i", data, 8 + length)
-        rest = data[12 + length:]
+        verb, (number,) = data[8 : 8 + length], struct.unpack_from(">i", data, 8 + length)
+        rest = data[12 + length :]
         if kind == 3:
             return number, "exception", rest
         place = struct.unpack_from(">h", rest, 1)[0]
@@ -112,7 +155,7 @@
             return number, {1: "shed", 2: "fault"}[place], rest
         size = struct.unpack_from(">i", rest, 6)[0]
         good = rest[10 + size + 3 + 6 + 3]
-        return number, ("good" if good else "bad") if verb == b"alive" else "answer", rest[10:10 + size]
+        return number, ("good" if good else "bad") if verb == b"alive" else "answer", rest[10 : 10 + size]
 
     def waits(self):
         """Whether an answer, or the connection's end, is there to be read."""
@@ -133,6 +176,7 @@
 
 # ---- a worker ----
 
+
 def bulk(*parts):
     return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(p), p) for p in parts)
 
@@ -200,6 +244,7 @@
 
 # ---- the bus ----
 
+
 class Bus(Listener):
     """Serves `GET /bus/read`: `asked` holds each Last-Event-ID, `tell` writes to whoever reads."""
 
@@ -216,8 +261,9 @@
         except OSError:
             return
         self.readers.append(sock)
-        self.asked.append(next(int(line.split(b":")[1]) for line in head.split(b"\r\n")
-                               if line.lower().startswith(b"last-event-id")))
+        self.asked.append(
+            next(int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.lower().startswith(b"last-event-id"))
+        )
 
     def tell(self, raw):
         self.readers[-1].sendall(raw)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -30,6 +30,7 @@
 def lines_of(sock):
     """The lines that come in, decoded."""
     import msgspec
+
     with sock.makefile("rb") as source:
         for line in source:
             yield msgspec.json.decode(line)
@@ -110,8 +111,18 @@
 class Running:
     """A gateway in this process, its folder and its workers; used as a context."""
 
-    def __init__(self, workers=(willing,), soft="4 s", deadline="10 s", way="100 ms", more="", tape=False, sink=None,
-                 routes=None, stock=""):
+    def __init__(
+        self,
+        workers=(willing,),
+        soft="4 s",
+        deadline="10 s",
+        way="100 ms",
+        more="",
+        tape=False,
+        sink=None,
+        routes=None,
+        stock="",
+    ):
         self.made = tempfile.TemporaryDirectory(prefix="wd-")
         self.folder, self.peers = self.made.name, []
         for at, play in enumerate(workers):
@@ -122,8 +133,16 @@
             self.route(routes)
             more += ' (routes (file "routes.sexp") (reread 20 ms))'
         with open(os.path.join(self.folder, "g.sexp"), "w") as out:
-            out.write(TERMS.format(stock=stock, soft=soft, deadline=deadline, way=way, more=more,
-                                   call_outs="" if "(call-outs" in more else CALL_OUTS))
+            out.write(
+                TERMS.format(
+                    stock=stock,
+                    soft=soft,
+                    deadline=deadline,
+                    way=way,
+                    more=more,
+                    call_outs="" if "(call-outs" in more else CALL_OUTS,
+                )
+            )
         self.station = station.read(os.path.join(self.folder, "g.sexp"))
         if tape:
             self.station.tape = os.path.join(self.folder, "tape")
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -5,9 +5,17 @@
 from tests.helpers import Fleet, called, verbs
 from wickdyke.interface import Timing
 
-PLAIN = {"soft": 800.0, "attempt": 500.0, "attempts": 3, "pause": (0.0, 1.0, 1e9, 0.0),
-         "again": frozenset({"full", "miss", "unreached", "unsent", "timeout"}), "second": None, "budget": None,
-         "queue": None, "priority": 0}
+PLAIN = {
+    "soft": 800.0,
+    "attempt": 500.0,
+    "attempts": 3,
+    "pause": (0.0, 1.0, 1e9, 0.0),
+    "again": frozenset({"full", "miss", "unreached", "unsent", "timeout"}),
+    "second": None,
+    "budget": None,
+    "queue": None,
+    "priority": 0,
+}
 
 
 def timing(**more):
@@ -37,16 +45,17 @@
     def test_outcomes(self):
         """(outcomes one after another, timing, effect) -> call-outs in all, and the final answer."""
         for outcomes, more, effect, calls, final in (
-                (["timeout"] * 5, {}, "idempotent", 3, "deny"),
-                (["timeout"] * 5, {"attempts": 1}, "idempotent", 1, "deny"),
-                (["timeout"] * 5, {"attempts": 9}, "idempotent", 4, "deny"),  # the deployment's own most
-                (["error"], {}, "idempotent", 1, "deny"),
-                (["error"] * 5, {"again": frozenset({"error"})}, "idempotent", 3, "deny"),
-                (["full", "error"], {}, "idempotent", 2, "deny"),
-                (["full", "full", "error"], {}, "side-effecting", 3, "abort"),
-                (["timeout"], {}, "side-effecting", 1, "abort"),  # asked for past the check: rule 2 stands above
-                (["full"] * 5, {}, "side-effecting", 3, "deny"),
-                (["cancelled", "full", "full"], {"again": frozenset()}, "idempotent", 2, "deny")):
+            (["timeout"] * 5, {}, "idempotent", 3, "deny"),
+            (["timeout"] * 5, {"attempts": 1}, "idempotent", 1, "deny"),
+            (["timeout"] * 5, {"attempts": 9}, "idempotent", 4, "deny"),  # the deployment's own most
+            (["error"], {}, "idempotent", 1, "deny"),
+            (["error"] * 5, {"again": frozenset({"error"})}, "idempotent", 3, "deny"),
+            (["full", "error"], {}, "idempotent", 2, "deny"),
+            (["full", "full", "error"], {}, "side-effecting", 3, "abort"),
+            (["timeout"], {}, "side-effecting", 1, "abort"),  # asked for past the check: rule 2 stands above
+            (["full"] * 5, {}, "side-effecting", 3, "deny"),
+            (["cancelled", "full", "full"], {"again": frozenset()}, "idempotent", 2, "deny"),
+        ):
             with self.subTest(outcomes=outcomes, more=more, effect=effect):
                 fleet = Fleet(workers=8, effect=effect, call_outs=4)
                 done = fleet.take(timing=timing(**more))
@@ -59,8 +68,12 @@
 
     def test_pauses(self):
         """The nth further attempt waits its pause, grown and bounded, and is sent within a look of it."""
-        for pause, least in (((100.0, 2.0, 1e9, 0.0), (100.0, 200.0)), ((100.0, 3.0, 150.0, 0.0), (100.0, 150.0)),
-                             ((100.0, 1.0, 1e9, 0.5), (100.0, 100.0)), ((0.0, 1.0, 1e9, 0.0), (0.0, 0.0))):
+        for pause, least in (
+            ((100.0, 2.0, 1e9, 0.0), (100.0, 200.0)),
+            ((100.0, 3.0, 150.0, 0.0), (100.0, 150.0)),
+            ((100.0, 1.0, 1e9, 0.5), (100.0, 100.0)),
+            ((0.0, 1.0, 1e9, 0.0), (0.0, 0.0)),
+        ):
             fleet = Fleet(workers=8)
             rpc = first(fleet.take(timing=timing(pause=pause)))[1]
             for wait in least:
@@ -96,6 +109,7 @@
                 rpc = first(done)[1]
                 calls += fail(fleet, rpc)
             return calls - many
+
         self.assertEqual(failing(100), 2 + 10)
         self.assertEqual(failing(50), 5)
         fleet.clock += 10001
@@ -112,8 +126,9 @@
     def test_budget_goes_on(self):
         """A file read anew: RPCs of the route as it stands now pay for one that was taken before, and it for them."""
         fleet = Fleet(workers=8)
-        before, after = (timing(budget=(1e4, 0.5, 0.0), account=name, priority=at)
-                         for at, name in enumerate(("r", "r")))
+        before, after = (
+            timing(budget=(1e4, 0.5, 0.0), account=name, priority=at) for at, name in enumerate(("r", "r"))
+        )
         old = first(fleet.take(timing=before))[1]
         for _ in range(3):
             fleet.end(first(fleet.take(timing=after))[1], "ok", final=True)
@@ -124,10 +139,14 @@
         """(outcome, terms, busy share, standing) -> whether the limits on our call-outs fall: a route's attempts that
         are over say that answers are late, though none was; a cancel, an RPC's own end and a load say nothing."""
         for outcome, terms, busy, lowered in (
-                ("timeout", timing(attempts=1), 0.95, True), ("timeout", timing(attempts=3), 0.95, True),
-                ("timeout", timing(attempts=1), 0.5, False), ("cancelled", timing(attempts=1), 0.95, False),
-                ("error", timing(attempts=1), 0.95, False), ("timeout", None, 0.95, False),
-                ("timeout", timing(attempts=1, attempt=None), 0.95, False)):
+            ("timeout", timing(attempts=1), 0.95, True),
+            ("timeout", timing(attempts=3), 0.95, True),
+            ("timeout", timing(attempts=1), 0.5, False),
+            ("cancelled", timing(attempts=1), 0.95, False),
+            ("error", timing(attempts=1), 0.95, False),
+            ("timeout", None, 0.95, False),
+            ("timeout", timing(attempts=1, attempt=None), 0.95, False),
+        ):
             with self.subTest(outcome=outcome, terms=terms, busy=busy):
                 fleet = Fleet(workers=1)
                 fleet.serve(calls=8)
@@ -144,10 +163,15 @@
     def test_second_copies(self):
         """(overlap, effect, second, time passed) -> call-outs out; never more than saved up, never at one worker."""
         for overlap, effect, second, ms, out in (
-                (True, "idempotent", (200.0, 2, 1.0), 150, 1), (True, "idempotent", (200.0, 2, 1.0), 300, 2),
-                (True, "idempotent", (200.0, 3, 1.0), 300, 2), (False, "idempotent", (200.0, 2, 1.0), 300, 1),
-                (True, "side-effecting", (200.0, 2, 1.0), 300, 1), (True, "tokened", (200.0, 2, 1.0), 300, 2),
-                (True, "idempotent", (200.0, 2, 0.5), 300, 1), (True, "idempotent", None, 300, 1)):
+            (True, "idempotent", (200.0, 2, 1.0), 150, 1),
+            (True, "idempotent", (200.0, 2, 1.0), 300, 2),
+            (True, "idempotent", (200.0, 3, 1.0), 300, 2),
+            (False, "idempotent", (200.0, 2, 1.0), 300, 1),
+            (True, "side-effecting", (200.0, 2, 1.0), 300, 1),
+            (True, "tokened", (200.0, 2, 1.0), 300, 2),
+            (True, "idempotent", (200.0, 2, 0.5), 300, 1),
+            (True, "idempotent", None, 300, 1),
+        ):
             with self.subTest(overlap=overlap, effect=effect, second=second, ms=ms):
                 fleet = Fleet(workers=6, overlap=overlap, effect=effect)
                 rpc = first(fleet.take(timing=timing(second=second)))[1]
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -31,6 +31,7 @@
 
 def answers_after(ms):
     """Answers each call-out so long after its time is up."""
+
     def play(sock, number):
         source = lines_of(sock)
         hello(sock, source)
@@ -38,6 +39,7 @@
             if asked["method"] == "run":
                 time.sleep((asked["params"]["time_left_ms"] + ms) / 1000)
                 sock.sendall(ok(asked["id"]))
+
     return play
 
 
@@ -57,6 +59,7 @@
         for asked in source:
             if asked["method"] in ("run", "hold"):
                 sock.sendall(jsonrpc.problem(asked["id"], code, "no", b"{}") + b"\n")
+
     return play
 
 
@@ -73,15 +76,16 @@
     def test_final(self):
         """(workers, method) -> the final answer and its word, before the client's time is up."""
         for name, workers, method, answer, why in (
-                ("served", (willing,), "idem", "ok", None),
-                ("silent", (silent,), "idem", "denied", "cancelled timeout"),
-                ("silent, side-effecting", (silent,), "side", "aborted", "timeout"),
-                ("just after its time", (answers_after(5),), "side", "aborted", "timeout"),
-                ("a byte a time", (a_byte_a_time,), "side", "aborted", "timeout"),
-                ("dies, side-effecting", (dies_on_run,), "side", "aborted", "cut"),
-                ("fails, side-effecting", (refuses(back.FAILED),), "side", "aborted", "error"),
-                ("full, side-effecting", (refuses(back.FULL),), "side", "denied", "full"),
-                ("no worker", (), "idem", "denied", "no-place")):
+            ("served", (willing,), "idem", "ok", None),
+            ("silent", (silent,), "idem", "denied", "cancelled timeout"),
+            ("silent, side-effecting", (silent,), "side", "aborted", "timeout"),
+            ("just after its time", (answers_after(5),), "side", "aborted", "timeout"),
+            ("a byte a time", (a_byte_a_time,), "side", "aborted", "timeout"),
+            ("dies, side-effecting", (dies_on_run,), "side", "aborted", "cut"),
+            ("fails, side-effecting", (refuses(back.FAILED),), "side", "aborted", "error"),
+            ("full, side-effecting", (refuses(back.FULL),), "side", "denied", "full"),
+            ("no worker", (), "idem", "denied", "no-place"),
+        ):
             with self.subTest(case=name), Running(workers, soft="400 ms", deadline="900 ms") as running:
                 client = running.client()
                 began = time.monotonic()
@@ -112,8 +116,9 @@
             with self.subTest(how=how), Running((play,)) as running:
                 client = running.client()
                 client.ask("x")
-                self.assertTrue(until(lambda running=running: running.desk.asks
-                                      and next(iter(running.desk.asks.values())).orders))
+                self.assertTrue(
+                    until(lambda running=running: running.desk.asks and next(iter(running.desk.asks.values())).orders)
+                )
                 if how == "cancel":
                     client.tell(jsonrpc.told_line("cancel", b'{"id":"x"}'))
                 else:
@@ -151,20 +156,21 @@
 
     def test_payload(self):
         """A payload of megabytes goes through as it is, to the worker and back."""
+
         def echo(sock, number):
             # it answers probes as well: on a slow machine one that does not counts as mute, and is asked anew each time
             willing(sock, number, lambda asked: jsonrpc.encode(asked["input"]))
 
         with Running((echo,), deadline="60 s", soft="50 s") as running:
             client = running.client()
-            for payload in ("x" * (8 << 20), "\u00e9\u2603" * 1000, {"a": [1.5, None, {"b": "\\\""}]}):
+            for payload in ("x" * (8 << 20), "\u00e9\u2603" * 1000, {"a": [1.5, None, {"b": '\\"'}]}):
                 client.ask(1, input=payload)
                 self.assertEqual(client.answer()["result"]["output"], payload)
             client.close()
 
-
     def test_worker_that_reads_nothing(self):
         """A call-out that is to end there can't be cancelled: its link is cut for it, and others go on."""
+
         def deaf(sock, number):
             asked = b""
             while not asked.endswith(b"\n"):
@@ -204,14 +210,22 @@
             one, two = running.rows
             moved = Row("w0", two.address, None, None, 0, 4.0, "ready", 0)
             for rows, ready in (
-                    ([one], ["w0"]), ([one, two], ["w0", "w1"]),
-                    ([Row(**{**_fields(one), "state": "draining"}), two], ["w1"]),
-                    ([one, two], ["w0", "w1"]), ([Row(**{**_fields(one), "state": "gone"}), two], ["w1"]),
-                    ([moved], ["w0"]), ([], []), ([one, two], ["w0", "w1"])):
+                ([one], ["w0"]),
+                ([one, two], ["w0", "w1"]),
+                ([Row(**{**_fields(one), "state": "draining"}), two], ["w1"]),
+                ([one, two], ["w0", "w1"]),
+                ([Row(**{**_fields(one), "state": "gone"}), two], ["w1"]),
+                ([moved], ["w0"]),
+                ([], []),
+                ([one, two], ["w0", "w1"]),
+            ):
                 running.write(written(rows))
                 with self.subTest(rows=rows):
-                    self.assertTrue(until(lambda ready=ready: sorted(
-                        w.listing.ident for w in running.desk.front_end.ready) == ready))
+                    self.assertTrue(
+                        until(
+                            lambda ready=ready: sorted(w.listing.ident for w in running.desk.front_end.ready) == ready
+                        )
+                    )
 
     def test_drains_by_its_own_word(self):
         """A worker that answers that it drains gets nothing more, whatever the list says."""
@@ -256,8 +270,10 @@
     def test_terms(self):
         """Attempts and their time are the route's; the deadline too. (attempts) -> call-outs seen by the workers."""
         for attempts in (1, 2):
-            with self.subTest(attempts=attempts), Running((silent, silent, silent), routes=self.ROUTE % (
-                    8000, attempts)) as running:
+            with (
+                self.subTest(attempts=attempts),
+                Running((silent, silent, silent), routes=self.ROUTE % (8000, attempts)) as running,
+            ):
                 client = running.client()
                 client.ask(1)
                 self.assertEqual(client.answer()["error"]["data"], {"answer": "denied", "why": "timeout"})
@@ -287,12 +303,13 @@
             with open(running.station.tape, "rb") as source:
                 self.assertIsNone(tape.replay(source)[1])
 
-
     def test_change_that_strands(self):
         """A budget that lives by its share is not taken from RPCs in flight: first a floor, then, once they are
         answered, the file that waited is read without being written again."""
-        bare = ('(route "r" (takes (method "idem")) (deadline 2 s) (soft-deadline 300 ms) (attempt 300 ms) '
-                "(attempts 2) (again timeout) (budget (window 9 s) (share 0.1)%s))")
+        bare = (
+            '(route "r" (takes (method "idem")) (deadline 2 s) (soft-deadline 300 ms) (attempt 300 ms) '
+            "(attempts 2) (again timeout) (budget (window 9 s) (share 0.1)%s))"
+        )
         other = '(route "s" (takes (method "idem")) (deadline 7 s))'
         with Running((silent, silent), routes=bare % "", more="(call-outs (most 3) (dial 200 ms))") as running:
 
@@ -325,8 +342,11 @@
                 run = asked["params"]
                 seen[run["program"], run["input"]["n"]] += 1
                 code = refuse(run)
-                sock.sendall(jsonrpc.problem(asked["id"], code, "no", b'{"inside":1}' if code == back.ENDED else b"{}")
-                             + b"\n" if code else ok(asked["id"]))
+                sock.sendall(
+                    jsonrpc.problem(asked["id"], code, "no", b'{"inside":1}' if code == back.ENDED else b"{}") + b"\n"
+                    if code
+                    else ok(asked["id"])
+                )
             elif asked["method"] == "hold":
                 sock.sendall(jsonrpc.problem(asked["id"], back.FULL, "no") + b"\n")
             elif asked["method"] == "probe":
@@ -371,9 +391,14 @@
         """(method, copies) -> call-outs that a poison call gets before it is denied; others of its program go on."""
         for method, copies, most in (("idem", 2, 2), ("idem", 4, 4), ("side", 2, 2)):
             seen = Counter()
-            with self.subTest(method=method, copies=copies), self.running(
-                    seen, lambda run: back.ENDED if run["input"]["n"] == "bad" else None,
-                    f"(isolation (calls (copies {copies}) (first 1 min)))") as running:
+            with (
+                self.subTest(method=method, copies=copies),
+                self.running(
+                    seen,
+                    lambda run: back.ENDED if run["input"]["n"] == "bad" else None,
+                    f"(isolation (calls (copies {copies}) (first 1 min)))",
+                ) as running,
+            ):
                 client = running.client()
                 answers = []
                 for ident in range(8):
@@ -405,8 +430,9 @@
                         elif asked["method"] == "probe":
                             sock.sendall(jsonrpc.result(asked["id"], b"{}") + b"\n")
 
-                with Running((play, play), soft="500 ms", deadline="3 s",
-                             more="(isolation (calls (copies 2) (first 1 min)))") as running:
+                with Running(
+                    (play, play), soft="500 ms", deadline="3 s", more="(isolation (calls (copies 2) (first 1 min)))"
+                ) as running:
                     client = running.client()
                     for ident in range(3):
                         client.ask(ident, "side", input={"n": "bad"})
@@ -425,8 +451,9 @@
 class Recordings(unittest.TestCase):
     def test_replay(self):
         """The same events give the same decisions, without sockets; a decision changed by hand is found."""
-        with Running((willing, refuses(back.FULL), dies_on_run, silent), soft="300 ms", deadline="800 ms",
-                     tape=True) as running:
+        with Running(
+            (willing, refuses(back.FULL), dies_on_run, silent), soft="300 ms", deadline="800 ms", tape=True
+        ) as running:
             client = running.client()
             for at in range(150):
                 client.ask(at, ("idem", "side")[at % 3 == 0], f"p{at % 7}")
@@ -443,13 +470,12 @@
             self.assertIsNone(differs)
             self.assertGreater(alike, 150)
             at = next(n for n, line in enumerate(lines) if line.startswith(b'["decided",["call"'))
-            changed = [*lines[:at], lines[at].replace(b'"w', b'"x'), *lines[at + 1:]]
+            changed = [*lines[:at], lines[at].replace(b'"w', b'"x'), *lines[at + 1 :]]
             self.assertIn("decided", tape.replay(changed)[1])
             cut_off = [*lines[:-1], lines[-1][:5]]
             self.assertIsNone(tape.replay(cut_off)[1])
             running.gateway.desk.end = lambda: None  # ended already
 
-
     def test_slow_disk(self):
         """A recording that can't be written as fast stops and says so; nobody waits for it."""
         with tempfile.TemporaryDirectory(prefix="wd-") as folder, unittest.mock.patch.object(tape, "WAITING", 50):
@@ -507,8 +533,13 @@
 
     def test_keys(self):
         for note, event, keys in (
-                ("worker w1 shunned for 1500 ms: cut, 3 of 4 bad", "worker shunned for 1500 ms: cut, 3 of 4 bad",
-                 {"worker": "w1"}), ("something else", "something else", {})):
+            (
+                "worker w1 shunned for 1500 ms: cut, 3 of 4 bad",
+                "worker shunned for 1500 ms: cut, 3 of 4 bad",
+                {"worker": "w1"},
+            ),
+            ("something else", "something else", {}),
+        ):
             self.assertEqual(logs.keys(note), (event, keys))
 
 
@@ -516,15 +547,20 @@
     def serve(self, folder, play, deadline="20 s"):
         """A gateway as a process, with one worker played here."""
         from tests.rig import CALL_OUTS, TERMS, Peer
+
         peer = Peer(folder, "w0", play)
         self.addCleanup(peer.close)
         with open(os.path.join(folder, "workers.sexp"), "w") as out:
             out.write(written([Row("w0", peer.path, None, None, 0, 4.0, "ready", 0)]))
         with open(os.path.join(folder, "g.sexp"), "w") as out:
-            out.write(TERMS.format(soft="500 ms", deadline=deadline, way="100 ms", more="", call_outs=CALL_OUTS,
-                                   stock=""))
-        process = subprocess.Popen([sys.executable, "-m", "wickdyke.cli", "serve", os.path.join(folder, "g.sexp")],
-                                   stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+            out.write(
+                TERMS.format(soft="500 ms", deadline=deadline, way="100 ms", more="", call_outs=CALL_OUTS, stock="")
+            )
+        process = subprocess.Popen(
+            [sys.executable, "-m", "wickdyke.cli", "serve", os.path.join(folder, "g.sexp")],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
         self.addCleanup(process.stdout.close)
         self.addCleanup(process.stderr.close)
         self.addCleanup(process.wait)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -32,39 +32,41 @@
 
     def test_each(self):
         """(line) -> (code, id, words of the data); the connection goes on."""
+
         def call(params, more=b'"id":7'):
             return b'{"jsonrpc":"2.0","method":"call","params":%b,%b}' % (params, more)
 
         deep = b"[" * 60000 + b"]" * 60000
         for line, code, ident, words in (
-                (b"{", -32700, None, "not JSON"),
-                (b"hello", -32700, None, "not JSON"),
-                (b'"\xff"', -32700, None, "UTF-8"),
-                (b"[1,", -32700, None, "not JSON"),
-                (deep, -32700, None, "not JSON"),
-                (b"[]", -32600, None, "empty batch"),
-                (b"1", -32600, None, "object"),
-                (b'{"id":7}', -32600, 7, "jsonrpc"),
-                (b'{"jsonrpc":"1.0","method":"call","id":7}', -32600, 7, "jsonrpc"),
-                (b'{"jsonrpc":"2.0","id":7}', -32600, 7, "method"),
-                (b'{"jsonrpc":"2.0","method":1,"id":7}', -32600, 7, "method"),
-                (b'{"jsonrpc":"2.0","method":"call","params":1,"id":7}', -32600, 7, "params"),
-                (b'{"jsonrpc":"2.0","method":"call","params":{},"id":[]}', -32600, None, "id"),
-                (b'{"jsonrpc":"2.0","method":"call","params":{},"id":null}', -32600, None, "id"),
-                (b'{"jsonrpc":"2.0","method":"rpc.x","id":7}', -32601, 7, "call or cancel"),
-                (b'{"jsonrpc":"2.0","method":"cancel","params":{"id":1},"id":7}', -32600, 7, "notification"),
-                (call(b"[]"), -32602, 7, "object"),
-                (call(b"{}"), -32602, 7, "method"),
-                (call(b'{"method":"idem"}'), -32602, 7, "program"),
-                (call(b'{"method":"idem","program":""}'), -32602, 7, "program"),
-                (call(b'{"method":"idem","program":"p","inptu":1}'), -32602, 7, "inptu"),
-                (call(b'{"method":"no","program":"p"}'), -32602, 7, "idem, side"),
-                (call(b'{"method":"idem","program":"q"}'), -32602, 7, "memory_mb"),
-                (call(b'{"method":"idem","program":"p","time_left_ms":-1}'), -32602, 7, "time_left_ms"),
-                (call(b'{"method":"idem","program":"p","time_left_ms":1e999}'), -32602, 7, ""),
-                (call(b'{"method":"idem","program":"p","lanes":0}'), -32602, 7, "lanes"),
-                (call(b'{"method":"idem","program":"p","lanes":99999999999999999999999}'), -32602, 7, ""),
-                (call(b'{"method":"idem","program":"p","input":' + b"[" * 500 + b"]" * 500 + b"}"), -32602, 7, "deep")):
+            (b"{", -32700, None, "not JSON"),
+            (b"hello", -32700, None, "not JSON"),
+            (b'"\xff"', -32700, None, "UTF-8"),
+            (b"[1,", -32700, None, "not JSON"),
+            (deep, -32700, None, "not JSON"),
+            (b"[]", -32600, None, "empty batch"),
+            (b"1", -32600, None, "object"),
+            (b'{"id":7}', -32600, 7, "jsonrpc"),
+            (b'{"jsonrpc":"1.0","method":"call","id":7}', -32600, 7, "jsonrpc"),
+            (b'{"jsonrpc":"2.0","id":7}', -32600, 7, "method"),
+            (b'{"jsonrpc":"2.0","method":1,"id":7}', -32600, 7, "method"),
+            (b'{"jsonrpc":"2.0","method":"call","params":1,"id":7}', -32600, 7, "params"),
+            (b'{"jsonrpc":"2.0","method":"call","params":{},"id":[]}', -32600, None, "id"),
+            (b'{"jsonrpc":"2.0","method":"call","params":{},"id":null}', -32600, None, "id"),
+            (b'{"jsonrpc":"2.0","method":"rpc.x","id":7}', -32601, 7, "call or cancel"),
+            (b'{"jsonrpc":"2.0","method":"cancel","params":{"id":1},"id":7}', -32600, 7, "notification"),
+            (call(b"[]"), -32602, 7, "object"),
+            (call(b"{}"), -32602, 7, "method"),
+            (call(b'{"method":"idem"}'), -32602, 7, "program"),
+            (call(b'{"method":"idem","program":""}'), -32602, 7, "program"),
+            (call(b'{"method":"idem","program":"p","inptu":1}'), -32602, 7, "inptu"),
+            (call(b'{"method":"no","program":"p"}'), -32602, 7, "idem, side"),
+            (call(b'{"method":"idem","program":"q"}'), -32602, 7, "memory_mb"),
+            (call(b'{"method":"idem","program":"p","time_left_ms":-1}'), -32602, 7, "time_left_ms"),
+            (call(b'{"method":"idem","program":"p","time_left_ms":1e999}'), -32602, 7, ""),
+            (call(b'{"method":"idem","program":"p","lanes":0}'), -32602, 7, "lanes"),
+            (call(b'{"method":"idem","program":"p","lanes":99999999999999999999999}'), -32602, 7, ""),
+            (call(b'{"method":"idem","program":"p","input":' + b"[" * 500 + b"]" * 500 + b"}"), -32602, 7, "deep"),
+        ):
             with self.subTest(line=line[:70]):
                 client = self.running.client()
                 self.addCleanup(client.close)
@@ -100,8 +102,12 @@
         client = self.running.client()
         one, two = CALL[:-1] % 1, CALL[:-1] % 2
         for batch, ids in (
-                (b"[%b]" % one, [1]), (b"[%b,%b]" % (one, two), [1, 2]), (b"[1,%b]" % one, [None, 1]),
-                (b'[{"jsonrpc":"2.0","method":"x"},%b]' % two, [2]), (b"[1,2,3]", [None, None, None])):
+            (b"[%b]" % one, [1]),
+            (b"[%b,%b]" % (one, two), [1, 2]),
+            (b"[1,%b]" % one, [None, 1]),
+            (b'[{"jsonrpc":"2.0","method":"x"},%b]' % two, [2]),
+            (b"[1,2,3]", [None, None, None]),
+        ):
             with self.subTest(batch=batch[:60]):
                 client.tell(batch + b"\n")
                 got = client.answer()
@@ -120,18 +126,38 @@
         client.close()
 
     @settings(max_examples=150, deadline=None, suppress_health_check=list(HealthCheck))
-    @given(st.one_of(
-        st.binary(max_size=200),
-        st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(), lambda inner: st.lists(
-            inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4), max_leaves=20).map(_json := (
-                lambda value: msgspec.json.encode(value))),
-        st.fixed_dictionaries({}, optional={
-            "jsonrpc": st.sampled_from(["2.0", "1.0", 2]), "method": st.sampled_from(["call", "cancel", "rpc.x", 4]),
-            "id": st.one_of(st.integers(), st.text(max_size=5), st.floats(), st.none(), st.just([])),
-            "params": st.one_of(st.integers(), st.fixed_dictionaries({}, optional={
-                "method": st.sampled_from(["idem", "side", "x", 5]), "program": st.sampled_from(["p", "", 5]),
-                "input": st.text(), "time_left_ms": st.one_of(st.floats(), st.integers()),
-                "lanes": st.integers(), "token": st.text(max_size=4)}))}).map(_json)))
+    @given(
+        st.one_of(
+            st.binary(max_size=200),
+            st.recursive(
+                st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+                lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4),
+                max_leaves=20,
+            ).map(_json := (lambda value: msgspec.json.encode(value))),
+            st.fixed_dictionaries(
+                {},
+                optional={
+                    "jsonrpc": st.sampled_from(["2.0", "1.0", 2]),
+                    "method": st.sampled_from(["call", "cancel", "rpc.x", 4]),
+                    "id": st.one_of(st.integers(), st.text(max_size=5), st.floats(), st.none(), st.just([])),
+                    "params": st.one_of(
+                        st.integers(),
+                        st.fixed_dictionaries(
+                            {},
+                            optional={
+                                "method": st.sampled_from(["idem", "side", "x", 5]),
+                                "program": st.sampled_from(["p", "", 5]),
+                                "input": st.text(),
+                                "time_left_ms": st.one_of(st.floats(), st.integers()),
+                                "lanes": st.integers(),
+                                "token": st.text(max_size=4),
+                            },
+                        ),
+                    ),
+                },
+            ).map(_json),
+        )
+    )
     def test_anything(self, data):
         """Whatever comes, each line gets what JSON-RPC says or nothing, and the next call is answered."""
         client = Client(self.running.station.listen)
@@ -184,6 +210,7 @@
                     return False
                 finally:
                     client.close()
+
             self.assertTrue(until(again))
             for client in clients[1:]:
                 client.close()
@@ -191,8 +218,10 @@
     def test_too_many_rpcs(self):
         """Past the bounds of a connection and of the gateway an RPC is denied at once, with the bound's name."""
         for bounds, why in (("(open-each 5)", "connection-full"), ("(open-rpcs 5)", "gateway-full")):
-            with self.subTest(bound=bounds), Running((silent,), deadline="2 s", soft="1 s",
-                                                     more=f"(bounds {bounds})") as running:
+            with (
+                self.subTest(bound=bounds),
+                Running((silent,), deadline="2 s", soft="1 s", more=f"(bounds {bounds})") as running,
+            ):
                 client = running.client()
                 for at in range(5):
                     client.ask(at)
@@ -219,6 +248,7 @@
 
     def test_client_that_reads_nothing(self):
         """It is hung up on once too much waits for it; what others ask is answered meanwhile."""
+
         def large(sock, number):
             source = lines_of(sock)
             hello(sock, source)
@@ -290,6 +320,7 @@
         with Running(more="") as made:
             made.station.listen = f"127.0.0.1:{port}"
             from wickdyke.gateway.serve import Gateway
+
             gateway = Gateway(made.station, made.log)
             gateway.open()
             try:
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -30,16 +30,17 @@
         sent = head + "MARK\t2000\n" + NEW + END
         back = "REPORT_BACK\t3\t77\t0\tworker_a\t{}\t500\t{}\t{}\t{}\n"
         for text, want in (
-                ("", []),
-                ("MARK\t1000\nEND\n", []),
-                (head + "MARK\t2000\n" + NEW + END, ["ROUTE", "SET_TIMER"]),
-                (sent + "MARK\t2500\n" + back.format("pass", 1, 3, "0.5,2,9") + END, []),
-                (sent + "MARK\t2500\n" + back.format("pass", 1, 5, "-") + END, []),
-                (sent + "MARK\t2500\n" + back.format("no_route", 0, "-", "-") + END, []),
-                (sent + "MARK\t2500\nABORTED\t3\t77\n" + END, ["CALL_OFF"]),
-                (sent + "MARK\t2500\nABORTED\t3\t99\nWAKEUP\t3\t5\n" + END, []),
-                (sent + "MARK\t2500\nFLEET\t3\t3\t-\t0\n" + END, []),
-                (sent + "MARK\t2500\nHALT\t3\n" + START + LIST + END, ["SET_TIMER"])):
+            ("", []),
+            ("MARK\t1000\nEND\n", []),
+            (head + "MARK\t2000\n" + NEW + END, ["ROUTE", "SET_TIMER"]),
+            (sent + "MARK\t2500\n" + back.format("pass", 1, 3, "0.5,2,9") + END, []),
+            (sent + "MARK\t2500\n" + back.format("pass", 1, 5, "-") + END, []),
+            (sent + "MARK\t2500\n" + back.format("no_route", 0, "-", "-") + END, []),
+            (sent + "MARK\t2500\nABORTED\t3\t77\n" + END, ["CALL_OFF"]),
+            (sent + "MARK\t2500\nABORTED\t3\t99\nWAKEUP\t3\t5\n" + END, []),
+            (sent + "MARK\t2500\nFLEET\t3\t3\t-\t0\n" + END, []),
+            (sent + "MARK\t2500\nHALT\t3\n" + START + LIST + END, ["SET_TIMER"]),
+        ):
             with self.subTest(text=text[-90:]):
                 code, out, err = play(text)
                 self.assertEqual((code, err), (0, ""))
@@ -52,20 +53,21 @@
         head = "MARK\t1000\n"
         started = head + START
         for text, words in (
-                ("HELLO\n", ("line 1", "MARK")),
-                ("MARK\tx\n", ("line 1", "MARK", "whole number")),
-                (head, ("line 2", "END")),
-                (head + "END", ("line 2", "end")),
-                (started + "BOGUS\t3\n" + END, ("line 3", "BOGUS")),
-                (started + "ABORTED\t4\t1\n" + END, ("line 3", "ABORTED", "instance 4")),
-                (started + "ABORTED\t3\n" + END, ("line 3", "ABORTED", "2 values")),
-                (started + "ABORTED\t3\tx\n" + END, ("line 3", "ABORTED", "whole number")),
-                (started + NEW.replace("\t0\tfn", "\t9\tfn") + END, ("line 3", "NEW_REQUEST", "class")),
-                (started + "FLEET\t3\t1\t1\t2\nROW\tw\t0\t0\t0\t3\t1\t-\nEND\n", ("line 5", "ROW")),
-                (started + "PING_RESULT\t3\tw\tpass\t1\t0.5,oops\n" + END, ("line 3", "number")),
-                (started + "PING_RESULT\t3\tw\twat\t1\t-\n" + END, ("line 3", "reason", "pass")),
-                (head + START.replace("limits.send-cap=3\t", "") + END, ("line 2", "limits.send-cap")),
-                ("MARK\t1000\nEND\nMARK\t900\nEND\n", ("line 3", "clock"))):
+            ("HELLO\n", ("line 1", "MARK")),
+            ("MARK\tx\n", ("line 1", "MARK", "whole number")),
+            (head, ("line 2", "END")),
+            (head + "END", ("line 2", "end")),
+            (started + "BOGUS\t3\n" + END, ("line 3", "BOGUS")),
+            (started + "ABORTED\t4\t1\n" + END, ("line 3", "ABORTED", "instance 4")),
+            (started + "ABORTED\t3\n" + END, ("line 3", "ABORTED", "2 values")),
+            (started + "ABORTED\t3\tx\n" + END, ("line 3", "ABORTED", "whole number")),
+            (started + NEW.replace("\t0\tfn", "\t9\tfn") + END, ("line 3", "NEW_REQUEST", "class")),
+            (started + "FLEET\t3\t1\t1\t2\nROW\tw\t0\t0\t0\t3\t1\t-\nEND\n", ("line 5", "ROW")),
+            (started + "PING_RESULT\t3\tw\tpass\t1\t0.5,oops\n" + END, ("line 3", "number")),
+            (started + "PING_RESULT\t3\tw\twat\t1\t-\n" + END, ("line 3", "reason", "pass")),
+            (head + START.replace("limits.send-cap=3\t", "") + END, ("line 2", "limits.send-cap")),
+            ("MARK\t1000\nEND\nMARK\t900\nEND\n", ("line 3", "clock")),
+        ):
             with self.subTest(text=text[-60:]):
                 code, out, err = play(text)
                 self.assertNotEqual(code, 0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -41,8 +41,10 @@
 @contextmanager
 def no_descriptor(sockets=socket.socket):
     """No socket can be made by the loop's dial, as when all descriptors are in use."""
+
     def none(*args, **more):
         raise OSError(errno.EMFILE, "Too many open files")
+
     with patch.object(loop, "socket", SimpleNamespace(**{**vars(socket), "socket": none})):
         yield
 
@@ -87,8 +89,13 @@
 
     def worker(self):
         """A worker that holds back each answer to `slow`: (socket, command) in `held`."""
-        return self.made(rig.Worker(lambda worker, sock, parts: parts[0] == b"invoke" and parts[3] == b"slow"
-                                    and (self.held.append((sock, parts)), True)[1]))
+        return self.made(
+            rig.Worker(
+                lambda worker, sock, parts: parts[0] == b"invoke"
+                and parts[3] == b"slow"
+                and (self.held.append((sock, parts)), True)[1]
+            )
+        )
 
     def answer_held(self, body=b"at last"):
         sock, parts = self.held.pop(0)
@@ -155,6 +162,7 @@
                 waiting.append(self.client())
                 waiting[0].send(rig.dispatch(1, rig.fields(C), b"c"))
             shut()
+
         serving.front.shut = just_before
         serving._end(signal.SIGTERM, None)
         serving.asked_to_end -= serve.GRACE  # it is long ago: the door is shut in the next turn
@@ -184,6 +192,7 @@
                 client.send(rig.dispatch(2, rig.fields(A), b"a"))
                 sent.append(True)
             return found
+
         serving.front.flushed = look
         self.assertTrue(serving.turn())
         self.assertEqual(self.answer(client), (2, "answer", b"did a"))
@@ -210,6 +219,7 @@
             def __init__(self, family=-1, *args, **more):
                 families.append(family)
                 super().__init__(family, *args, **more)
+
         with patch.object(socket, "socket", Noted):
             serving = self.front_end(self.worker().address)
             serving.signals()
@@ -284,9 +294,16 @@
         self.until(lambda: source.asked)
         row = rig.instance("w0", one.address)
         before = dict(serving.desk.front_end.workers)
-        source.tell("".join(f"id: {told['offset']}\ndata: {json.dumps(told)}\n\n" for told in (
-            rig.event(2, {**row, "lifecycle": "DRAINING"}), rig.event(3, {**row, "lifecycle": "DELETED"}),
-            rig.event(4, row))).encode())
+        source.tell(
+            "".join(
+                f"id: {told['offset']}\ndata: {json.dumps(told)}\n\n"
+                for told in (
+                    rig.event(2, {**row, "lifecycle": "DRAINING"}),
+                    rig.event(3, {**row, "lifecycle": "DELETED"}),
+                    rig.event(4, row),
+                )
+            ).encode()
+        )
         self.told(4)
         self.assertEqual(serving.desk.front_end.workers, before)
         self.assertEqual(serving.desk.front_end.workers["w0"].listing.state, "ready")
@@ -346,11 +363,14 @@
         """(what comes each 200 ms) -> whether the bus is asked again."""
         whole = b'id: 8\ndata: {"offset": 8}\n\n'
         for name, first, drip, again in (
-                ("comments", b"", b": pulse\n\n", False), ("events", b"", whole, False),
-                ("comments after an event", whole, b":\n", False),
-                ("half an event, then comments", b"id: 8\ndata: {\n", b": pulse\n", True),
-                ("half an event, byte by byte", b"id: 8\ndata: ", b"x", True),
-                ("a line begun", b"id: 8", b"8", True), ("nothing", b"", b"", True)):
+            ("comments", b"", b": pulse\n\n", False),
+            ("events", b"", whole, False),
+            ("comments after an event", whole, b":\n", False),
+            ("half an event, then comments", b"id: 8\ndata: {\n", b": pulse\n", True),
+            ("half an event, byte by byte", b"id: 8\ndata: ", b"x", True),
+            ("a line begun", b"id: 8", b"8", True),
+            ("nothing", b"", b"", True),
+        ):
             with self.subTest(name):
                 source = rig.Bus()  # its own: the one before may still be asked
                 self.addCleanup(source.close)
@@ -390,8 +410,16 @@
         self.assertLess(made.counts["asked"], 1000 / 25 + 2)
 
     def test_half_events(self):
-        for raw, begun in ((b"", False), (b": x\n", False), (b": x", False), (b"id: 1", True), (b"id: 1\n", True),
-                           (b"id: 1\n: x\n", True), (b"data: x\n\n", False), (b"data: x\n\nid", True)):
+        for raw, begun in (
+            (b"", False),
+            (b": x\n", False),
+            (b": x", False),
+            (b"id: 1", True),
+            (b"id: 1\n", True),
+            (b"id: 1\n: x\n", True),
+            (b"data: x\n\n", False),
+            (b"data: x\n\nid", True),
+        ):
             events = sse.Events()
             events.feed(raw)
             self.assertEqual(events.begun, begun, raw)
@@ -406,6 +434,7 @@
         def fails():
             calls.append(1)
             raise KeyError("unforeseen")
+
         made.every(0.0, fails)
         ends = time.monotonic() + rig.LONG
         while len(calls) < 3 and time.monotonic() < ends:
@@ -433,12 +462,25 @@
             self.addCleanup(new.close)
             self.assertEqual(new.fileno(), number)
             fresh.append(new)
-            made.add(new, SimpleNamespace(first=True, readable=lambda: told.append("read"),
-                                          writable=lambda: told.append("written"), broken=lambda: None), write=False)
+            made.add(
+                new,
+                SimpleNamespace(
+                    first=True,
+                    readable=lambda: told.append("read"),
+                    writable=lambda: told.append("written"),
+                    broken=lambda: None,
+                ),
+                write=False,
+            )
+
         for at in range(2):
             pairs[at][1].send(b"x")
-            made.add(pairs[at][0], SimpleNamespace(first=True, readable=lambda at=at: serve_one(at),
-                                                   writable=lambda: None, broken=lambda: None))
+            made.add(
+                pairs[at][0],
+                SimpleNamespace(
+                    first=True, readable=lambda at=at: serve_one(at), writable=lambda: None, broken=lambda: None
+                ),
+            )
         made.turn(10.0, lambda: None)
         self.assertEqual((len(fresh), told), (1, []))
 
@@ -463,6 +505,7 @@
                 clients[0].send(rig.dispatch(2, rig.fields(A), b"a"))
                 asked.append(True)
             read()
+
         serving.front.readable = accept
         more = self.client()
         more.send(rig.alive(1))
@@ -492,8 +535,9 @@
             for how in ("cancel", "close", "reset", "close after what can't be read"):
                 with self.subTest(how=how, cancelling=cancelling):
                     full = Full(self)
-                    serving = self.front_end(full.address, settings=self.settings(
-                        cancelling=cancelling, **{"dial-timeout": 60000000}))
+                    serving = self.front_end(
+                        full.address, settings=self.settings(cancelling=cancelling, **{"dial-timeout": 60000000})
+                    )
                     client = self.client()
                     client.send(rig.dispatch(1, rig.fields(A, "pay"), b"x"))
                     link = serving.desk.links["w0"]
@@ -526,8 +570,16 @@
                 client.send(rig.dispatch(1, rig.fields(A, "pay"), b"x"))
                 link = serving.desk.links["w0"]
                 self.until(lambda link=link: any(conn.pending for conn in link.connections))
-                serving.desk.take(("rows", [rig.event(2, rig.instance("w0", full.address, lifecycle=state),
-                                                      rig.instance("w9", other.address))]))
+                serving.desk.take(
+                    (
+                        "rows",
+                        [
+                            rig.event(
+                                2, rig.instance("w0", full.address, lifecycle=state), rig.instance("w9", other.address)
+                            )
+                        ],
+                    )
+                )
                 self.assertEqual(self.answer(client), (1, "answer", b"did x"))
                 self.assertFalse(any(conn.load for conn in link.connections))
                 self.end()
@@ -585,8 +637,16 @@
         self.pool = back.Pool(20)
 
     def link(self, address, dial=40.0):
-        made = back.Link("w", address, lambda *event: self.told.append((event[2].ident, event[3])), self.loop,
-                         self.pool, dial, 10000.0, ())
+        made = back.Link(
+            "w",
+            address,
+            lambda *event: self.told.append((event[2].ident, event[3])),
+            self.loop,
+            self.pool,
+            dial,
+            10000.0,
+            (),
+        )
         self.addCleanup(made.close)
         return made
 
@@ -778,9 +838,12 @@
             with open(path, "w") as out:
                 json.dump(given, out)
             ran = subprocess.Popen(
-                [sys.executable, "-m", "wickdyke.platform"], stderr=subprocess.PIPE, text=True,
+                [sys.executable, "-m", "wickdyke.platform"],
+                stderr=subprocess.PIPE,
+                text=True,
                 env={**os.environ, "GW_CONFIG": path, "GW_LISTEN": listen},
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)))
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)),
+            )
             self.addCleanup(ran.stderr.close)
             self.addCleanup(ran.wait)
             self.addCleanup(ran.kill)
@@ -808,11 +871,15 @@
 
             def told():  # again and again: without a pulse the stream is left, and asked for anew
                 try:
-                    back_again.event(rig.event(2, rig.instance("w0", one.address, lifecycle="DELETED"),
-                                               rig.instance("w9", two.address)))
+                    back_again.event(
+                        rig.event(
+                            2, rig.instance("w0", one.address, lifecycle="DELETED"), rig.instance("w9", two.address)
+                        )
+                    )
                 except OSError:
                     pass
                 return any("worker=w9" in line for line in lines)
+
             wait_for(self, told)
             self.assertFalse([line for line in lines if "fault" in line])
             clients[-1].send(rig.dispatch(2, rig.fields(A), b"a"))
@@ -840,20 +907,46 @@
     """Fields that other deployments have."""
 
     def test_fields(self):
-        methods = {m.name: m for m in (Method("look", "idempotent", "all", 0.0, 1.0, 0.0, 9.0, 1.0, 0.1),
-                                       Method("book", "tokened", "zone", 9.0, 1.0, 0.0, 9.0, 1.0, 0.1))}
+        methods = {
+            m.name: m
+            for m in (
+                Method("look", "idempotent", "all", 0.0, 1.0, 0.0, 9.0, 1.0, 0.1),
+                Method("book", "tokened", "zone", 9.0, 1.0, 0.0, 9.0, 1.0, 0.1),
+            )
+        }
 
         def read(**more):
             given = {k: v for k, v in rig.fields(**more).items() if v is not None}
             return front.checked(thrift.Message("dispatch", 1, given, b"", 0), methods, ("north", "south"))[1]
-        call = read(t="north", h="396.5", r="1", k="2d071f1f7aeaaed654f62e293c13f6a0", c="book",
-                    tags="memory_mb:1483;lanes:2;load_ms:1238")
-        self.assertEqual((call.work_ms, call.repeat, call.token, call.load_ms),
-                         (396.5, True, "2d071f1f7aeaaed654f62e293c13f6a0", 1238.0))
-        self.assertEqual((read(r="0").repeat, read(r="false").repeat, read(r="true").repeat, read().token),
-                         (False, False, True, ""))
-        for more in ({"t": "west"}, {"t": ""}, {"h": "nan"}, {"h": "-1"}, {"h": ""}, {"r": "maybe"}, {"k": "a,b=c"},
-                     {"k": ""}, {"k": "x" * 65}, {"c": "book"}, {"zz": "1"}):
+
+        call = read(
+            t="north",
+            h="396.5",
+            r="1",
+            k="2d071f1f7aeaaed654f62e293c13f6a0",
+            c="book",
+            tags="memory_mb:1483;lanes:2;load_ms:1238",
+        )
+        self.assertEqual(
+            (call.work_ms, call.repeat, call.token, call.load_ms),
+            (396.5, True, "2d071f1f7aeaaed654f62e293c13f6a0", 1238.0),
+        )
+        self.assertEqual(
+            (read(r="0").repeat, read(r="false").repeat, read(r="true").repeat, read().token), (False, False, True, "")
+        )
+        for more in (
+            {"t": "west"},
+            {"t": ""},
+            {"h": "nan"},
+            {"h": "-1"},
+            {"h": ""},
+            {"r": "maybe"},
+            {"k": "a,b=c"},
+            {"k": ""},
+            {"k": "x" * 65},
+            {"c": "book"},
+            {"zz": "1"},
+        ):
             with self.subTest(more), self.assertRaises(front.Unfit):
                 read(**more)
 
@@ -865,6 +958,7 @@
             ask = SimpleNamespace(call=SimpleNamespace(ident=ASCII_A, token=token, input=b"x"))
             self.assertEqual(speech.run(call_out, ask, 5.0).line, resp.command(b"invoke", ASCII_A, told, b"x"))
 
+
 class Uncancelled(Handed):
     def test_a_call_out_over_its_time_is_left_alone_and_its_place_is_free_later(self):
         limits = {**rig.SETTINGS["limits"], "cancelling": False}
@@ -878,5 +972,6 @@
         self.until(lambda: not any(conn.load for conn in link.connections), "its place")
         self.assertEqual((worker.came(b"abort"), serving.desk.asks, link.connections), ([], {}, []))
 
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -31,11 +31,12 @@
                 director.start(traffic=False)
                 sock = os.path.join(folder, "run", "g1.sock")
                 for argv, code, words in (
-                        (("m", "p", '{"mark": "a"}', "--memory", "100"), 0, '"answer":"ok"'),
-                        (("m", "p", '{"mark": "b"}', "--memory", "100", "--time-left", "1"), 3, '"denied"'),
-                        (("m", "p", "{}"), 2, "memory_mb"),
-                        (("other", "p", "{}", "--memory", "100"), 2, "expected one of m"),
-                        (("m", "p", "{"), 2, "expected JSON")):
+                    (("m", "p", '{"mark": "a"}', "--memory", "100"), 0, '"answer":"ok"'),
+                    (("m", "p", '{"mark": "b"}', "--memory", "100", "--time-left", "1"), 3, '"denied"'),
+                    (("m", "p", "{}"), 2, "memory_mb"),
+                    (("other", "p", "{}", "--memory", "100"), 2, "expected one of m"),
+                    (("m", "p", "{"), 2, "expected JSON"),
+                ):
                     with self.subTest(argv=argv):
                         got, out, err = run("call", sock, *argv)
                         self.assertEqual(got, code, out + err)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -24,6 +24,7 @@
 
 def answering(*lines):
     """Answers the first call-out with these lines (its number in {n}) and waits for the end."""
+
     def play(sock, number):
         source = lines_of(sock)
         hello(sock, source)
@@ -32,6 +33,7 @@
             sock.sendall(line(run["id"]) if callable(line) else line)
         for _ in source:
             pass
+
     return play
 
 
@@ -59,6 +61,7 @@
 def lines_of_some(sock):
     """The first line, read byte by byte, so that nothing of the next is taken."""
     import msgspec
+
     line = b""
     while not line.endswith(b"\n"):
         line += sock.recv(1)
@@ -105,35 +108,49 @@
     def test_outcomes(self):
         """(worker, params of the call-out) -> the outcome told."""
         for name, play, params, outcome in (
-                ("answered", answering(ok), b"{}", "ok"),
-                ("answered with 8 MB", answering(lambda n: ok(n, BIG)), b"{}", "ok"),
-                ("full", answering(error(back.FULL)), b"{}", "full"),
-                ("miss", answering(error(back.MISS)), b"{}", "miss"),
-                ("failed", answering(error(back.FAILED)), b"{}", "error"),
-                ("draining", answering(error(back.DRAINING)), b"{}", "full"),
-                ("out of time there", answering(error(back.OUT_OF_TIME)), b"{}", "timeout"),
-                ("an error nobody knows", answering(error(-5)), b"{}", "error"),
-                ("an answer with neither result nor error", answering(b'{"jsonrpc":"2.0","id":1}\n'), b"{}", "cut"),
-                ("an answer that is no JSON", answering(b"hello\n"), b"{}", "cut"),
-                ("an answer that is no text", answering(b'{"id":1,"result":"\xff"}\n'), b"{}", "cut"),
-                ("an answer longer than allowed", answering(lambda n: ok(n, b'"' + b"x" * (17 << 20) + b'"')), b"{}",
-                 "cut"),
-                ("the worker ends on the call-out", dies_on_run, b"{}", "cut"),
-                ("an answer half read", half_answer, b"{}", "cut"),
-                ("ends with half of the message read", dies_while_read, BIG, "cut"),
-                ("a stray answer first", answering(b'{"jsonrpc":"2.0","id":77,"result":1}\n', ok), b"{}", "ok"),
-                ("an answer without a number first", answering(b'{"jsonrpc":"2.0","id":null,"result":1}\n', ok),
-                 b"{}", "ok")):
+            ("answered", answering(ok), b"{}", "ok"),
+            ("answered with 8 MB", answering(lambda n: ok(n, BIG)), b"{}", "ok"),
+            ("full", answering(error(back.FULL)), b"{}", "full"),
+            ("miss", answering(error(back.MISS)), b"{}", "miss"),
+            ("failed", answering(error(back.FAILED)), b"{}", "error"),
+            ("draining", answering(error(back.DRAINING)), b"{}", "full"),
+            ("out of time there", answering(error(back.OUT_OF_TIME)), b"{}", "timeout"),
+            ("an error nobody knows", answering(error(-5)), b"{}", "error"),
+            ("an answer with neither result nor error", answering(b'{"jsonrpc":"2.0","id":1}\n'), b"{}", "cut"),
+            ("an answer that is no JSON", answering(b"hello\n"), b"{}", "cut"),
+            ("an answer that is no text", answering(b'{"id":1,"result":"\xff"}\n'), b"{}", "cut"),
+            (
+                "an answer longer than allowed",
+                answering(lambda n: ok(n, b'"' + b"x" * (17 << 20) + b'"')),
+                b"{}",
+                "cut",
+            ),
+            ("the worker ends on the call-out", dies_on_run, b"{}", "cut"),
+            ("an answer half read", half_answer, b"{}", "cut"),
+            ("ends with half of the message read", dies_while_read, BIG, "cut"),
+            ("a stray answer first", answering(b'{"jsonrpc":"2.0","id":77,"result":1}\n', ok), b"{}", "ok"),
+            (
+                "an answer without a number first",
+                answering(b'{"jsonrpc":"2.0","id":null,"result":1}\n', ok),
+                b"{}",
+                "ok",
+            ),
+        ):
             with self.subTest(case=name):
                 self.assertEqual(self.run_once(play, params)[1], outcome)
 
     def test_no_connection(self):
         """(worker) -> unreached, within the time to dial."""
-        for name, play in (("no hello", no_hello), ("a byte at a time", a_byte_a_time),
-                           ("the wrong version", lambda sock, n: sock.sendall(
-                               jsonrpc.result(0, b'{"version":99,"worker":"w","start":1}') + b"\n")),
-                           ("garbage", lambda sock, n: sock.sendall(b"SSH-2.0\n")),
-                           ("an error", lambda sock, n: sock.sendall(jsonrpc.problem(0, -1, "no") + b"\n"))):
+        for name, play in (
+            ("no hello", no_hello),
+            ("a byte at a time", a_byte_a_time),
+            (
+                "the wrong version",
+                lambda sock, n: sock.sendall(jsonrpc.result(0, b'{"version":99,"worker":"w","start":1}') + b"\n"),
+            ),
+            ("garbage", lambda sock, n: sock.sendall(b"SSH-2.0\n")),
+            ("an error", lambda sock, n: sock.sendall(jsonrpc.problem(0, -1, "no") + b"\n")),
+        ):
             with self.subTest(case=name):
                 self.assertEqual(self.run_once(play, dial=150.0)[1], "unreached")
         link = Link("w", os.path.join(self.folder, "nobody"), "g", told := Told(), 1000.0, 1 << 20, 1 << 20)
@@ -176,6 +193,7 @@
 
     def test_worker_that_reads_nothing(self):
         """What is past the kernel's buffers waits with us; cancelled there it was never sent, else it was cut."""
+
         def play(sock, number):
             hello(sock, lines_of_some(sock))
             threading.Event().wait(60)
@@ -195,6 +213,7 @@
 
     def test_bound(self):
         """Past the bound the connection is given up; what was never begun is told as unsent."""
+
         def play(sock, number):
             if number == 1:  # a second connection says no hello: what goes there ends as unreached
                 hello(sock, lines_of_some(sock))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -32,8 +32,11 @@
                 fleet = Fleet(effect=effect, scope=scope, rows=rows)
                 rpc = fleet.take()[0][1]
                 if scope != "all":  # the one worker of the group is not to be used
-                    rows = [row("abc"[at], zone=at, cell=at, state="draining") for at in range(3)
-                            if "abc"[at] == rpc.call_outs[0].place.worker.listing.ident]
+                    rows = [
+                        row("abc"[at], zone=at, cell=at, state="draining")
+                        for at in range(3)
+                        if "abc"[at] == rpc.call_outs[0].place.worker.listing.ident
+                    ]
                     fleet.list(rows, whole=False)
                 got = fleet.end(rpc, outcome) or fleet.pass_time(2500)
                 self.assertEqual([v for v in verbs(got) if v not in ("hold", "cancel")][:1], [verb])
@@ -50,9 +53,13 @@
     def test_every_rpc_gets_one_answer(self):
         """(workers, what each call-out comes to) -> the last word, in time and only once."""
         for workers, outcome, effect, verb in (
-                (0, None, "idempotent", "deny"), (0, None, "side-effecting", "deny"),
-                (2, "full", "side-effecting", "deny"), (2, "full", "idempotent", "deny"),
-                (2, "unreached", "idempotent", "deny"), (2, "timeout", "side-effecting", "abort")):
+            (0, None, "idempotent", "deny"),
+            (0, None, "side-effecting", "deny"),
+            (2, "full", "side-effecting", "deny"),
+            (2, "full", "idempotent", "deny"),
+            (2, "unreached", "idempotent", "deny"),
+            (2, "timeout", "side-effecting", "abort"),
+        ):
             with self.subTest(workers=workers, outcome=outcome, effect=effect):
                 fleet = Fleet(workers=workers, effect=effect)
                 got, start = fleet.take(), fleet.clock
@@ -125,25 +132,44 @@
     def test_cold_ramp_holds_for_the_fleet(self):
         """(settings, ms of work, cores) -> what all front ends send that always have an RPC for the one cold worker, in
         any span of the window, never over N + 2 x root of N + 2, N being what the settings allow as it begins."""
-        least, site, most = (Warmup(0.17, 12000.0, 2.0, 1000.0), Warmup(0.2, 18000.0, 2.0, 2000.0),
-                             Warmup(0.45, 5000.0, 4.0, 2000.0))
-        for warm, work, size in ((least, 330.0, 3.0), (least, 1500.0, 2.0), (site, 60.0, 6.0), (site, 330.0, 3.0),
-                                 (most, 60.0, 6.0), (most, 1500.0, 2.0)):
+        least, site, most = (
+            Warmup(0.17, 12000.0, 2.0, 1000.0),
+            Warmup(0.2, 18000.0, 2.0, 2000.0),
+            Warmup(0.45, 5000.0, 4.0, 2000.0),
+        )
+        for warm, work, size in (
+            (least, 330.0, 3.0),
+            (least, 1500.0, 2.0),
+            (site, 60.0, 6.0),
+            (site, 330.0, 3.0),
+            (most, 60.0, 6.0),
+            (most, 1500.0, 2.0),
+        ):
             for many in (20, 30, 200):
                 with self.subTest(warm=warm, work=work, size=size, many=many):
                     sent = self.sent_cold(warm, work, size, many)
                     self.assertTrue(sent)
                     for start in range(0, int(warm.ramp - warm.window), 100):
-                        allowed = (warm.multiple * (warm.start_share + (1 - warm.start_share) * start / warm.ramp)
-                                   * size * warm.window / work)
-                        self.assertLessEqual(sum(start <= at < start + warm.window for at in sent),
-                                             allowed + 2 * sqrt(allowed) + 2, start)
+                        allowed = (
+                            warm.multiple
+                            * (warm.start_share + (1 - warm.start_share) * start / warm.ramp)
+                            * size
+                            * warm.window
+                            / work
+                        )
+                        self.assertLessEqual(
+                            sum(start <= at < start + warm.window for at in sent),
+                            allowed + 2 * sqrt(allowed) + 2,
+                            start,
+                        )
 
     def sent_cold(self, warm, work, size, many):
         """When all front ends sent to one cold worker; they carried half of what twelve like it can do, unevenly."""
+
         def worker(name, born):
             few = (deque(maxlen=8) for _ in range(4))
             return Worker(Listing(name, 0, 0, 0, "ready", size, born), *few, 1e4, 8.0, born, mark(name))
+
         rpc = Mock()
         rpc.method.times, rpc.method.soft = [work], 4 * work
         front_ends, sent = [], []
@@ -210,8 +236,7 @@
         self.assertEqual(verbs(got)[:2], ["call", "call"])
 
     def test_budget_grows_and_shrinks(self):
-        for outcome, compare in (("ok", self.assertGreater), ("full", self.assertLess),
-                                 ("error", self.assertLess)):
+        for outcome, compare in (("ok", self.assertGreater), ("full", self.assertLess), ("error", self.assertLess)):
             with self.subTest(outcome=outcome):
                 fleet = Fleet(workers=1)
                 fleet.take()
@@ -285,8 +310,10 @@
         one, two = Fleet(seed=1).fe, Fleet(seed=2).fe
         for fe in (one, two):
             fe.took(1, 4000.0, fe.methods[0], "p", 1.0, 1, None, None, False)
-        self.assertEqual([lot(one.programs["p"], w) for w in one.workers.values()],
-                         [lot(two.programs["p"], w) for w in two.workers.values()])
+        self.assertEqual(
+            [lot(one.programs["p"], w) for w in one.workers.values()],
+            [lot(two.programs["p"], w) for w in two.workers.values()],
+        )
 
 
 REPLAY = """
@@ -301,8 +328,16 @@
 
 class Sameness(unittest.TestCase):
     def test_same_events_same_actions_under_other_hash_seeds(self):
-        runs = [subprocess.run([sys.executable, "-c", REPLAY], env={**os.environ, "PYTHONHASHSEED": seed},
-                               capture_output=True, text=True, check=True).stdout for seed in "012"]
+        runs = [
+            subprocess.run(
+                [sys.executable, "-c", REPLAY],
+                env={**os.environ, "PYTHONHASHSEED": seed},
+                capture_output=True,
+                text=True,
+                check=True,
+            ).stdout
+            for seed in "012"
+        ]
         self.assertGreater(len(runs[0]), 1000)
         self.assertEqual(len(set(runs)), 1)
 
@@ -311,8 +346,11 @@
     def test_late_answers_lower_the_limit_once_a_queue(self):
         """(how the answers of one queue came) -> what becomes of the limit; a load says nothing of it."""
         at_least = self.assertGreaterEqual
-        for ms, standing, compare in ((700.0, "stood", self.assertLess), (100.0, "stood", at_least),
-                                      (700.0, "awaited", at_least)):
+        for ms, standing, compare in (
+            (700.0, "stood", self.assertLess),
+            (100.0, "stood", at_least),
+            (700.0, "awaited", at_least),
+        ):
             with self.subTest(ms=ms, standing=standing):
                 fleet = Fleet(workers=1)
                 fleet.lanes = 8
@@ -330,8 +368,11 @@
         """(state of the home, how busy others are, loads on call) -> whether a call goes elsewhere while the home is
         at its limit."""
         for state, busy, on_call, elsewhere in (
-                ("ready", 0.6, True, False), ("ready", 0.2, True, True), ("ready", 0.2, False, False),
-                ("draining", 0.6, True, True)):
+            ("ready", 0.6, True, False),
+            ("ready", 0.2, True, True),
+            ("ready", 0.2, False, False),
+            ("draining", 0.6, True, True),
+        ):
             with self.subTest(state=state, busy=busy, on_call=on_call):
                 fleet = Fleet(workers=3, loads_on_call=on_call)
                 home = called(fleet.serve(calls=200))[-1]
@@ -365,10 +406,16 @@
         """(hint, loads seen, whether a call-out is told to have begun them) -> how long a load is held to take; after
         four the hint counts no more."""
         for hint, seen, want, *told in (
-                (5000.0, [], 5000.0), (5000.0, [100.0] * 3, 5000.0), (5000.0, [100.0] * 4, 100.0),
-                (200.0, [900.0], 900.0), (200.0, [900.0] * 9, 900.0), (0.0, [100.0], 100.0),
-                (5000.0, [10.0] * 9, 5000.0),  # so short that a copy may have stood, unknown
-                (5000.0, [10.0] * 4, 10.0, True), (5000.0, [-3.0] * 4, 1.0, True)):
+            (5000.0, [], 5000.0),
+            (5000.0, [100.0] * 3, 5000.0),
+            (5000.0, [100.0] * 4, 100.0),
+            (200.0, [900.0], 900.0),
+            (200.0, [900.0] * 9, 900.0),
+            (0.0, [100.0], 100.0),
+            (5000.0, [10.0] * 9, 5000.0),  # so short that a copy may have stood, unknown
+            (5000.0, [10.0] * 4, 10.0, True),
+            (5000.0, [-3.0] * 4, 1.0, True),
+        ):
             with self.subTest(hint=hint, seen=seen):
                 fleet = Fleet()
                 fleet.take()
@@ -428,8 +475,12 @@
     def test_reports_are_completed(self):
         """(fields, values, cores of a worker) -> busy and held as they count; absent is not 0."""
         for fields, values, busy, held in (
-                (("busy", "held"), (0.5, 3.0), 0.5, 3.0), (("held",), (2.0,), 0.5, 2.0), (("held",), (9.0,), 1.0, 9.0),
-                (("busy",), (0.5,), 0.5, 2.0), (("busy", "queue"), (0.5, 7.0), 0.5, 9.0)):
+            (("busy", "held"), (0.5, 3.0), 0.5, 3.0),
+            (("held",), (2.0,), 0.5, 2.0),
+            (("held",), (9.0,), 1.0, 9.0),
+            (("busy",), (0.5,), 0.5, 2.0),
+            (("busy", "queue"), (0.5, 7.0), 0.5, 9.0),
+        ):
             with self.subTest(fields=fields, values=values):
                 fleet = Fleet(workers=2, report=fields)
                 worker, latency = fleet.fe.workers["a"], fleet.fe.latency
@@ -485,7 +536,11 @@
         """(price of crossing, loads on call, workers of the zone shunned) -> the zones in which programs are placed."""
         rows = [row(name, zone=at % 2) for at, name in enumerate("abcdefgh")]
         for crossing, on_call, ill, zones in (
-                (0.0, False, 0, {0, 1}), (0.05, True, 0, {0, 1}), (0.05, False, 0, {0}), (0.05, False, 3, {0, 1})):
+            (0.0, False, 0, {0, 1}),
+            (0.05, True, 0, {0, 1}),
+            (0.05, False, 0, {0}),
+            (0.05, False, 3, {0, 1}),
+        ):
             with self.subTest(crossing=crossing, on_call=on_call, ill=ill):
                 fleet = Fleet(rows=rows, crossing=crossing, loads_on_call=on_call)
                 for worker in [w for w in fleet.fe.ready if w.listing.zone == 0][:ill]:
@@ -496,8 +551,12 @@
         """(busy in our zone, in the other; periods) -> how much the other's workers count, and that some are homes."""
         rows = [row(name, zone=at % 2) for at, name in enumerate("abcdefgh")]
         for mine, far, periods, reach in (
-                (0.9, 0.3, 1, 0.125), (0.9, 0.3, 9, 1.0), (0.9, 0.8, 3, 0.0), (0.5, 0.1, 3, 0.0),
-                (0.9, None, 1, 0.125)):
+            (0.9, 0.3, 1, 0.125),
+            (0.9, 0.3, 9, 1.0),
+            (0.9, 0.8, 3, 0.0),
+            (0.5, 0.1, 3, 0.0),
+            (0.9, None, 1, 0.125),
+        ):
             with self.subTest(mine=mine, far=far, periods=periods):
                 fleet = Fleet(rows=rows, crossing=0.05, loads_on_call=False)
                 fill, ready = fleet.fe.fill, fleet.fe.ready
@@ -507,8 +566,10 @@
                 for _ in range(periods):
                     fill.know(ready, fleet.clock)
                 self.assertEqual((fill.reach, fill.known == ready), (reach, reach > 0))
-                heads = {fill.ring(Program(f"p{n}", None, 1.0, 1, 0.0, *[deque()] * 4, mark(f"p{n}")))[0].listing.zone
-                         for n in range(100)}
+                heads = {
+                    fill.ring(Program(f"p{n}", None, 1.0, 1, 0.0, *[deque()] * 4, mark(f"p{n}")))[0].listing.zone
+                    for n in range(100)
+                }
                 self.assertEqual(heads, {0, 1} if reach else {0})
                 for worker in ready:
                     worker.reports.clear()
@@ -612,8 +673,12 @@
     def test_what_would_be_late_at_a_full_home_is_denied_at_once(self):
         """(busy, held there, age of the report in ms, loads on call) -> the verb."""
         for busy, held, age, on_call, verb in (
-                (0.95, 60.0, 0, False, "deny"), (0.5, 60.0, 0, False, "call"), (0.95, 1.0, 0, False, "call"),
-                (0.95, 60.0, 5000, False, "call"), (0.95, 60.0, 0, True, "call")):
+            (0.95, 60.0, 0, False, "deny"),
+            (0.5, 60.0, 0, False, "call"),
+            (0.95, 1.0, 0, False, "call"),
+            (0.95, 60.0, 5000, False, "call"),
+            (0.95, 60.0, 0, True, "call"),
+        ):
             with self.subTest(busy=busy, held=held, age=age, on_call=on_call):
                 fleet = Fleet(workers=1, loads_on_call=on_call)
                 fleet.serve(calls=20)
@@ -623,8 +688,10 @@
     def test_many_unreached_and_none_cut_are_no_restarts(self):
         """(outcomes at as many workers, one each) -> whether the copies there count as lost."""
         for outcomes, lost in (
-                (["ok"] * 6 + ["unreached"] * 4, False), (["ok"] * 9 + ["unreached"], True),
-                (["ok"] * 5 + ["cut"] + ["unreached"] * 4, True)):
+            (["ok"] * 6 + ["unreached"] * 4, False),
+            (["ok"] * 9 + ["unreached"], True),
+            (["ok"] * 5 + ["cut"] + ["unreached"] * 4, True),
+        ):
             with self.subTest(outcomes=outcomes):
                 fleet = Fleet(workers=10)
                 fleet.fe.woke(fleet.clock)
@@ -642,9 +709,13 @@
         """(effect, whether it is shunned, whether others were answered since, workers) -> whether the RPC is taken
         back: not from a slow worker, where it may run on, nor from the only one, to which it would not go again."""
         for effect, shunned, heard, workers, back in (
-                ("idempotent", True, False, 2, True), ("idempotent", False, False, 2, False),
-                ("idempotent", False, True, 2, False), ("idempotent", True, True, 2, False),
-                ("idempotent", True, False, 1, False), ("side-effecting", True, False, 2, False)):
+            ("idempotent", True, False, 2, True),
+            ("idempotent", False, False, 2, False),
+            ("idempotent", False, True, 2, False),
+            ("idempotent", True, True, 2, False),
+            ("idempotent", True, False, 1, False),
+            ("side-effecting", True, False, 2, False),
+        ):
             with self.subTest(effect=effect, shunned=shunned, heard=heard, workers=workers):
                 fleet = Fleet(workers=workers, effect=effect)
                 fleet.serve(calls=20)
@@ -728,8 +799,12 @@
 
     def test_an_answer_given_up_counts_for_the_pace(self):
         """(outcome, ms) -> whether the worker counts as slower; not where the client only left early."""
-        for outcome, ms, slower in (("cancelled", 900, True), ("timeout", 900, True),
-                                    ("cancelled", 20, False), ("full", 900, False)):
+        for outcome, ms, slower in (
+            ("cancelled", 900, True),
+            ("timeout", 900, True),
+            ("cancelled", 20, False),
+            ("full", 900, False),
+        ):
             with self.subTest(outcome=outcome, ms=ms):
                 fleet = Fleet(workers=1)
                 fleet.serve(calls=20)
@@ -754,8 +829,11 @@
     def test_the_fleets_demand_for_a_program(self):
         """(our lanes, our part, company by worker) -> least and most lanes of the fleet."""
         for own, part, company, least, most in (
-                (0.02, 0.005, [], 0.02, 0.02), (0.02, 0.005, [0] * 8, 0.0, 0.5),
-                (0.05, 0.005, [3] * 8, 5.0, 7.0), (1.0, 1.0, [0] * 8, 1.0, 1.0)):
+            (0.02, 0.005, [], 0.02, 0.02),
+            (0.02, 0.005, [0] * 8, 0.0, 0.5),
+            (0.05, 0.005, [3] * 8, 5.0, 7.0),
+            (1.0, 1.0, [0] * 8, 1.0, 1.0),
+        ):
             with self.subTest(own=own, company=company):
                 fleet = Fleet(workers=2)
                 fleet.take()
@@ -775,8 +853,7 @@
 
     def test_little_used_programs_stay_at_home(self):
         """(load, of a room of 1 what is left at the first by lot) -> whether it is chosen anew."""
-        for load, left, first in ((0.02, -0.1, True), (0.02, -0.5, False), (0.4, -0.1, False),
-                                  (0.4, 0.5, True)):
+        for load, left, first in ((0.02, -0.1, True), (0.02, -0.5, False), (0.4, -0.1, False), (0.4, 0.5, True)):
             with self.subTest(load=load, left=left):
                 fleet = Fleet(workers=3, front_ends=3)
                 fleet.take()
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -54,11 +54,15 @@
         self.assertEqual((new.allowance.call_outs, new.allowance.overlap), (4, False))
         self.assertEqual((new.stock.idle_life, new.stock.loads_on_call), (8000.0, False))
         self.assertEqual((new.warmup, new.programs[0].memory, new.zones), (old.warmup, 100.0, old.zones))
-        for words in ('(kind "old" (memory 8 GB)) has no counterpart', "(most 3) became (most 4)",
-                      "2 lines with comments", "(soft-deadline 750 ms) became (soft-deadline 600 ms)"):
+        for words in (
+            '(kind "old" (memory 8 GB)) has no counterpart',
+            "(most 3) became (most 4)",
+            "2 lines with comments",
+            "(soft-deadline 750 ms) became (soft-deadline 600 ms)",
+        ):
             self.assertIn(words, told)
         self.write("workers", LIST.replace('"new"', '"old"'))
-        self.assertIn("workers.sexp:1:10: found kind \"old\", expected one of new", self.move("--dry-run")[2])
+        self.assertIn('workers.sexp:1:10: found kind "old", expected one of new', self.move("--dry-run")[2])
         code, _, told = self.move()  # a file that is there is left
         self.assertEqual((code, told.count("\n")), (2, 1), told)
 
@@ -73,11 +77,12 @@
     def test_bad(self):
         """(file, what is replaced, by what) -> one line, code 2, nothing written."""
         for name, text, old, new, words in (
-                ("old", OLD, "750 ms", "750", "old.sexp:5:50: found 750 without a unit"),
-                ("shape", SHAPE, "(shape", "(shapes", "shape.sexp:1:1: found (shapes ...), expected (shape ...)"),
-                ("shape", SHAPE, '(kind "new"', '(kind "new" (memory 1 GB)) (kind "new"', "a second time"),
-                ("shape", SHAPE, "(quota 50)", "", "new.sexp:12:3: found (tenant ...) without quota"),
-                ("shape", SHAPE, "(window 4 s)", "", "tokened without a window")):
+            ("old", OLD, "750 ms", "750", "old.sexp:5:50: found 750 without a unit"),
+            ("shape", SHAPE, "(shape", "(shapes", "shape.sexp:1:1: found (shapes ...), expected (shape ...)"),
+            ("shape", SHAPE, '(kind "new"', '(kind "new" (memory 1 GB)) (kind "new"', "a second time"),
+            ("shape", SHAPE, "(quota 50)", "", "new.sexp:12:3: found (tenant ...) without quota"),
+            ("shape", SHAPE, "(window 4 s)", "", "tokened without a window"),
+        ):
             with self.subTest(new=new, words=words):
                 self.write(name, text.replace(old, new, 1))
                 code, _, told = self.move()
@@ -106,8 +111,12 @@
                 elif kind == "probe":
                     sock.sendall(jsonrpc.result(ident, b'{"report":{"held":2,"loads":0}}') + b"\n")
 
-        with Running((play,), stock="(loads-on-call no) (tells-company no)", more="""(report held loads)
-                (tenant "a" (quota 50)) (ration (free 3) (share 0.1) (window 5 s))""") as running:
+        with Running(
+            (play,),
+            stock="(loads-on-call no) (tells-company no)",
+            more="""(report held loads)
+                (tenant "a" (quota 50)) (ration (free 3) (share 0.1) (window 5 s))""",
+        ) as running:
             client = running.client()
             for ident, call_outs in ((1, 2), (2, 1)):
                 client.ask(ident, tenant="a")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,8 +20,9 @@
 from wickdyke.platform.serve import Serving
 from wickdyke.wire.loop import Loop, clock
 
-GOOD = rig.message("dispatch", 7, b"\x0d\x00\x01" + rig.table({"c": "look"}) + b"\x0b\x00\x02" + rig.text(b"hi")
-                   + b"\x00")
+GOOD = rig.message(
+    "dispatch", 7, b"\x0d\x00\x01" + rig.table({"c": "look"}) + b"\x0b\x00\x02" + rig.text(b"hi") + b"\x00"
+)
 
 
 class Thrift(unittest.TestCase):
@@ -36,19 +37,20 @@
         """(name, frame) -> refused, whatever its lengths say; with its number where that can be told."""
         at = GOOD.index(b"hi") - 4
         for name, frame, number in (
-                ("nothing", b"", None), ("old protocol", b"\x00" * 20, None),
-                ("a reply", rig.message("x", 1, b"", 2), None),
-                ("cut off", GOOD[:-4], 7), ("more than whole", GOOD + b"x", 7),
-                ("negative length", GOOD[:at] + struct.pack(">i", -1) + GOOD[at + 4:], 7),
-                ("huge length", GOOD[:at] + struct.pack(">i", 2**31 - 1) + GOOD[at + 4:], 7),
-                ("huge map", rig.message("dispatch", 7, b"\x0d\x00\x01\x0b\x0b\x7f\xff\xff\xff"), 7),
-                ("map of numbers",
-                 rig.message("dispatch", 7, b"\x0d\x00\x01\x08\x08\x00\x00\x00\x01" + b"\x00" * 9), 7),
-                ("no UTF-8", rig.message("dispatch", 7, b"\x0d\x00\x01" + rig.table({"c": b"\xff"}) + b"\x00"), 7),
-                ("a body that is a map", rig.message("dispatch", 7, b"\x0d\x00\x02" + rig.table({}) + b"\x00"), 7),
-                ("deep", rig.message("dispatch", 7, b"\x0c\x00\x05" * 4000), 7),
-                ("body over 16 KiB",
-                 rig.message("dispatch", 7, b"\x0b\x00\x02" + rig.text(b"x" * 16385) + b"\x00"), 7)):
+            ("nothing", b"", None),
+            ("old protocol", b"\x00" * 20, None),
+            ("a reply", rig.message("x", 1, b"", 2), None),
+            ("cut off", GOOD[:-4], 7),
+            ("more than whole", GOOD + b"x", 7),
+            ("negative length", GOOD[:at] + struct.pack(">i", -1) + GOOD[at + 4 :], 7),
+            ("huge length", GOOD[:at] + struct.pack(">i", 2**31 - 1) + GOOD[at + 4 :], 7),
+            ("huge map", rig.message("dispatch", 7, b"\x0d\x00\x01\x0b\x0b\x7f\xff\xff\xff"), 7),
+            ("map of numbers", rig.message("dispatch", 7, b"\x0d\x00\x01\x08\x08\x00\x00\x00\x01" + b"\x00" * 9), 7),
+            ("no UTF-8", rig.message("dispatch", 7, b"\x0d\x00\x01" + rig.table({"c": b"\xff"}) + b"\x00"), 7),
+            ("a body that is a map", rig.message("dispatch", 7, b"\x0d\x00\x02" + rig.table({}) + b"\x00"), 7),
+            ("deep", rig.message("dispatch", 7, b"\x0c\x00\x05" * 4000), 7),
+            ("body over 16 KiB", rig.message("dispatch", 7, b"\x0b\x00\x02" + rig.text(b"x" * 16385) + b"\x00"), 7),
+        ):
             with self.subTest(name), self.assertRaises(thrift.Unreadable) as caught:
                 thrift.read(frame)
             self.assertEqual(caught.exception.number, number, name)
@@ -57,7 +59,7 @@
         stream = rig.framed(b"abc") + rig.framed(b"de")
         for size in (1, 2, 5, 100):
             frames = thrift.Frames()
-            got = [f for at in range(0, len(stream), size) for f in frames.feed(stream[at:at + size])]
+            got = [f for at in range(0, len(stream), size) for f in frames.feed(stream[at : at + size])]
             self.assertEqual((got, frames.begun), ([b"abc", b"de"], False))
         for length in (-1, 0, thrift.FRAME + 1, 60 << 20):
             with self.subTest(length), self.assertRaises(thrift.Unreadable):
@@ -71,17 +73,23 @@
         stream = rig.bulk(b"a", b"ACK", b"-", b"x\r\ny") + rig.bulk(b"b", b"AGAIN", b"why=c", b"")
         for size in (1, 3, 7, 1000):
             answers = resp.Answers()
-            got = [a for at in range(0, len(stream), size) for a in answers.feed(stream[at:at + size])]
+            got = [a for at in range(0, len(stream), size) for a in answers.feed(stream[at : at + size])]
             self.assertEqual(got, [[b"a", b"ACK", b"-", b"x\r\ny"], [b"b", b"AGAIN", b"why=c", b""]])
             self.assertFalse(answers.begun)
 
     def test_spoilt_answers_are_known_before_they_are_kept(self):
         """(name, bytes) -> refused at once; what was whole before is still there."""
         for name, raw in (
-                ("noise", b"\x00\xff\x13garbage"), ("a line that does not end", b"*" + b"1" * 40),
-                ("3 GB", b"*4\r\n$3221225472\r\n"), ("negative", b"*4\r\n$-1\r\n"), ("no number", b"*x\r\n"),
-                ("no parts", b"*0\r\n"), ("many parts", b"*4000\r\n"),
-                ("longer than it says", b"*1\r\n$2\r\nabcd\r\n"), ("a simple string", b"+OK\r\n")):
+            ("noise", b"\x00\xff\x13garbage"),
+            ("a line that does not end", b"*" + b"1" * 40),
+            ("3 GB", b"*4\r\n$3221225472\r\n"),
+            ("negative", b"*4\r\n$-1\r\n"),
+            ("no number", b"*x\r\n"),
+            ("no parts", b"*0\r\n"),
+            ("many parts", b"*4000\r\n"),
+            ("longer than it says", b"*1\r\n$2\r\nabcd\r\n"),
+            ("a simple string", b"+OK\r\n"),
+        ):
             with self.subTest(name):
                 answers = resp.Answers()
                 with self.assertRaises(resp.Spoilt):
@@ -92,15 +100,19 @@
         """(answer) -> outcome, standing, company, copies, report; or spoilt."""
         names = ("busy", "held")
         for answer, told in (
-                ([b"i", b"ACK", b"why=w,ahead=3,rep=inflight:7;util:0.61", b"x"], ("ok", "stood", 3, 0, (0.61, 7.0))),
-                ([b"i", b"ACK", b"rep=outstanding:7;utilization:0.61", b""], ("ok", None, 0, 0, (0.61, 7.0))),
-                ([b"i", b"NOENT", b"why=f", b""], ("miss", "load failed", 0, 0, None)),
-                ([b"i", b"AGAIN", b"-", b""], ("full", None, 0, 0, None)),
-                ([b"i", b"EIO", b"why=c,rep=util:nan", b""], ("error", "began", 0, 0, None)),
-                ([b"i", b"STALE", b"why=j", b""], ("unsent", "awaited", 0, 0, None)),
-                ([b"i", b"ACK", b"units=2", b""], ("ok", None, 0, 2, None)),
-                ([b"i", b"WHAT", b"-", b""], None), ([b"i", b"ACK", b"-"], None), ([b"i", b"ACK", b"x", b""], None),
-                ([b"i", b"ACK", b"ahead=many", b""], None), ([b"i", b"ACK", b"\xff=1", b""], None)):
+            ([b"i", b"ACK", b"why=w,ahead=3,rep=inflight:7;util:0.61", b"x"], ("ok", "stood", 3, 0, (0.61, 7.0))),
+            ([b"i", b"ACK", b"rep=outstanding:7;utilization:0.61", b""], ("ok", None, 0, 0, (0.61, 7.0))),
+            ([b"i", b"NOENT", b"why=f", b""], ("miss", "load failed", 0, 0, None)),
+            ([b"i", b"AGAIN", b"-", b""], ("full", None, 0, 0, None)),
+            ([b"i", b"EIO", b"why=c,rep=util:nan", b""], ("error", "began", 0, 0, None)),
+            ([b"i", b"STALE", b"why=j", b""], ("unsent", "awaited", 0, 0, None)),
+            ([b"i", b"ACK", b"units=2", b""], ("ok", None, 0, 2, None)),
+            ([b"i", b"WHAT", b"-", b""], None),
+            ([b"i", b"ACK", b"-"], None),
+            ([b"i", b"ACK", b"x", b""], None),
+            ([b"i", b"ACK", b"ahead=many", b""], None),
+            ([b"i", b"ACK", b"\xff=1", b""], None),
+        ):
             with self.subTest(answer):
                 if told is None:
                     self.assertRaises(resp.Spoilt, back.ending, answer, names)
@@ -111,10 +123,10 @@
 
 class List(unittest.TestCase):
     def test_events_in_any_pieces(self):
-        stream = b": pulse\n\nid: 3\ndata: {\"a\":\ndata: 1}\n\nid: 4\r\ndata: b\r\n\r\nid: 5\ndata: half"
+        stream = b': pulse\n\nid: 3\ndata: {"a":\ndata: 1}\n\nid: 4\r\ndata: b\r\n\r\nid: 5\ndata: half'
         for size in (1, 4, 1000):
             events = sse.Events()
-            got = [e for at in range(0, len(stream), size) for e in events.feed(stream[at:at + size])]
+            got = [e for at in range(0, len(stream), size) for e in events.feed(stream[at : at + size])]
             self.assertEqual([(e.ident, e.data) for e in got], [("3", '{"a":\n1}'), ("4", "b")])
         with self.assertRaises(sse.TooMuch):
             sse.Events().feed(b"data: " + b"x" * (sse.EVENT + 1))
@@ -124,17 +136,26 @@
         a, b = rig.instance("a", "h:1"), rig.instance("b", "h:2", machineType="slow", zone="elsewhere")
         gone = rig.instance("a", "h:1", lifecycle="DELETED")
         for name, events, changes, addresses in (
-                ("whole list", [rig.event(2, b, reset=True)], [("a", "gone"), ("b", "ready")], {"b": "h:2"}),
-                ("change", [rig.event(2, b)], [("b", "ready")], {"a": "h:1", "b": "h:2"}),
-                ("told twice", [rig.event(2, b), rig.event(2, gone)], [("b", "ready")], {"a": "h:1", "b": "h:2"}),
-                ("from before", [rig.event(1, gone)], [], {"a": "h:1"}),
-                ("drains", [rig.event(2, {**a, "lifecycle": "DRAINING"})], [("a", "draining")], {"a": "h:1"}),
-                ("address of one that has gone", [rig.event(2, gone), rig.event(3, rig.instance("c", "h:1"))],
-                 [("a", "gone"), ("c", "ready")], {"c": "h:1"}),
-                ("same again", [rig.event(2, a)], [], {"a": "h:1"}),
-                ("nonsense beside sense", [rig.event(2, b, {"instanceId": 7}, rig.instance("d", "nowhere"))],
-                 [("b", "ready")], {"a": "h:1", "b": "h:2"}),
-                ("no list at all", [{"offset": 2, "topology": 5}, {"offset": 3}], [], {"a": "h:1"})):
+            ("whole list", [rig.event(2, b, reset=True)], [("a", "gone"), ("b", "ready")], {"b": "h:2"}),
+            ("change", [rig.event(2, b)], [("b", "ready")], {"a": "h:1", "b": "h:2"}),
+            ("told twice", [rig.event(2, b), rig.event(2, gone)], [("b", "ready")], {"a": "h:1", "b": "h:2"}),
+            ("from before", [rig.event(1, gone)], [], {"a": "h:1"}),
+            ("drains", [rig.event(2, {**a, "lifecycle": "DRAINING"})], [("a", "draining")], {"a": "h:1"}),
+            (
+                "address of one that has gone",
+                [rig.event(2, gone), rig.event(3, rig.instance("c", "h:1"))],
+                [("a", "gone"), ("c", "ready")],
+                {"c": "h:1"},
+            ),
+            ("same again", [rig.event(2, a)], [], {"a": "h:1"}),
+            (
+                "nonsense beside sense",
+                [rig.event(2, b, {"instanceId": 7}, rig.instance("d", "nowhere"))],
+                [("b", "ready")],
+                {"a": "h:1", "b": "h:2"},
+            ),
+            ("no list at all", [{"offset": 2, "topology": 5}, {"offset": 3}], [], {"a": "h:1"}),
+        ):
             with self.subTest(name):
                 view = roster.Roster(("hall",), ("std", "slow"), 1000.0)
                 view.rows([rig.event(1, a, reset=True)], 0.0)
@@ -170,8 +191,12 @@
         self.addCleanup(mine.close)
         self.addCleanup(theirs.close)
         theirs.send(b"x")
-        made = SimpleNamespace(first=first, readable=lambda: act(mine), writable=lambda: None,
-                               broken=lambda: (self.loop.remove(mine), self.told.append("broken")))
+        made = SimpleNamespace(
+            first=first,
+            readable=lambda: act(mine),
+            writable=lambda: None,
+            broken=lambda: (self.loop.remove(mine), self.told.append("broken")),
+        )
         self.loop.add(mine, made)
         return made
 
@@ -186,6 +211,7 @@
     def test_one_that_breaks_ends_alone(self):
         def breaks(sock):
             raise KeyError("unforeseen")
+
         faults = []
         self.loop.fault = faults.append
         self.handler(breaks)
@@ -201,15 +227,25 @@
         self.worker = rig.Worker(play)
         self.addCleanup(self.worker.close)
         self.pool = back.Pool(most)
-        link = back.Link("w", self.worker.address, lambda *event: self.told.append(event), self.loop, self.pool, dial,
-                         10000.0, ("busy", "held"))
+        link = back.Link(
+            "w",
+            self.worker.address,
+            lambda *event: self.told.append(event),
+            self.loop,
+            self.pool,
+            dial,
+            10000.0,
+            ("busy", "held"),
+        )
         self.addCleanup(link.close)
         return link
 
     def order(self, ident=b"9b1f03aa5c7e2d41", kind="run"):
-        verb = {"run": (b"invoke", ident, b"lane=look,name=x,ttl=9", b"b"),
-                "hold": (b"prewarm", ident, b"name=x,units=1"),
-                "probe": (b"gauges", ident)}[kind]
+        verb = {
+            "run": (b"invoke", ident, b"lane=look,name=x,ttl=9", b"b"),
+            "hold": (b"prewarm", ident, b"name=x,units=1"),
+            "probe": (b"gauges", ident),
+        }[kind]
         return back.Order(kind, None, ident, resp.command(*verb))
 
     def ended(self, many=1):
@@ -218,6 +254,7 @@
 
     def test_what_is_known_of_a_call_out(self):
         """(what the worker does, whether another connection stands) -> the outcome told."""
+
         def writes(raw):
             return lambda worker, sock, parts: parts[0] == b"invoke" and (sock.sendall(raw(parts)), True)[1]
 
@@ -233,23 +270,31 @@
                 worker.listener.shutdown(socket.SHUT_RDWR)
                 worker.listener.close()
             return resets(worker, sock, parts)
+
         half = writes(lambda p: rig.bulk(p[1], b"ACK", b"-", b"whole")[:-4])
 
         def stops_short(worker, sock, parts):
             if half(worker, sock, parts):
                 sock.shutdown(socket.SHUT_RDWR)
                 return True
+
         for name, play, beside, outcome in (
-                ("served", None, False, "ok"), ("reset", resets, False, "error"),
-                ("gone", dies, False, "cut"),
-                ("takes no new", dies, True, "error"),
-                ("reset beside", resets, True, "error"),
-                ("breaks off", stops_short, False, "error"),
-                ("breaks off beside", stops_short, True, "error"),
-                ("noise", writes(lambda p: b"\x01\x02noise"), False, "error"),
-                ("another's answer first", writes(lambda p: rig.bulk(b"other", b"EIO", b"-", b"")
-                                                  + rig.bulk(p[1], b"ACK", b"-", b"x") * 2), False, "ok"),
-                ("full", writes(lambda p: rig.bulk(p[1], b"AGAIN", b"-", b"")), False, "full")):
+            ("served", None, False, "ok"),
+            ("reset", resets, False, "error"),
+            ("gone", dies, False, "cut"),
+            ("takes no new", dies, True, "error"),
+            ("reset beside", resets, True, "error"),
+            ("breaks off", stops_short, False, "error"),
+            ("breaks off beside", stops_short, True, "error"),
+            ("noise", writes(lambda p: b"\x01\x02noise"), False, "error"),
+            (
+                "another's answer first",
+                writes(lambda p: rig.bulk(b"other", b"EIO", b"-", b"") + rig.bulk(p[1], b"ACK", b"-", b"x") * 2),
+                False,
+                "ok",
+            ),
+            ("full", writes(lambda p: rig.bulk(p[1], b"AGAIN", b"-", b"")), False, "full"),
+        ):
             with self.subTest(name):
                 self.told.clear()
                 link = self.link(play)
@@ -285,6 +330,7 @@
                         sock.close()
                     else:
                         serve(sock)
+
                 self.worker._serve = new
                 link.send(self.order())
                 time.sleep(0.1)  # it comes up and is reset before the loop looks
@@ -407,10 +453,12 @@
         client = self.client()
         client.send(rig.dispatch(1, rig.fields(), b"\x00\xff"))
         self.until(lambda: self.told)
-        (_, ask), = self.told
+        ((_, ask),) = self.told
         call = ask.call
-        self.assertEqual((call.ident, call.program, call.input, call.memory_mb, call.lanes, ask.left, ask.method.name),
-                         (b"9b1f03aa5c7e2d41", "7f3a9c21e0b4d655", b"\x00\xff", 512.0, 2, 1500.0, "look"))
+        self.assertEqual(
+            (call.ident, call.program, call.input, call.memory_mb, call.lanes, ask.left, ask.method.name),
+            (b"9b1f03aa5c7e2d41", "7f3a9c21e0b4d655", b"\x00\xff", 512.0, 2, 1500.0, "look"),
+        )
         ask.ok(b"done", 1)
         ask.denied("late")  # one answer only
         self.assertEqual(self.answer(client), (1, "answer", b"done"))
@@ -423,26 +471,34 @@
 
     def test_what_can_not_be_used_gets_an_error_or_a_close_and_goes_no_further(self):
         """(name, bytes) -> exception or closed."""
+
         def given(**more):
             return rig.dispatch(1, {k: v for k, v in rig.fields(**more).items() if v is not None})
+
         for name, raw, word in (
-                ("no class", given(c="nosuch"), "exception"), ("no id", given(i=None), "exception"),
-                ("short id", given(i="9b1f"), "exception"),
-                ("id in capitals", given(i="9B1F03AA5C7E2D41"), "exception"),
-                ("other digits", given(i="９b1f03aa5c7e2d4"), "exception"),
-                ("no function", given(o=""), "exception"), ("a field nobody knows", given(zz="1"), "exception"),
-                ("time nan", given(d="nan"), "exception"), ("time inf", given(d="inf"), "exception"),
-                ("time below nought", given(d="-5"), "exception"), ("no time", given(d="0"), "exception"),
-                ("huge time", given(d="9" * 40), "exception"), ("time with spaces", given(d=" 15"), "exception"),
-                ("memory below nought", given(tags="memory_mb:-1"), "exception"),
-                ("lanes without end", given(tags="lanes:1e9"), "exception"),
-                ("a tag nobody knows", given(tags="zz:1"), "exception"),
-                ("no tag", given(tags="memory_mb"), "exception"),
-                ("body too large", rig.dispatch(1, rig.fields(), b"x" * 17000), "exception"),
-                ("another verb", rig.framed(rig.message("drop", 1, b"\x00")), "exception"),
-                ("negative length", struct.pack(">i", -5) + b"x" * 50, "exception"),
-                ("60 MB", struct.pack(">i", 60 << 20) + b"x" * 5000, "exception"),
-                ("noise", rig.framed(b"\xde\xad\xbe\xef" * 5), "exception")):
+            ("no class", given(c="nosuch"), "exception"),
+            ("no id", given(i=None), "exception"),
+            ("short id", given(i="9b1f"), "exception"),
+            ("id in capitals", given(i="9B1F03AA5C7E2D41"), "exception"),
+            ("other digits", given(i="９b1f03aa5c7e2d4"), "exception"),
+            ("no function", given(o=""), "exception"),
+            ("a field nobody knows", given(zz="1"), "exception"),
+            ("time nan", given(d="nan"), "exception"),
+            ("time inf", given(d="inf"), "exception"),
+            ("time below nought", given(d="-5"), "exception"),
+            ("no time", given(d="0"), "exception"),
+            ("huge time", given(d="9" * 40), "exception"),
+            ("time with spaces", given(d=" 15"), "exception"),
+            ("memory below nought", given(tags="memory_mb:-1"), "exception"),
+            ("lanes without end", given(tags="lanes:1e9"), "exception"),
+            ("a tag nobody knows", given(tags="zz:1"), "exception"),
+            ("no tag", given(tags="memory_mb"), "exception"),
+            ("body too large", rig.dispatch(1, rig.fields(), b"x" * 17000), "exception"),
+            ("another verb", rig.framed(rig.message("drop", 1, b"\x00")), "exception"),
+            ("negative length", struct.pack(">i", -5) + b"x" * 50, "exception"),
+            ("60 MB", struct.pack(">i", 60 << 20) + b"x" * 5000, "exception"),
+            ("noise", rig.framed(b"\xde\xad\xbe\xef" * 5), "exception"),
+        ):
             with self.subTest(name):
                 client = self.client()
                 client.send(raw)
@@ -533,6 +589,7 @@
             if parts[0] == b"invoke":
                 held.append((sock, parts[1]))
             return parts[0] == b"invoke"
+
         worker, bus = rig.Worker(play), rig.Bus()
         self.addCleanup(worker.close)
         self.addCleanup(bus.close)
@@ -554,6 +611,7 @@
             while not done():
                 self.assertLess(time.monotonic(), ends)
                 serving.turn()
+
         client = rig.Client(":".join(map(str, serving.station.listen)))
         self.addCleanup(client.close)
         client.send(b"".join(rig.dispatch(n, rig.fields(f"{n:016x}", d="60000")) for n in (1, 2, 3)))
@@ -568,7 +626,7 @@
         until(lambda: told.reports)
         self.assertEqual(told.reports[-1][1], {"busy": 0.25, "held": 2.0})
         until(lambda: worker.came(b"prewarm"))
-        place, = serving.desk.front_end.programs["7f3a9c21e0b4d655"].places
+        (place,) = serving.desk.front_end.programs["7f3a9c21e0b4d655"].places
         until(lambda: place.ordered is None)
         self.assertEqual(place.standing, 1)
         client.close()
@@ -585,27 +643,29 @@
         whole = {
             "thrift": rig.dispatch(1, rig.fields(), b"body") + rig.cancel(2, 1) + rig.alive(3),
             "resp": rig.bulk(b"a", b"ACK", b"why=w,ahead=1", b"x") * 3,
-            "sse": b"id: 1\ndata: {\"offset\": 1}\n\n: x\n\n" * 3}
+            "sse": b'id: 1\ndata: {"offset": 1}\n\n: x\n\n' * 3,
+        }
 
         def thrift_reads(data, size):
             frames = thrift.Frames()
             for at in range(0, len(data), size):
-                for frame in frames.feed(data[at:at + size]):
+                for frame in frames.feed(data[at : at + size]):
                     thrift.read(frame)
                 self.assertLessEqual(len(frames.buffer), thrift.FRAME + 4 + size)
 
         def resp_reads(data, size):
             answers = resp.Answers()
             for at in range(0, len(data), size):
-                for answer in answers.feed(data[at:at + size]):
+                for answer in answers.feed(data[at : at + size]):
                     back.ending(answer, ("busy",))
                 self.assertLessEqual(len(answers.buffer), resp.PART + 2 + size)
 
         def sse_reads(data, size):
             events = sse.Events()
             for at in range(0, len(data), size):
-                for found in events.feed(data[at:at + size]):
+                for found in events.feed(data[at : at + size]):
                     roster.Roster((), (), 0.0).rows([roster.change(found.data)], 0.0)
+
         reads = {"thrift": thrift_reads, "resp": resp_reads, "sse": sse_reads}
         errors = {"thrift": thrift.Unreadable, "resp": resp.Spoilt, "sse": (sse.TooMuch, roster.Unusable)}
         for name, good in whole.items():
@@ -614,9 +674,9 @@
                 data = bytearray(good if draws.random() < 0.8 else draws.randbytes(draws.randrange(300)))
                 for _ in range(draws.randrange(4)):
                     at = draws.randrange(len(data) + 1)
-                    data[at:at + draws.randrange(3)] = draws.randbytes(draws.randrange(3))
+                    data[at : at + draws.randrange(3)] = draws.randbytes(draws.randrange(3))
                 try:
-                    reads[name](bytes(data[:draws.randrange(len(data) + 1)]), draws.randrange(1, 40))
+                    reads[name](bytes(data[: draws.randrange(len(data) + 1)]), draws.randrange(1, 40))
                 except errors[name]:
                     raised += 1
             self.assertGreater(raised, 50, name)
@@ -630,22 +690,30 @@
         with tempfile.TemporaryDirectory() as folder:
             path = os.path.join(folder, "config.json")
             for name, text, words in (
-                    ("no file", None, "No such file"), ("no JSON", "{", "expected JSON"), ("a list", "[]", "an object"),
-                    ("no bus", {**good, "bus": None}, "bus is None, expected HOST:PORT"),
-                    ("port", {**good, "listen": "127.0.0.1:99999"}, "listen is"),
-                    ("seed", {**good, "seed": "xyz"}, "seed is 'xyz', expected hex digits"),
-                    ("limit", {**good, "limits": {"memory_mb": "64"}}, "limits.memory_mb is '64'"),
-                    ("settings", {**good, "settings": []}, "settings is list"),
-                    ("known", {**good, "known": {}}, "known.batch is None"),
-                    ("event", {**good, "known": {"batch": [7]}}, "known.batch has"),
-                    ("missing", {**good, "settings": {"lanes": []}}, "is missing"),
-                    ("word", {**good, "settings": {**rig.SETTINGS, "lanes": lanes}}, "lanes.0.repeat is 'perhaps'")):
+                ("no file", None, "No such file"),
+                ("no JSON", "{", "expected JSON"),
+                ("a list", "[]", "an object"),
+                ("no bus", {**good, "bus": None}, "bus is None, expected HOST:PORT"),
+                ("port", {**good, "listen": "127.0.0.1:99999"}, "listen is"),
+                ("seed", {**good, "seed": "xyz"}, "seed is 'xyz', expected hex digits"),
+                ("limit", {**good, "limits": {"memory_mb": "64"}}, "limits.memory_mb is '64'"),
+                ("settings", {**good, "settings": []}, "settings is list"),
+                ("known", {**good, "known": {}}, "known.batch is None"),
+                ("event", {**good, "known": {"batch": [7]}}, "known.batch has"),
+                ("missing", {**good, "settings": {"lanes": []}}, "is missing"),
+                ("word", {**good, "settings": {**rig.SETTINGS, "lanes": lanes}}, "lanes.0.repeat is 'perhaps'"),
+            ):
                 with self.subTest(name):
                     if text is not None:
                         with open(path, "w") as out:
                             out.write(text if isinstance(text, str) else json.dumps(text))
-                    ran = subprocess.run([sys.executable, "-m", "wickdyke.platform"], capture_output=True, text=True,
-                                         env={**os.environ, "GW_CONFIG": path, "GW_LISTEN": ""}, timeout=60)
+                    ran = subprocess.run(
+                        [sys.executable, "-m", "wickdyke.platform"],
+                        capture_output=True,
+                        text=True,
+                        env={**os.environ, "GW_CONFIG": path, "GW_LISTEN": ""},
+                        timeout=60,
+                    )
                     self.assertEqual((ran.returncode, ran.stderr.count("\n")), (2, 1), ran.stderr)
                     self.assertIn(words, ran.stderr)
 
@@ -655,11 +723,15 @@
             with open(path, "w") as out:
                 json.dump(rig.config("127.0.0.1:1", "127.0.0.1:2"), out)
             got = station.read(path)
-        self.assertEqual(([m.effect for m in got.methods], got.methods[0].soft, got.seat.of, got.seat.report,
-                          got.sockets), (["idempotent", "side-effecting"], 500.0, 2, ("busy", "held"), 256))
+        self.assertEqual(
+            ([m.effect for m in got.methods], got.methods[0].soft, got.seat.of, got.seat.report, got.sockets),
+            (["idempotent", "side-effecting"], 500.0, 2, ("busy", "held"), 256),
+        )
         self.assertEqual(got.bounds.open_rpcs, 1024)  # of 64 MB
-        self.assertEqual((got.allowance.cancel, got.allowance.overlap, got.ration.free, got.kinds),
-                         (True, False, 6.0, ("std", "slow")))
+        self.assertEqual(
+            (got.allowance.cancel, got.allowance.overlap, got.ration.free, got.kinds),
+            (True, False, 6.0, ("std", "slow")),
+        )
 
 
 class Program(unittest.TestCase):
@@ -672,8 +744,12 @@
 
     def start(self, bus, *workers):
         self.write(bus, *workers)
-        self.ran = subprocess.Popen([sys.executable, "-m", "wickdyke.platform"], stderr=subprocess.PIPE, text=True,
-                                    env={**os.environ, "GW_CONFIG": self.path, "GW_LISTEN": self.listen})
+        self.ran = subprocess.Popen(
+            [sys.executable, "-m", "wickdyke.platform"],
+            stderr=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "GW_CONFIG": self.path, "GW_LISTEN": self.listen},
+        )
         self.addCleanup(self.ran.stderr.close)
         self.addCleanup(self.ran.wait)
         self.addCleanup(self.ran.kill)
@@ -681,8 +757,12 @@
 
     def write(self, bus, *workers):
         with open(self.path + ".new", "w") as out:
-            json.dump(rig.config(self.listen, bus.address, *(rig.instance(f"w{n}", w.address)
-                                                             for n, w in enumerate(workers))), out)
+            json.dump(
+                rig.config(
+                    self.listen, bus.address, *(rig.instance(f"w{n}", w.address) for n, w in enumerate(workers))
+                ),
+                out,
+            )
         os.replace(self.path + ".new", self.path)
 
     def until(self, words):
@@ -709,6 +789,7 @@
             if parts[0] == b"invoke" and parts[3] == b"slow":
                 slow.append((sock, parts))
                 return True
+
         one, two = self.made(rig.Worker(play)), self.made(rig.Worker(play))
         self.start(bus, one)
         client = self.made(rig.Client(self.listen))
@@ -718,12 +799,13 @@
         self.assertEqual(client.answer(), (2, "answer", b"did a"))
         verb, ident, told, body = one.came(b"invoke")[0]
         given = dict(pair.split(b"=") for pair in told.split(b","))
-        self.assertEqual((ident, given[b"lane"], given[b"name"], body),
-                         (b"9b1f03aa5c7e2d41", b"look", b"7f3a9c21e0b4d655", b"a"))
+        self.assertEqual(
+            (ident, given[b"lane"], given[b"name"], body), (b"9b1f03aa5c7e2d41", b"look", b"7f3a9c21e0b4d655", b"a")
+        )
         self.assertTrue(1300 < int(given[b"ttl"]) <= 1500)
         # the list: half an event is thrown away, and asked for again where it was
         self.wait(lambda: bus.asked == [1])
-        bus.tell(b"id: 2\ndata: {\"offset\": 2, \"topo")
+        bus.tell(b'id: 2\ndata: {"offset": 2, "topo')
         bus.readers[-1].shutdown(socket.SHUT_RDWR)
         self.wait(lambda: bus.asked == [1, 1])
         bus.event(rig.event(2, rig.instance("w0", one.address, lifecycle="DELETED"), rig.instance("w9", two.address)))
@@ -773,8 +855,13 @@
         with socket.create_server(("127.0.0.1", 0)) as taken:
             self.listen = f"127.0.0.1:{taken.getsockname()[1]}"
             self.write(SimpleNamespace(address="127.0.0.1:9"))
-            ran = subprocess.run([sys.executable, "-m", "wickdyke.platform"], capture_output=True, text=True,
-                                 env={**os.environ, "GW_CONFIG": self.path, "GW_LISTEN": self.listen}, timeout=60)
+            ran = subprocess.run(
+                [sys.executable, "-m", "wickdyke.platform"],
+                capture_output=True,
+                text=True,
+                env={**os.environ, "GW_CONFIG": self.path, "GW_LISTEN": self.listen},
+                timeout=60,
+            )
         self.assertEqual(ran.returncode, 2)
         self.assertIn("expected an address that is free", ran.stderr.splitlines()[-1])
 
--- a/tests/test_prove.py
+++ b/tests/test_prove.py
@@ -35,14 +35,19 @@
     def test_past_the_check(self):
         """A file that the check refuses, forced past it, breaks the rule that the check keeps; a good one does not."""
         with tempfile.TemporaryDirectory(prefix="wd-") as folder:
-            for name, figures, mistake, rules in (("bad", ("", 1), "checks no routes", {2}),
-                                                  ("refused", ("", 1), "none", None)):
+            for name, figures, mistake, rules in (
+                ("bad", ("", 1), "checks no routes", {2}),
+                ("refused", ("", 1), "none", None),
+            ):
                 with self.subTest(case=name):
                     path = os.path.join(folder, f"{name}.sexp")
                     with open(path, "w") as sink:
                         sink.write(FORCED % figures)
-                    director = Director(scripts.read(path), os.path.join(folder, name),
-                                        (sys.executable, "-m", "tests.wrong", mistake, "serve"))
+                    director = Director(
+                        scripts.read(path),
+                        os.path.join(folder, name),
+                        (sys.executable, "-m", "tests.wrong", mistake, "serve"),
+                    )
                     if rules is None:
                         with self.assertRaises(Failed):
                             director.run()
@@ -56,9 +61,16 @@
 class Mistakes(unittest.TestCase):
     def test_found(self):
         """(mistake) -> the rule that the judge must find broken; with none, all are kept."""
-        cases = (("none", set()), ("answers twice", {1}), ("never answers", {1}), ("repeats all", {2}),
-                 ("cancels in silence", {2}), ("deaf to drains", {3}), ("blind to the cold", {4}),
-                 ("orders at will", {5}))
+        cases = (
+            ("none", set()),
+            ("answers twice", {1}),
+            ("never answers", {1}),
+            ("repeats all", {2}),
+            ("cancels in silence", {2}),
+            ("deaf to drains", {3}),
+            ("blind to the cold", {4}),
+            ("orders at will", {5}),
+        )
         found, failed = {}, {}
         with tempfile.TemporaryDirectory(prefix="wd-") as folder:
             path = os.path.join(folder, "day.sexp")
@@ -72,8 +84,11 @@
             def play(mistake):
                 try:
                     script = scripts.read(timed if mistake == "cancels in silence" else path)
-                    director = Director(script, os.path.join(folder, mistake.replace(" ", "-")),
-                                        (sys.executable, "-m", "tests.wrong", mistake, "serve"))
+                    director = Director(
+                        script,
+                        os.path.join(folder, mistake.replace(" ", "-")),
+                        (sys.executable, "-m", "tests.wrong", mistake, "serve"),
+                    )
                     found[mistake] = Judge(trace.read(director.run()))
                 except Exception as bad:
                     failed[mistake] = bad
@@ -97,16 +112,23 @@
     def test_bad(self):
         """(what stands in place of a trouble) -> words of the one message."""
         for text, words in (
-                ('(at 1 s (dye "w1"))', ("dye", "die")), ('(at 1 s (die "w9"))', ("w9", "w1, w2")),
-                ("(at 1 s (die))", ("0 names",)), ('(at 1 (die "w1"))', ("unit", "1 ms")),
-                ('(at 1 s (slow "w1" (factr 3)))', ("factr", "factor")), ("(at 1 s)", ("without a trouble",)),
-                ('(at 1 s (burst "w1"))', ("1 names", "none")),
-                ('(on (call-out "w1" 3) (burst))', ("burst", "on an event")),
-                ('(on (call-out "w1" 3) (die "w2"))', ("w2", "w1")), ('(on (wake "w1" 3) (die "w1"))', ("call-out",)),
-                ('(at 1 s (kill-gateway "w1"))', ("g1",))):
+            ('(at 1 s (dye "w1"))', ("dye", "die")),
+            ('(at 1 s (die "w9"))', ("w9", "w1, w2")),
+            ("(at 1 s (die))", ("0 names",)),
+            ('(at 1 (die "w1"))', ("unit", "1 ms")),
+            ('(at 1 s (slow "w1" (factr 3)))', ("factr", "factor")),
+            ("(at 1 s)", ("without a trouble",)),
+            ('(at 1 s (burst "w1"))', ("1 names", "none")),
+            ('(on (call-out "w1" 3) (burst))', ("burst", "on an event")),
+            ('(on (call-out "w1" 3) (die "w2"))', ("w2", "w1")),
+            ('(on (wake "w1" 3) (die "w1"))', ("call-out",)),
+            ('(at 1 s (kill-gateway "w1"))', ("g1",)),
+        ):
             with self.subTest(text=text), tempfile.NamedTemporaryFile("w", suffix=".sexp") as sink:
-                sink.write(f'(script "x" (length 1 s) (workers 2) (gateways 1) {text} (method "m" (effect idempotent)'
-                           " (soft-deadline 1 s) (deadline 2 s) (work 1 ms)))")
+                sink.write(
+                    f'(script "x" (length 1 s) (workers 2) (gateways 1) {text} (method "m" (effect idempotent)'
+                    " (soft-deadline 1 s) (deadline 2 s) (work 1 ms)))"
+                )
                 sink.flush()
                 with self.assertRaises(Unusable) as bad:
                     scripts.read(sink.name)
@@ -125,16 +147,24 @@
             with open(good, "w") as sink:
                 sink.write('{"t":1,"by":"c","n":1,"what":"x"}\n')
             for argv, code, words in (
-                    (("judge", broken), 2, "a.trace:1"), (("judge", good), 2, "terms"),
-                    (("judge", folder + "/none"), 2, "none"), (("prove", folder + "/none"), 2, "none"),
-                    (("check", folder + "/none"), 2, "none"), (("serve", folder + "/none"), 2, "none"),
-                    (("up", folder + "/none"), 2, "none"), (("replay", broken), 2, "recording"),
-                    (("replay", folder + "/none"), 2, "none"), (("call", folder + "/none", "m", "p"), 5, "none"),
-                    (("call", "10.0.0.1:80", "m", "p"), 5, "loopback"), (("dance",), 2, "dance"),
-                    (("check", "scripts/small.sexp"), 0, "good")):
+                (("judge", broken), 2, "a.trace:1"),
+                (("judge", good), 2, "terms"),
+                (("judge", folder + "/none"), 2, "none"),
+                (("prove", folder + "/none"), 2, "none"),
+                (("check", folder + "/none"), 2, "none"),
+                (("serve", folder + "/none"), 2, "none"),
+                (("up", folder + "/none"), 2, "none"),
+                (("replay", broken), 2, "recording"),
+                (("replay", folder + "/none"), 2, "none"),
+                (("call", folder + "/none", "m", "p"), 5, "none"),
+                (("call", "10.0.0.1:80", "m", "p"), 5, "loopback"),
+                (("dance",), 2, "dance"),
+                (("check", "scripts/small.sexp"), 0, "good"),
+            ):
                 with self.subTest(argv=argv):
-                    done = subprocess.run([sys.executable, "-m", "wickdyke.cli", *argv], capture_output=True,
-                                          text=True, timeout=60)
+                    done = subprocess.run(
+                        [sys.executable, "-m", "wickdyke.cli", *argv], capture_output=True, text=True, timeout=60
+                    )
                     self.assertEqual(done.returncode, code, done.stderr)
                     self.assertIn(words, done.stdout + done.stderr)
                     self.assertNotIn("Traceback", done.stderr)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,9 +12,15 @@
     def test_what_bars(self):
         """(failures and successes: worker, or + for stood; ms between) -> whether the program is barred then."""
         for events, apart, barred in (
-                (["a"], 10, False), (["a", "a", "a"], 10, False), (["a", "b"], 10, True), (["a", "+", "b"], 10, False),
-                (["a", "+", "b", "c"], 10, True), (["a", "b"], 999, True), (["a", "b"], 1001, False),
-                (["a", "b", "+"], 10, False)):
+            (["a"], 10, False),
+            (["a", "a", "a"], 10, False),
+            (["a", "b"], 10, True),
+            (["a", "+", "b"], 10, False),
+            (["a", "+", "b", "c"], 10, True),
+            (["a", "b"], 999, True),
+            (["a", "b"], 1001, False),
+            (["a", "b", "+"], 10, False),
+        ):
             with self.subTest(events=events, apart=apart):
                 bars, now = Programs(2, 1000.0, Pauses(2000.0, 60000.0)), 0.0
                 for event in events:
@@ -71,8 +77,16 @@
                 self.assertEqual(pause, most)
 
     @settings(max_examples=200, deadline=None, derandomize=True)
-    @given(st.lists(st.tuples(st.sampled_from(["ask", "ask", "ask", "fail", "stood"]), st.sampled_from("ab"),
-                              st.sampled_from([1.0, 100.0, 900.0, 5000.0])), max_size=60))
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["ask", "ask", "ask", "fail", "stood"]),
+                st.sampled_from("ab"),
+                st.sampled_from([1.0, 100.0, 900.0, 5000.0]),
+            ),
+            max_size=60,
+        )
+    )
     def test_no_flood(self, events):
         """Whatever comes: while nothing stood, no two RPCs pass within the first pause once it is barred."""
         bars, now, barred, last = Programs(2, 1e9, Pauses(1000.0, 8000.0)), 0.0, False, None
@@ -93,8 +107,14 @@
     def test_what_bars(self):
         """(calls in each copy that ended, ms between) -> whether the call is barred; others are not."""
         for inside, apart, barred in (
-                ([1, 1], 10, False), ([1, 1, 1], 10, True), ([2, 2, 2], 10, False), ([2] * 6, 10, True),
-                ([30, 30, 30, 30], 10, False), ([1, 1, 1], 600, False), ([1, 2, 2, 1], 10, True)):
+            ([1, 1], 10, False),
+            ([1, 1, 1], 10, True),
+            ([2, 2, 2], 10, False),
+            ([2] * 6, 10, True),
+            ([30, 30, 30, 30], 10, False),
+            ([1, 1, 1], 600, False),
+            ([1, 2, 2, 1], 10, True),
+        ):
             with self.subTest(inside=inside, apart=apart):
                 bars, now = Calls(3, 1000.0, Pauses(5000.0, 60000.0)), 0.0
                 for each in inside:
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -22,8 +22,12 @@
     def test_addresses_hang_on_the_file(self):
         """(address as listed) -> where the gateway connects, wherever it was started."""
         with tempfile.TemporaryDirectory(prefix="wd-") as folder:
-            for listed, want in (("run/w.sock", os.path.join(folder, "run/w.sock")), ("/run/w.sock", "/run/w.sock"),
-                                 ("127.0.0.1:70", "127.0.0.1:70"), ("localhost:70", "localhost:70")):
+            for listed, want in (
+                ("run/w.sock", os.path.join(folder, "run/w.sock")),
+                ("/run/w.sock", "/run/w.sock"),
+                ("127.0.0.1:70", "127.0.0.1:70"),
+                ("localhost:70", "localhost:70"),
+            ):
                 with self.subTest(listed=listed):
                     with open(os.path.join(folder, "l.sexp"), "w") as sink:
                         sink.write(f'(workers (worker "w" (address "{listed}")))')
@@ -35,39 +39,81 @@
         """(inputs at times) -> the (state, born) passed on by the last of them; None for nothing."""
         far = 100000.0
         for name, inputs, want in (
-                ("listed and not yet heard", [(0, "rows", [row()])], None),
-                ("heard", [(0, "rows", [row()]), (5, "hello", said(1, far))], ("ready", 5 - far)),
-                ("not to be reached: as just started", [(0, "rows", [row()]), (9, "unheard")], ("ready", 9)),
-                ("still not to be reached", [(0, "rows", [row()]), (9, "unheard"), (20, "unheard")], None),
-                ("heard after all", [(0, "rows", [row()]), (9, "unheard"), (20, "hello", said(1, 50))],
-                 ("ready", -30)),
-                ("connected anew, the same", [(0, "rows", [row()]), (5, "hello", said(1, far)),
-                                              (9, "hello", said(1, far + 4))], None),
-                ("restarted, told by itself", [(0, "rows", [row()]), (5, "hello", said(1, far)),
-                                               (50, "hello", said(2, 10))], ("ready", 40)),
-                ("restarted, told by the list", [(0, "rows", [row(start=1)]), (5, "hello", said(1, far)),
-                                                 (50, "rows", [row(start=2)])], ("ready", 50)),
-                ("then by itself: no news", [(0, "rows", [row(start=1)]), (5, "hello", said(1, far)),
-                                             (50, "rows", [row(start=2)]), (60, "hello", said(2, 20))], None),
-                ("a list that lags behind its word", [(0, "rows", [row(start=1)]), (5, "hello", said(1, far)),
-                                                      (50, "hello", said(2, 10)), (60, "rows", [row(start=1)])], None),
-                ("draining by the list", [(0, "rows", [row()]), (5, "hello", said(1, far)),
-                                          (9, "rows", [row("draining")])], ("draining", 5 - far)),
-                ("draining by its word", [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "draining")],
-                 ("draining", 5 - far)),
-                ("the list does not undo its word", [(0, "rows", [row()]), (5, "hello", said(1, far)),
-                                                     (9, "draining"), (20, "rows", [row()])], None),
-                ("its new start does", [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "draining"),
-                                        (20, "hello", said(2, 0))], ("ready", 20)),
-                ("draining in its hello", [(0, "rows", [row()]), (5, "hello", said(1, far, True))],
-                 ("draining", 5 - far)),
-                ("gone", [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "rows", [])], ("gone", 5 - far)),
-                ("gone by its state", [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "rows", [row("gone")])],
-                 ("gone", 5 - far)),
-                ("gone before it was heard", [(0, "rows", [row()]), (9, "rows", [])], None),
-                ("heard when gone", [(0, "rows", [row()]), (9, "rows", []), (10, "hello", said(1))], None),
-                ("another address: another worker", [(0, "rows", [row()]), (5, "hello", said(1, far)),
-                                                     (9, "rows", [row(address="b")])], ("gone", 5 - far))):
+            ("listed and not yet heard", [(0, "rows", [row()])], None),
+            ("heard", [(0, "rows", [row()]), (5, "hello", said(1, far))], ("ready", 5 - far)),
+            ("not to be reached: as just started", [(0, "rows", [row()]), (9, "unheard")], ("ready", 9)),
+            ("still not to be reached", [(0, "rows", [row()]), (9, "unheard"), (20, "unheard")], None),
+            ("heard after all", [(0, "rows", [row()]), (9, "unheard"), (20, "hello", said(1, 50))], ("ready", -30)),
+            (
+                "connected anew, the same",
+                [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "hello", said(1, far + 4))],
+                None,
+            ),
+            (
+                "restarted, told by itself",
+                [(0, "rows", [row()]), (5, "hello", said(1, far)), (50, "hello", said(2, 10))],
+                ("ready", 40),
+            ),
+            (
+                "restarted, told by the list",
+                [(0, "rows", [row(start=1)]), (5, "hello", said(1, far)), (50, "rows", [row(start=2)])],
+                ("ready", 50),
+            ),
+            (
+                "then by itself: no news",
+                [
+                    (0, "rows", [row(start=1)]),
+                    (5, "hello", said(1, far)),
+                    (50, "rows", [row(start=2)]),
+                    (60, "hello", said(2, 20)),
+                ],
+                None,
+            ),
+            (
+                "a list that lags behind its word",
+                [
+                    (0, "rows", [row(start=1)]),
+                    (5, "hello", said(1, far)),
+                    (50, "hello", said(2, 10)),
+                    (60, "rows", [row(start=1)]),
+                ],
+                None,
+            ),
+            (
+                "draining by the list",
+                [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "rows", [row("draining")])],
+                ("draining", 5 - far),
+            ),
+            (
+                "draining by its word",
+                [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "draining")],
+                ("draining", 5 - far),
+            ),
+            (
+                "the list does not undo its word",
+                [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "draining"), (20, "rows", [row()])],
+                None,
+            ),
+            (
+                "its new start does",
+                [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "draining"), (20, "hello", said(2, 0))],
+                ("ready", 20),
+            ),
+            ("draining in its hello", [(0, "rows", [row()]), (5, "hello", said(1, far, True))], ("draining", 5 - far)),
+            ("gone", [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "rows", [])], ("gone", 5 - far)),
+            (
+                "gone by its state",
+                [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "rows", [row("gone")])],
+                ("gone", 5 - far),
+            ),
+            ("gone before it was heard", [(0, "rows", [row()]), (9, "rows", [])], None),
+            ("heard when gone", [(0, "rows", [row()]), (9, "rows", []), (10, "hello", said(1))], None),
+            (
+                "another address: another worker",
+                [(0, "rows", [row()]), (5, "hello", said(1, far)), (9, "rows", [row(address="b")])],
+                ("gone", 5 - far),
+            ),
+        ):
             with self.subTest(case=name):
                 roster = Roster(("z1", "z2"), ("k1", "k2"))
                 changes = []
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -9,8 +9,9 @@
 from wickdyke.worker.schedule import Ramp, Schedule
 
 
-def made(memory=100.0, at_once=4, loads_at_once=2, queue=20, idle_life=1000.0, run_time=500.0, stop_within=100.0,
-         ramp=None):
+def made(
+    memory=100.0, at_once=4, loads_at_once=2, queue=20, idle_life=1000.0, run_time=500.0, stop_within=100.0, ramp=None
+):
     return Schedule(0.0, memory, at_once, loads_at_once, queue, idle_life, run_time, stop_within, ramp or Ramp())
 
 
@@ -20,8 +21,10 @@
 
 def said(acts):
     """Verbs with what they are about."""
-    return [(verb, getattr(it, "key", None) or it.program.name, *(each for each in more if isinstance(each, str)))
-            for verb, it, *more in acts]
+    return [
+        (verb, getattr(it, "key", None) or it.program.name, *(each for each in more if isinstance(each, str)))
+        for verb, it, *more in acts
+    ]
 
 
 def stand(schedule, name, memory=10.0, lanes=1):
@@ -37,16 +40,17 @@
     def test_first_calls(self):
         """(what stands before, calls) -> what is decided at once."""
         for before, calls, want in (
-                ((), [("a", "p", 10)], [("load", "p")]),
-                ((), [("a", "p", 10), ("b", "p", 10)], [("load", "p")]),
-                ((), [("a", "p", 10), ("b", "q", 10), ("c", "r", 10)], [("load", "p"), ("load", "q")]),
-                (("p",), [("a", "p", 10)], [("run", "a")]),
-                (("p",), [("a", "p", 10), ("b", "p", 10)], [("run", "a")]),
-                ((), [("a", "p", 101)], [("refuse", "a", "full")]),
-                (("p",), [("a", "q", 95)], [("unload", "p"), ("load", "q")]),
-                (("p", "q"), [("a", "r", 85)], [("unload", "p"), ("load", "r")]),  # idle longest
-                (("p", "q"), [("b", "p", 10), ("a", "r", 85)], [("run", "b"), ("unload", "q"), ("load", "r")]),
-                (("p",), [("b", "p", 10), ("a", "r", 95)], [("refuse", "a", "full"), ("run", "b")])):
+            ((), [("a", "p", 10)], [("load", "p")]),
+            ((), [("a", "p", 10), ("b", "p", 10)], [("load", "p")]),
+            ((), [("a", "p", 10), ("b", "q", 10), ("c", "r", 10)], [("load", "p"), ("load", "q")]),
+            (("p",), [("a", "p", 10)], [("run", "a")]),
+            (("p",), [("a", "p", 10), ("b", "p", 10)], [("run", "a")]),
+            ((), [("a", "p", 101)], [("refuse", "a", "full")]),
+            (("p",), [("a", "q", 95)], [("unload", "p"), ("load", "q")]),
+            (("p", "q"), [("a", "r", 85)], [("unload", "p"), ("load", "r")]),  # idle longest
+            (("p", "q"), [("b", "p", 10), ("a", "r", 85)], [("run", "b"), ("unload", "q"), ("load", "r")]),
+            (("p",), [("b", "p", 10), ("a", "r", 95)], [("refuse", "a", "full"), ("run", "b")]),
+        ):
             with self.subTest(before=before, calls=calls):
                 schedule = made()
                 for at, name in enumerate(before):
@@ -60,9 +64,13 @@
 
     def test_ends(self):
         """(what happens to a call's copy or the call) -> what is told of the call, and whether it may have run."""
-        for what, want in (("answered", []), ("ended", [("refuse", "a", "ended")]), ("time", [
-                ("stop", "a"), ("refuse", "a", "out-of-time")]), ("cancel", [("stop", "a")]),
-                ("measured", [("end", "p", "11.0 MB of 10 MB"), ("refuse", "a", "ended")])):
+        for what, want in (
+            ("answered", []),
+            ("ended", [("refuse", "a", "ended")]),
+            ("time", [("stop", "a"), ("refuse", "a", "out-of-time")]),
+            ("cancel", [("stop", "a")]),
+            ("measured", [("end", "p", "11.0 MB of 10 MB"), ("refuse", "a", "ended")]),
+        ):
             with self.subTest(what=what):
                 schedule = made()
                 copy = stand(schedule, "p")
@@ -126,8 +134,12 @@
 
     def test_manifest_takes_more(self):
         """(memory ordered, of the manifest, standing beside) -> whether it fits, and what goes for it."""
-        for ordered, real, beside, fits, gone in ((10, 10, 50, True, 0), (10, 60, 50, True, 1), (10, 101, 0, False, 0),
-                                                  (60, 10, 30, True, 0)):
+        for ordered, real, beside, fits, gone in (
+            (10, 10, 50, True, 0),
+            (10, 60, 50, True, 1),
+            (10, 101, 0, False, 0),
+            (60, 10, 30, True, 0),
+        ):
             with self.subTest(ordered=ordered, real=real, beside=beside):
                 schedule = made()
                 if beside:
@@ -150,8 +162,12 @@
 
     def test_idle_life_and_renewal(self):
         """(orders at, now) -> whether the copy is let go; an order renews, asking does not."""
-        for orders, copies, now, gone in (((), 1, 1001.0, True), ((), 1, 999.0, False), ((500.0,), 1, 1400.0, False),
-                                          ((500.0,), 0, 1400.0, True)):
+        for orders, copies, now, gone in (
+            ((), 1, 1001.0, True),
+            ((), 1, 999.0, False),
+            ((500.0,), 1, 1400.0, False),
+            ((500.0,), 0, 1400.0, True),
+        ):
             with self.subTest(orders=orders, copies=copies, now=now):
                 schedule = made()
                 stand(schedule, "p")
@@ -218,14 +234,18 @@
             match verb:
                 case "load":
                     assert it.program.waiting or any(h.program is it.program for h in self.schedule.holds.values()), (
-                        "a load that nothing waits for")
+                        "a load that nothing waits for"
+                    )
                     self.loading.add(it)
                 case "run":
                     copy = more[0]
                     assert it.key in self.open, "a call is run that was answered or left"
                     assert copy in self.live and it.key not in self.running
-                    ahead = [key for key in self.came if key in self.open and key not in self.running
-                             and self.open[key] == it.program.name]
+                    ahead = [
+                        key
+                        for key in self.came
+                        if key in self.open and key not in self.running and self.open[key] == it.program.name
+                    ]
                     assert ahead[0] == it.key, "one that came later goes first"
                     self.running[it.key] = copy
                     inside = sum(each is copy for each in self.running.values())
@@ -248,8 +268,13 @@
         self.now += 1.0
         self.schedule.woke(self.now)
 
-    @rule(name=st.sampled_from("ppq"), memory=st.sampled_from([5.0, 5.0, 15.0, 30.0, 50.0]), lanes=st.integers(1, 2),
-          left=st.sampled_from([5.0, 50.0, 2000.0, 2000.0]), many=st.integers(1, 4))
+    @rule(
+        name=st.sampled_from("ppq"),
+        memory=st.sampled_from([5.0, 5.0, 15.0, 30.0, 50.0]),
+        lanes=st.integers(1, 2),
+        left=st.sampled_from([5.0, 50.0, 2000.0, 2000.0]),
+        many=st.integers(1, 4),
+    )
     def call(self, name, memory, lanes, left, many):
         for _ in range(many):
             self.tell()
@@ -285,8 +310,11 @@
             del self.open[key]
             self.pull()
 
-    @rule(at=st.integers(0, 20), outcome=st.sampled_from([None, None, None, "miss", "full"]),
-          real=st.sampled_from([None, 5.0, 20.0]))
+    @rule(
+        at=st.integers(0, 20),
+        outcome=st.sampled_from([None, None, None, "miss", "full"]),
+        real=st.sampled_from([None, 5.0, 20.0]),
+    )
     def load_ends(self, at, outcome, real):
         self.tell()
         if not self.loading:
@@ -362,7 +390,8 @@
         if schedule.running < schedule.at_once:
             for program in schedule.programs.values():
                 assert not program.waiting or not any(
-                    copy.state == "standing" and len(copy.calls) + copy.stuck < copy.lanes for copy in program.copies)
+                    copy.state == "standing" and len(copy.calls) + copy.stuck < copy.lanes for copy in program.copies
+                )
 
 
 Machine.TestCase.settings = settings(max_examples=200, stateful_step_count=60, deadline=None, derandomize=True)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -41,8 +41,10 @@
         self.assertEqual((got.tenants, got.shares, got.allowance.idle_close), ((), Shares(()), 15000.0))
         more = self.read(GOOD.replace("(stock", '(tenant "a" (quota 5)) (tenant "b" (quota 2.5)) (stock'))
         self.assertEqual((more.tenants, more.shares), (("a", "b"), Shares((5.0, 2.5))))
-        self.assertEqual([(m.name, m.effect, m.window, m.scope) for m in got.methods],
-                         [("m", "idempotent", 0.0, "all"), ("t", "tokened", 120000.0, "cell")])
+        self.assertEqual(
+            [(m.name, m.effect, m.window, m.scope) for m in got.methods],
+            [("m", "idempotent", 0.0, "all"), ("t", "tokened", 120000.0, "cell")],
+        )
         for program, memory in (("p/one", 100.0), ("p/two", 1024.0), ("q", None)):
             stated = got.stated(program)
             self.assertEqual(stated and stated.memory, memory)
@@ -51,41 +53,46 @@
     def test_bad(self):
         """(what is replaced, by what) -> line:column and words of the one message."""
         for old, new, place, words in (
-                ("750 ms", "750", "6:50", ("without a unit", "750 ms")),
-                ("750 ms", "750 sec", "6:54", ("sec", "us, ms, s, min")),
-                ("750 ms", "750 MS", "6:54", ("MS", "write ms")),
-                ("750 ms", "5 s", "6:3", ("5000 ms", "before the deadline, 4000 ms")),
-                ("64 GB", "64 gb", "5:27", ("gb", "write GB")),
-                ("64 GB", '"64 GB"', "5:16", ("memory", "a size")),
-                ("(effect idempotent)", "(effect idempotant)", "6:23", ("idempotant", "write idempotent")),
-                ("(effect idempotent) ", "", "6:3", ("without effect",)),
-                ("(effect idempotent)", "(effect idempotent) (effect idempotent)", "6:35", ("a second time", "line 6")),
-                ("(window 2 min) ", "", "7:3", ("without a window", "(window TIME)")),
-                ("(effect idempotent)", "(effect idempotent) (window 2 s)", "6:3", ("window only where tokened",)),
-                ('method "t"', 'method "m"', "7:3", ("method m a second time", "line 6")),
-                ('method "t"', "method t", "7:3", ("without a name",)),
-                ('(zone "b")', "", "1:1", ('(at "b")', '"a"')),
-                (' (at "b")', "", "1:1", ("2 zones", "(at")),
-                ("(idle-life 8 s)", "(idle-lfe 8 s)", "9:10", ("did you mean idle-life",)),
-                ("(start-share 0.25)", "(start-share 25)", "10:24", ("25", "0.001 to 1")),
-                ("(lanes 4)", "(lanes 4.5)", "8:72", ("4.5", "whole number", "write 4")),
-                ("(drain-grace 1 s)", "drain-grace", "11:3", ("drain-grace", "in brackets")),
-                ('"run/w.sock"', '"192.168.0.1:80"', "2:21", ("loopback",)),
-                ('"run/w.sock"', '"localhost:99999"', "2:21", ("port",)),
-                ('"run/w.sock"', f'"{"x" * 120}/s"', "2:21", ("107 bytes",)),
-                ('"run/w.sock"', '"workers.sexp"', "1:1", ("two different files",)),
-                ("(drain-grace 1 s)", "(drain-grace 1 s) (seat (number 2) (of 2))", "11:21", ("2 of 2", "0 to 1")),
-                ("(drain-grace 1 s)", "(drain-grace 1 s) (bounds (line 9 MB) (unread 2 MB))", "1:1", ("one line",)),
-                ("(drain-grace 1 s)", "(drain-grace 1 s) (answer-way 4 s)", "6:3", ("answer-way, 4000",)),
-                ("(drain-grace 1 s)", '(drain-grace 1 s) (tenant "a" (quota 5 s))', "11:33", ("one number",)),
-                ("(drain-grace 1 s)", '(drain-grace 1 s) (tenant "a" (quota 5)) (tenant "a" (quota 6))', "11:44",
-                 ("tenant a a second time", "line 11")),
-                ("(drain-grace 1 s)", "(drain-grace 1 s) (call-outs (idle-close 0 s))", "11:44", ("a time of 1",)),
-                ("(drain-grace 1 s))", "(drain-grace 1 s)", "1:1", ("never closed",)),
-                ("(drain-grace 1 s))", "(drain-grace 1 s)))", "11:21", (")", "none is open")),
-                ('"m"', '"m', "6:11", ("ends on its line",)),
-                ("(gateway", "(getaway", "1:1", ("getaway", "(gateway ...)")),
-                ("0.25", "#25", "10:24", ("#",))):
+            ("750 ms", "750", "6:50", ("without a unit", "750 ms")),
+            ("750 ms", "750 sec", "6:54", ("sec", "us, ms, s, min")),
+            ("750 ms", "750 MS", "6:54", ("MS", "write ms")),
+            ("750 ms", "5 s", "6:3", ("5000 ms", "before the deadline, 4000 ms")),
+            ("64 GB", "64 gb", "5:27", ("gb", "write GB")),
+            ("64 GB", '"64 GB"', "5:16", ("memory", "a size")),
+            ("(effect idempotent)", "(effect idempotant)", "6:23", ("idempotant", "write idempotent")),
+            ("(effect idempotent) ", "", "6:3", ("without effect",)),
+            ("(effect idempotent)", "(effect idempotent) (effect idempotent)", "6:35", ("a second time", "line 6")),
+            ("(window 2 min) ", "", "7:3", ("without a window", "(window TIME)")),
+            ("(effect idempotent)", "(effect idempotent) (window 2 s)", "6:3", ("window only where tokened",)),
+            ('method "t"', 'method "m"', "7:3", ("method m a second time", "line 6")),
+            ('method "t"', "method t", "7:3", ("without a name",)),
+            ('(zone "b")', "", "1:1", ('(at "b")', '"a"')),
+            (' (at "b")', "", "1:1", ("2 zones", "(at")),
+            ("(idle-life 8 s)", "(idle-lfe 8 s)", "9:10", ("did you mean idle-life",)),
+            ("(start-share 0.25)", "(start-share 25)", "10:24", ("25", "0.001 to 1")),
+            ("(lanes 4)", "(lanes 4.5)", "8:72", ("4.5", "whole number", "write 4")),
+            ("(drain-grace 1 s)", "drain-grace", "11:3", ("drain-grace", "in brackets")),
+            ('"run/w.sock"', '"192.168.0.1:80"', "2:21", ("loopback",)),
+            ('"run/w.sock"', '"localhost:99999"', "2:21", ("port",)),
+            ('"run/w.sock"', f'"{"x" * 120}/s"', "2:21", ("107 bytes",)),
+            ('"run/w.sock"', '"workers.sexp"', "1:1", ("two different files",)),
+            ("(drain-grace 1 s)", "(drain-grace 1 s) (seat (number 2) (of 2))", "11:21", ("2 of 2", "0 to 1")),
+            ("(drain-grace 1 s)", "(drain-grace 1 s) (bounds (line 9 MB) (unread 2 MB))", "1:1", ("one line",)),
+            ("(drain-grace 1 s)", "(drain-grace 1 s) (answer-way 4 s)", "6:3", ("answer-way, 4000",)),
+            ("(drain-grace 1 s)", '(drain-grace 1 s) (tenant "a" (quota 5 s))', "11:33", ("one number",)),
+            (
+                "(drain-grace 1 s)",
+                '(drain-grace 1 s) (tenant "a" (quota 5)) (tenant "a" (quota 6))',
+                "11:44",
+                ("tenant a a second time", "line 11"),
+            ),
+            ("(drain-grace 1 s)", "(drain-grace 1 s) (call-outs (idle-close 0 s))", "11:44", ("a time of 1",)),
+            ("(drain-grace 1 s))", "(drain-grace 1 s)", "1:1", ("never closed",)),
+            ("(drain-grace 1 s))", "(drain-grace 1 s)))", "11:21", (")", "none is open")),
+            ('"m"', '"m', "6:11", ("ends on its line",)),
+            ("(gateway", "(getaway", "1:1", ("getaway", "(gateway ...)")),
+            ("0.25", "#25", "10:24", ("#",)),
+        ):
             with self.subTest(old=old, new=new):
                 text = GOOD.replace(old, new, 1)
                 self.assertNotEqual(text, GOOD)
@@ -117,19 +124,30 @@
         row = roll.Row('w "1"', "/run/w.sock", "a", "quad", 3, 2.5, "draining", 17)
         self.assertEqual(self.read(roll.written([row]), roll.read), [row])
         for text, words in (
-                ('(workers (worker "w" (address "10.1.1.1:5")))', "loopback"),
-                ('(workers (worker "w"))', "without address"),
-                ('(workers (worker "w" (address "a/b")) (worker "w" (address "a/c")))', "worker w a second time"),
-                ('(workers (worker "w" (address "a/b") (state redy)))', "write ready"),
-                ('(workers (worker "w" (address "a/b") (zone "x")))', "one of a, b"),
-                ("(workers) (workers)", "a second")):
+            ('(workers (worker "w" (address "10.1.1.1:5")))', "loopback"),
+            ('(workers (worker "w"))', "without address"),
+            ('(workers (worker "w" (address "a/b")) (worker "w" (address "a/c")))', "worker w a second time"),
+            ('(workers (worker "w" (address "a/b") (state redy)))', "write ready"),
+            ('(workers (worker "w" (address "a/b") (zone "x")))', "one of a, b"),
+            ("(workers) (workers)", "a second"),
+        ):
             with self.subTest(text=text), self.assertRaisesRegex(Unusable, words):
                 roll.rows(sexp.parse(text, "f"), "f", ("a", "b"))
 
     def test_addresses(self):
-        for text, good in (("a/b", True), ("sock", True), ("127.0.0.1:80", True), ("127.9.9.9:80", True),
-                           ("[::1]:80", True), ("localhost:0", True), ("0.0.0.0:80", False), ("8.8.8.8:1", False),
-                           ("[::]:1", False), ("example.org:80", False), ("127.0.0.1:x", False)):
+        for text, good in (
+            ("a/b", True),
+            ("sock", True),
+            ("127.0.0.1:80", True),
+            ("127.9.9.9:80", True),
+            ("[::1]:80", True),
+            ("localhost:0", True),
+            ("0.0.0.0:80", False),
+            ("8.8.8.8:1", False),
+            ("[::]:1", False),
+            ("example.org:80", False),
+            ("127.0.0.1:x", False),
+        ):
             with self.subTest(address=text):
                 try:
                     address.parse(text)
@@ -143,8 +161,12 @@
     def test_lines(self):
         """(pieces) -> lines, with a bound of 6 bytes."""
         for pieces, lines in (
-                ([b"ab\ncd\n"], [b"ab", b"cd"]), ([b"a", b"b", b"\n"], [b"ab"]), ([b"\n\n \nx\n"], [b"x"]),
-                ([b"ab\nc", b"d\nef"], [b"ab", b"cd"]), ([b"abcdef", b"\n"], [b"abcdef"])):
+            ([b"ab\ncd\n"], [b"ab", b"cd"]),
+            ([b"a", b"b", b"\n"], [b"ab"]),
+            ([b"\n\n \nx\n"], [b"x"]),
+            ([b"ab\nc", b"d\nef"], [b"ab", b"cd"]),
+            ([b"abcdef", b"\n"], [b"abcdef"]),
+        ):
             with self.subTest(pieces=pieces):
                 framing = Lines(6)
                 self.assertEqual([line for piece in pieces for line in framing.feed(piece)], lines)
@@ -159,27 +181,45 @@
         self.assertEqual(jsonrpc.answer(jsonrpc.result(7, b"[1]")), (7, b"[1]", None))
         ident, result, problem = jsonrpc.answer(jsonrpc.problem("x", -1, "no", b'{"a":1}'))
         self.assertEqual((ident, result, problem.code, bytes(problem.data)), ("x", None, -1, b'{"a":1}'))
-        for line in (b"", b"[]", b"{}", b'{"id":1}', b'{"id":1,"result":1,"error":{"code":1}}', b'{"id":[],"result":1}',
-                     b'{"id":1,"error":1}', b'{"id":1,"result":"\xff"}', b"[" * 100000):
+        for line in (
+            b"",
+            b"[]",
+            b"{}",
+            b'{"id":1}',
+            b'{"id":1,"result":1,"error":{"code":1}}',
+            b'{"id":[],"result":1}',
+            b'{"id":1,"error":1}',
+            b'{"id":1,"result":"\xff"}',
+            b"[" * 100000,
+        ):
             with self.subTest(line=line[:40]), self.assertRaises(jsonrpc.Fault):
                 jsonrpc.answer(line)
 
     @settings(max_examples=300, deadline=None)
-    @given(st.one_of(st.binary(max_size=80), st.text(alphabet='{}[]":,0123456789eidrsultno', max_size=60).map(
-        str.encode)))
+    @given(
+        st.one_of(st.binary(max_size=80), st.text(alphabet='{}[]":,0123456789eidrsultno', max_size=60).map(str.encode))
+    )
     def test_any_bytes(self, data):
         """Whatever comes, a decoder gives a value or its own error."""
-        for read, error in ((jsonrpc.answer, jsonrpc.Fault), (lambda d: list(jsonrpc.requests(d)), ()),
-                            (lambda d: sexp.parse(d.decode("latin-1"), "f"), Unusable)):
+        for read, error in (
+            (jsonrpc.answer, jsonrpc.Fault),
+            (lambda d: list(jsonrpc.requests(d)), ()),
+            (lambda d: sexp.parse(d.decode("latin-1"), "f"), Unusable),
+        ):
             try:
                 read(data)
             except error:
                 pass
 
     def test_depth(self):
-        for text, deep in ((b"[" * 64 + b"]" * 64, False), (b"[" * 65 + b"]" * 65, True), (b"[]" * 1000, False),
-                           (b'"' + b"[" * 1000 + b'"', False), (b'["\\"' + b"[" * 99 + b'"]', False),
-                           (b'{"a":' * 65 + b"1" + b"}" * 65, True)):
+        for text, deep in (
+            (b"[" * 64 + b"]" * 64, False),
+            (b"[" * 65 + b"]" * 65, True),
+            (b"[]" * 1000, False),
+            (b'"' + b"[" * 1000 + b'"', False),
+            (b'["\\"' + b"[" * 99 + b'"]', False),
+            (b'{"a":' * 65 + b"1" + b"}" * 65, True),
+        ):
             with self.subTest(text=text[:20]):
                 self.assertEqual(jsonrpc.too_deep(text), deep)
 
