--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -16,9 +16,11 @@
 from wickdyke.timing.routes import Pattern, Table, ties
 from wickdyke.timing.terms import NEVER_RAN, OUTCOMES, Budget, Ground, Part, Pause, Second, Terms, total, worst
 
-METHODS = [Method("idem", "idempotent", "all", 0, 750, 0, 4000, 1, 0.2),
-           Method("side", "side-effecting", "all", 0, 750, 0, 4000, 1, 0.2),
-           Method("tok", "tokened", "zone", 1000, 750, 0, 4000, 1, 0.2)]
+METHODS = [
+    Method("idem", "idempotent", "all", 0, 750, 0, 4000, 1, 0.2),
+    Method("side", "side-effecting", "all", 0, 750, 0, 4000, 1, 0.2),
+    Method("tok", "tokened", "zone", 1000, 750, 0, 4000, 1, 0.2),
+]
 STRICT = Ground(overlap=False, cancel=True, dial=100.0, answer_way=20.0, tick=50.0, call_outs=3)
 OPEN = replace(STRICT, overlap=True)
 LOOSE = replace(STRICT, cancel=False)
@@ -43,27 +45,37 @@
         old, bare = self.OLD, self.BARE
         other = '(route "s" (takes (method "idem")) (attempts 2) (attempt 1 s))'
         for was, new, words in (
-                (old, other, ('route "r" is gone', "floor 0", "(floor 1)", "4000 ms later")),
-                (old, '(route "r" (takes (method "idem")))', ("a budget no more",)),
-                (old, old.replace("(attempts 2)", "").replace(bare, ""), ("a budget no more",)),
-                (old, old.replace("10 s", "9 s"), ("over 9000 ms instead of 10000 ms",)),
-                (old, old.replace('"idem"', '"side"').replace("(attempts", "(again full) (attempts"),
-                 ("none of the RPCs",)),
-                (old.replace('"idem"', '"idem") (program "a*"'), old.replace('"idem"', '"idem") (program "b*"'),
-                 ("none of the RPCs",)),
-                (old.replace('"idem"', '"idem") (program "a/*"'),
-                 old + '(route "s" (takes (method "idem") (program "a*")))', ("leaves all the RPCs", 'route "r"')),
-                (old.replace("(share 0.1)", "(share 0.1) (floor 0.9)"), other, ("floor 0.9",)),
-                # near misses
-                (old.replace("(share 0.1)", "(share 0.1) (floor 1)"), other, ()),
-                (old.replace(bare, ""), other, ()),
-                (old, old, ()),
-                (old, old.replace("0.1", "0.2"), ()),
-                (old, old.replace("(share 0.1)", "(share 0.1) (floor 1)"), ()),
-                (old, old.replace("(attempts 2) (attempt 1 s)", "(attempts 3) (attempt 900 ms) (priority 3)"), ()),
-                (old.replace('"idem"', '"idem") (program "a*"'), old.replace('"idem"', '"idem") (program "ab*"'), ()),
-                (old, old + '(route "s" (takes (method "idem") (program "a*")))', ()),
-                (other, old, ())):
+            (old, other, ('route "r" is gone', "floor 0", "(floor 1)", "4000 ms later")),
+            (old, '(route "r" (takes (method "idem")))', ("a budget no more",)),
+            (old, old.replace("(attempts 2)", "").replace(bare, ""), ("a budget no more",)),
+            (old, old.replace("10 s", "9 s"), ("over 9000 ms instead of 10000 ms",)),
+            (
+                old,
+                old.replace('"idem"', '"side"').replace("(attempts", "(again full) (attempts"),
+                ("none of the RPCs",),
+            ),
+            (
+                old.replace('"idem"', '"idem") (program "a*"'),
+                old.replace('"idem"', '"idem") (program "b*"'),
+                ("none of the RPCs",),
+            ),
+            (
+                old.replace('"idem"', '"idem") (program "a/*"'),
+                old + '(route "s" (takes (method "idem") (program "a*")))',
+                ("leaves all the RPCs", 'route "r"'),
+            ),
+            (old.replace("(share 0.1)", "(share 0.1) (floor 0.9)"), other, ("floor 0.9",)),
+            # near misses
+            (old.replace("(share 0.1)", "(share 0.1) (floor 1)"), other, ()),
+            (old.replace(bare, ""), other, ()),
+            (old, old, ()),
+            (old, old.replace("0.1", "0.2"), ()),
+            (old, old.replace("(share 0.1)", "(share 0.1) (floor 1)"), ()),
+            (old, old.replace("(attempts 2) (attempt 1 s)", "(attempts 3) (attempt 900 ms) (priority 3)"), ()),
+            (old.replace('"idem"', '"idem") (program "a*"'), old.replace('"idem"', '"idem") (program "ab*"'), ()),
+            (old, old + '(route "s" (takes (method "idem") (program "a*")))', ()),
+            (other, old, ()),
+        ):
             with self.subTest(was=was, new=new):
                 held = Succession()
                 held.follow(read(was).payers(), 0.0)
@@ -100,84 +112,103 @@
         """(what a route states, ground) -> words of the one message."""
         side, tok = (f'(route "r" (takes (method "{name}")) ' for name in ("side", "tok"))
         for text, ground, words in (
-                # past the deadline: queue + tick + n x (attempt + dial) + pauses + (n - 1) x tick + answer-way
-                ("(attempt 3831 ms)", STRICT, ("attempt 3831", "= 4001 ms", "4000 ms", "(attempt 3830 ms)")),
-                ("(attempt 3830 ms) (queue 1 ms)", STRICT, ("queue 1 ", "4001 ms")),
-                ("(attempt 3 s) (queue 831 ms)", STRICT, ("4001 ms", "(queue 830 ms)")),
-                ("(attempt 1840 ms) (attempts 2) (pause (first 1 ms))", STRICT, ("pauses with their spread 1", "4001")),
-                ("(attempt 1800 ms) (attempts 2) (pause (first 40 ms) (spread 1.1))", STRICT, ("spread 84", "4004")),
-                ("(attempt 1841 ms) (attempts 2)", STRICT, ("attempt 2 x 1841", "(attempts 1)", "(attempt 1840 ms)")),
-                ("(attempt 1177 ms) (attempts 3)", STRICT, ("3 x 1177", "(attempts 2)", "(attempt 1176 ms)")),
-                ("(attempt 1 s) (attempts 3) (pause (first 180 ms) (growth 3))", STRICT, ("spread 720", "4190")),
-                ("(attempt 1 s) (attempts 3) (pause (first 180 ms) (growth 3) (most 360 ms))", STRICT,
-                 ("spread 540", "4010")),
-                ("(attempt 3 s) (deadline 3 s)", STRICT, ("3170 ms", "(attempt 2830 ms)")),
-                ("(deadline 60 ms) (soft-deadline 50 ms)", STRICT, ("tick 50 + answer-way 20 = 70", "deadline 70 ms")),
-                ("(soft-deadline 4 s)", STRICT, ("soft deadline of 4000", "before the deadline")),
-                ("(deadline 750 ms)", STRICT, ("750", "before the deadline")),
-                ("(soft-deadline 5 s)", STRICT, ("5000", "4000")),
-                # counts
-                ("(attempts 4)", STRICT, ("4 attempts", "3 call-outs", "(attempts 3)")),
-                ("(attempts 0)", STRICT, ("0", "1 to 100")),
-                ("(attempts 1.5)", STRICT, ("whole number",)),
-                (f"(attempts 2) {RETRIES}", STRICT, ("timeout tried again", "(attempt TIME)")),
-                ("(attempts 2) (attempt 1 s) (pause (first 50 ms) (most 40 ms))", STRICT, ("50 ms", "(first 40 ms)")),
-                # two at once
-                ("(attempts 2) (attempt 1 s) (second (after 300 ms))", STRICT, ("forbids", "300", "leave")),
-                ("(attempts 2) (second (after-share 0.5))", STRICT, ("375", "forbids")),
-                ("(attempts 2) (second (after 1 s)) (attempt 1 s)", OPEN, ("before the attempt's", "(after 999 ms)")),
-                ("(second (after 300 ms))", OPEN, ("2 at once of 1", "(attempts 2)")),
-                ("(attempts 2) (second (after 300 ms) (at-once 3))", OPEN, ("3 at once of 2", "(attempts 3)")),
-                ("(attempts 2) (second (after 3980 ms))", OPEN, ("3980", "gives up")),
-                ("(attempts 2) (second (after 300 ms) (at-once 1))", OPEN, ("1", "2 to 10")),
-                ("(attempts 2) (second (after 300 ms) (after-share 0.5))", OPEN, ("both", "either")),
-                ("(attempts 2) (second)", OPEN, ("neither", "either")),
-                ("(attempts 2) (second always)", OPEN, ("always", "never")),
-                (f"(attempts 2) (attempt 1 s) {RETRIES}", LOOSE, ("does not cancel", "cancel yes", "beside it")),
-                (f"(attempts 2) (attempt 1 s (linger 200 ms)) (pause (first 199 ms)) {RETRIES}", LOOSE,
-                 ("199 ms", "200 ms more", "(first 200 ms)")),
-                (f"(attempts 3) (attempt 500 ms (linger 200 ms)) (pause (first 200 ms) (most 200 ms)) {RETRIES}",
-                 replace(LOOSE, answer_way=3000.0), ("= 5", "deadline")),
-                # effects
-                (side + "(attempts 2) (again cut))", STRICT, ("side-effecting", "cut", "runs again")),
-                (side + "(attempts 2) (again full error))", STRICT, ("error", "(again full)")),
-                (side + "(attempts 2) (attempt 1 s) (again timeout))", STRICT, ("timeout", "side-effecting")),
-                (side + "(attempts 2) (second (after 300 ms)))", OPEN, ("second copy", "side-effecting")),
-                (tok + "(attempts 2) (attempt 851 ms) (again cut))", STRICT, ("1001 ms", "window, 1000")),
-                (tok + "(attempts 2) (attempt 850 ms) (pause (first 1 ms)) (again cut))", STRICT, ("1001",)),
-                (tok + "(attempts 3) (attempt 300 ms) (pause (first 51 ms)) (again cut))", STRICT, ("1002",)),
-                # budgets
-                ("(attempts 2) (budget (window 0 s) (floor 1))", STRICT, ("0 ms", "a window")),
-                ("(attempts 2) (budget (window 10 s))", STRICT, ("floor of 0 and no share", "(floor 1)")),
-                ("(attempts 2) (budget (window 10 s) (floor 0.9))", STRICT, ("0.9", "(floor 1)")),
-                ("(budget (window 10 s) (floor 1))", STRICT, ("one attempt in all", "(attempts 2)")),
-                ("(attempts 2) (budget (floor 1))", STRICT, ("without window",)),
-                # routes
-                ('(route "r" (takes (method "idme")))', STRICT, ("idme", "idem, side, tok")),
-                ('(route "r" (takes (method "x*")))', STRICT, ("x*", "no RPC")),
-                ('(route "a" (takes (method "idem"))) (route "b" (takes (method "idem")))', STRICT,
-                 ('"b" and "a"', "different")),
-                ('(route "a" (takes (method "idem"))) (route "b" (takes (program "p*")))', STRICT,
-                 ("more specific", '(method "idem") (program "p*")')),
-                ('(route "a" (takes (method "idem") (tenant "t"))) (route "b" (takes (method "idem") (program "p")))',
-                 STRICT, ('(program "p") (tenant "t")',)),
-                ('(route "a" (takes (method "idem"))) (route "a" (takes (method "tok")))', STRICT, ("a second time",)),
-                ('(route "a" (like "b"))', STRICT, ('like "b"', "a route of this file")),
-                ('(route "a" (like "a"))', STRICT, ("like itself", "circle")),
-                ('(route (takes (method "idem")))', STRICT, ("without a name",)),
-                # the form
-                ("(attempt 500)", STRICT, ("500 without a unit", "500 ms")),
-                ("(attempt 500 ms (lingr 3 ms))", STRICT, ("lingr", "(linger TIME)")),
-                ("(atempt 500 ms)", STRICT, ("atempt", "did you mean attempt")),
-                ("(again full fulll)", STRICT, ("fulll", "full, miss")),
-                ("(again)", STRICT, ("(again nothing)",)),
-                ("(again full full)", STRICT, ("a second time",)),
-                ("(again ok)", STRICT, ("ok", "full, miss")),
-                ("(pause 30 ms)", STRICT, ("30", "pause")),
-                ("(pause (first 30 ms) (growth 0.5))", STRICT, ("0.5", "1 to 100")),
-                ("(priority high)", STRICT, ("high", "-1000 to 1000")),
-                ("(attempts 2) (attempts 3)", STRICT, ("a second time", "once")),
-                ('(takes (method "tok"))', STRICT, ("a second time",))):
+            # past the deadline: queue + tick + n x (attempt + dial) + pauses + (n - 1) x tick + answer-way
+            ("(attempt 3831 ms)", STRICT, ("attempt 3831", "= 4001 ms", "4000 ms", "(attempt 3830 ms)")),
+            ("(attempt 3830 ms) (queue 1 ms)", STRICT, ("queue 1 ", "4001 ms")),
+            ("(attempt 3 s) (queue 831 ms)", STRICT, ("4001 ms", "(queue 830 ms)")),
+            ("(attempt 1840 ms) (attempts 2) (pause (first 1 ms))", STRICT, ("pauses with their spread 1", "4001")),
+            ("(attempt 1800 ms) (attempts 2) (pause (first 40 ms) (spread 1.1))", STRICT, ("spread 84", "4004")),
+            ("(attempt 1841 ms) (attempts 2)", STRICT, ("attempt 2 x 1841", "(attempts 1)", "(attempt 1840 ms)")),
+            ("(attempt 1177 ms) (attempts 3)", STRICT, ("3 x 1177", "(attempts 2)", "(attempt 1176 ms)")),
+            ("(attempt 1 s) (attempts 3) (pause (first 180 ms) (growth 3))", STRICT, ("spread 720", "4190")),
+            (
+                "(attempt 1 s) (attempts 3) (pause (first 180 ms) (growth 3) (most 360 ms))",
+                STRICT,
+                ("spread 540", "4010"),
+            ),
+            ("(attempt 3 s) (deadline 3 s)", STRICT, ("3170 ms", "(attempt 2830 ms)")),
+            ("(deadline 60 ms) (soft-deadline 50 ms)", STRICT, ("tick 50 + answer-way 20 = 70", "deadline 70 ms")),
+            ("(soft-deadline 4 s)", STRICT, ("soft deadline of 4000", "before the deadline")),
+            ("(deadline 750 ms)", STRICT, ("750", "before the deadline")),
+            ("(soft-deadline 5 s)", STRICT, ("5000", "4000")),
+            # counts
+            ("(attempts 4)", STRICT, ("4 attempts", "3 call-outs", "(attempts 3)")),
+            ("(attempts 0)", STRICT, ("0", "1 to 100")),
+            ("(attempts 1.5)", STRICT, ("whole number",)),
+            (f"(attempts 2) {RETRIES}", STRICT, ("timeout tried again", "(attempt TIME)")),
+            ("(attempts 2) (attempt 1 s) (pause (first 50 ms) (most 40 ms))", STRICT, ("50 ms", "(first 40 ms)")),
+            # two at once
+            ("(attempts 2) (attempt 1 s) (second (after 300 ms))", STRICT, ("forbids", "300", "leave")),
+            ("(attempts 2) (second (after-share 0.5))", STRICT, ("375", "forbids")),
+            ("(attempts 2) (second (after 1 s)) (attempt 1 s)", OPEN, ("before the attempt's", "(after 999 ms)")),
+            ("(second (after 300 ms))", OPEN, ("2 at once of 1", "(attempts 2)")),
+            ("(attempts 2) (second (after 300 ms) (at-once 3))", OPEN, ("3 at once of 2", "(attempts 3)")),
+            ("(attempts 2) (second (after 3980 ms))", OPEN, ("3980", "gives up")),
+            ("(attempts 2) (second (after 300 ms) (at-once 1))", OPEN, ("1", "2 to 10")),
+            ("(attempts 2) (second (after 300 ms) (after-share 0.5))", OPEN, ("both", "either")),
+            ("(attempts 2) (second)", OPEN, ("neither", "either")),
+            ("(attempts 2) (second always)", OPEN, ("always", "never")),
+            (f"(attempts 2) (attempt 1 s) {RETRIES}", LOOSE, ("does not cancel", "cancel yes", "beside it")),
+            (
+                f"(attempts 2) (attempt 1 s (linger 200 ms)) (pause (first 199 ms)) {RETRIES}",
+                LOOSE,
+                ("199 ms", "200 ms more", "(first 200 ms)"),
+            ),
+            (
+                f"(attempts 3) (attempt 500 ms (linger 200 ms)) (pause (first 200 ms) (most 200 ms)) {RETRIES}",
+                replace(LOOSE, answer_way=3000.0),
+                ("= 5", "deadline"),
+            ),
+            # effects
+            (side + "(attempts 2) (again cut))", STRICT, ("side-effecting", "cut", "runs again")),
+            (side + "(attempts 2) (again full error))", STRICT, ("error", "(again full)")),
+            (side + "(attempts 2) (attempt 1 s) (again timeout))", STRICT, ("timeout", "side-effecting")),
+            (side + "(attempts 2) (second (after 300 ms)))", OPEN, ("second copy", "side-effecting")),
+            (tok + "(attempts 2) (attempt 851 ms) (again cut))", STRICT, ("1001 ms", "window, 1000")),
+            (tok + "(attempts 2) (attempt 850 ms) (pause (first 1 ms)) (again cut))", STRICT, ("1001",)),
+            (tok + "(attempts 3) (attempt 300 ms) (pause (first 51 ms)) (again cut))", STRICT, ("1002",)),
+            # budgets
+            ("(attempts 2) (budget (window 0 s) (floor 1))", STRICT, ("0 ms", "a window")),
+            ("(attempts 2) (budget (window 10 s))", STRICT, ("floor of 0 and no share", "(floor 1)")),
+            ("(attempts 2) (budget (window 10 s) (floor 0.9))", STRICT, ("0.9", "(floor 1)")),
+            ("(budget (window 10 s) (floor 1))", STRICT, ("one attempt in all", "(attempts 2)")),
+            ("(attempts 2) (budget (floor 1))", STRICT, ("without window",)),
+            # routes
+            ('(route "r" (takes (method "idme")))', STRICT, ("idme", "idem, side, tok")),
+            ('(route "r" (takes (method "x*")))', STRICT, ("x*", "no RPC")),
+            (
+                '(route "a" (takes (method "idem"))) (route "b" (takes (method "idem")))',
+                STRICT,
+                ('"b" and "a"', "different"),
+            ),
+            (
+                '(route "a" (takes (method "idem"))) (route "b" (takes (program "p*")))',
+                STRICT,
+                ("more specific", '(method "idem") (program "p*")'),
+            ),
+            (
+                '(route "a" (takes (method "idem") (tenant "t"))) (route "b" (takes (method "idem") (program "p")))',
+                STRICT,
+                ('(program "p") (tenant "t")',),
+            ),
+            ('(route "a" (takes (method "idem"))) (route "a" (takes (method "tok")))', STRICT, ("a second time",)),
+            ('(route "a" (like "b"))', STRICT, ('like "b"', "a route of this file")),
+            ('(route "a" (like "a"))', STRICT, ("like itself", "circle")),
+            ('(route (takes (method "idem")))', STRICT, ("without a name",)),
+            # the form
+            ("(attempt 500)", STRICT, ("500 without a unit", "500 ms")),
+            ("(attempt 500 ms (lingr 3 ms))", STRICT, ("lingr", "(linger TIME)")),
+            ("(atempt 500 ms)", STRICT, ("atempt", "did you mean attempt")),
+            ("(again full fulll)", STRICT, ("fulll", "full, miss")),
+            ("(again)", STRICT, ("(again nothing)",)),
+            ("(again full full)", STRICT, ("a second time",)),
+            ("(again ok)", STRICT, ("ok", "full, miss")),
+            ("(pause 30 ms)", STRICT, ("30", "pause")),
+            ("(pause (first 30 ms) (growth 0.5))", STRICT, ("0.5", "1 to 100")),
+            ("(priority high)", STRICT, ("high", "-1000 to 1000")),
+            ("(attempts 2) (attempts 3)", STRICT, ("a second time", "once")),
+            ('(takes (method "tok"))', STRICT, ("a second time",)),
+        ):
             with self.subTest(text=text):
                 with self.assertRaises(Unusable) as bad:
                     read(text, ground)
@@ -191,45 +222,61 @@
         """(what a route states, ground): the near misses of the above, and plain ones."""
         side, tok = (f'(route "r" (takes (method "{name}")) ' for name in ("side", "tok"))
         for text, ground in (
-                ("", STRICT), ("(attempt 3830 ms)", STRICT), ("(attempt 3829 ms) (queue 1 ms)", STRICT),
-                ("(attempt 3 s) (queue 830 ms)", STRICT), ("(attempt 1840 ms) (attempts 2)", STRICT),
-                ("(attempt 1800 ms) (attempts 2) (pause (first 40 ms) (spread 1))", STRICT),
-                ("(attempt 1176 ms) (attempts 3)", STRICT),
-                ("(attempt 1 s) (attempts 3) (pause (first 120 ms) (growth 3))", STRICT),
-                ("(attempt 1 s) (attempts 3) (pause (first 180 ms) (growth 3) (most 300 ms))", STRICT),
-                ("(attempt 2830 ms) (deadline 3 s)", STRICT), ("(deadline 70 ms) (soft-deadline 60 ms)", STRICT),
-                ("(soft-deadline 3999 ms)", STRICT), ("(attempts 3)", STRICT),
-                (f"(attempts 2) (attempt 1 s) {RETRIES}", STRICT),
-                ("(attempts 2) (attempt 1 s) (pause (first 40 ms) (most 40 ms))", STRICT),
-                ("(attempts 2) (second never)", STRICT), ("(attempts 2) (second (after 300 ms))", OPEN),
-                ("(attempts 2) (second (after 999 ms)) (attempt 1 s)", OPEN),
-                ("(attempts 3) (second (after-share 0.4) (at-once 3) (part 0.1))", OPEN),
-                ("(attempts 2) (second (after 3979 ms))", OPEN),
-                (f"(attempts 2) (attempt 1 s (linger 200 ms)) (pause (first 200 ms)) {RETRIES}", LOOSE),
-                (f"(attempts 2) (attempt 1 s) {RETRIES}", replace(LOOSE, overlap=True)),
-                ("(attempts 2) (attempt 1 s) (again full cut)", LOOSE),
-                (side + "(attempts 3) (again full miss unreached unsent))", STRICT), (side + "(again cut))", STRICT),
-                (side + "(attempts 3) (again nothing))", STRICT),
-                (tok + "(attempts 2) (attempt 850 ms) (again cut))", STRICT),
-                (tok + "(attempts 3) (attempt 300 ms) (pause (first 50 ms)) (again cut))", STRICT),
-                (tok + "(attempts 2) (again cut))", STRICT),
-                ("(attempts 2) (budget (window 10 s) (floor 1))", STRICT),
-                ("(attempts 2) (budget (window 10 s) (share 0.01))", STRICT), ("(priority -3)", STRICT),
-                ('(route "a" (takes (method "idem"))) (route "b" (takes (program "p*"))) '
-                 '(route "c" (like "a") (takes (method "idem") (program "p*")))', STRICT),
-                ('(route "a" (takes (program "p*"))) (route "b" (takes (program "pq*"))) (route "c")', STRICT)):
+            ("", STRICT),
+            ("(attempt 3830 ms)", STRICT),
+            ("(attempt 3829 ms) (queue 1 ms)", STRICT),
+            ("(attempt 3 s) (queue 830 ms)", STRICT),
+            ("(attempt 1840 ms) (attempts 2)", STRICT),
+            ("(attempt 1800 ms) (attempts 2) (pause (first 40 ms) (spread 1))", STRICT),
+            ("(attempt 1176 ms) (attempts 3)", STRICT),
+            ("(attempt 1 s) (attempts 3) (pause (first 120 ms) (growth 3))", STRICT),
+            ("(attempt 1 s) (attempts 3) (pause (first 180 ms) (growth 3) (most 300 ms))", STRICT),
+            ("(attempt 2830 ms) (deadline 3 s)", STRICT),
+            ("(deadline 70 ms) (soft-deadline 60 ms)", STRICT),
+            ("(soft-deadline 3999 ms)", STRICT),
+            ("(attempts 3)", STRICT),
+            (f"(attempts 2) (attempt 1 s) {RETRIES}", STRICT),
+            ("(attempts 2) (attempt 1 s) (pause (first 40 ms) (most 40 ms))", STRICT),
+            ("(attempts 2) (second never)", STRICT),
+            ("(attempts 2) (second (after 300 ms))", OPEN),
+            ("(attempts 2) (second (after 999 ms)) (attempt 1 s)", OPEN),
+            ("(attempts 3) (second (after-share 0.4) (at-once 3) (part 0.1))", OPEN),
+            ("(attempts 2) (second (after 3979 ms))", OPEN),
+            (f"(attempts 2) (attempt 1 s (linger 200 ms)) (pause (first 200 ms)) {RETRIES}", LOOSE),
+            (f"(attempts 2) (attempt 1 s) {RETRIES}", replace(LOOSE, overlap=True)),
+            ("(attempts 2) (attempt 1 s) (again full cut)", LOOSE),
+            (side + "(attempts 3) (again full miss unreached unsent))", STRICT),
+            (side + "(again cut))", STRICT),
+            (side + "(attempts 3) (again nothing))", STRICT),
+            (tok + "(attempts 2) (attempt 850 ms) (again cut))", STRICT),
+            (tok + "(attempts 3) (attempt 300 ms) (pause (first 50 ms)) (again cut))", STRICT),
+            (tok + "(attempts 2) (again cut))", STRICT),
+            ("(attempts 2) (budget (window 10 s) (floor 1))", STRICT),
+            ("(attempts 2) (budget (window 10 s) (share 0.01))", STRICT),
+            ("(priority -3)", STRICT),
+            (
+                '(route "a" (takes (method "idem"))) (route "b" (takes (program "p*"))) '
+                '(route "c" (like "a") (takes (method "idem") (program "p*")))',
+                STRICT,
+            ),
+            ('(route "a" (takes (program "p*"))) (route "b" (takes (program "pq*"))) (route "c")', STRICT),
+        ):
             with self.subTest(text=text):
                 read(text, ground)
 
     def test_inherited(self):
         """What holds comes from the nearest that states it, the method last."""
-        got = read('(route "base" (attempts 2) (attempt 1 s) (priority 1)) (route "mid" (like "base") '
-                   '(takes (method "idem")) (priority 2)) (route "leaf" (like "mid") (takes (method "idem") '
-                   '(program "p*")) (queue 30 ms) (deadline 3 s))')
+        got = read(
+            '(route "base" (attempts 2) (attempt 1 s) (priority 1)) (route "mid" (like "base") '
+            '(takes (method "idem")) (priority 2)) (route "leaf" (like "mid") (takes (method "idem") '
+            '(program "p*")) (queue 30 ms) (deadline 3 s))'
+        )
         held = got.find("idem", "pq")
         self.assertEqual(held.route.name, "leaf")
-        self.assertEqual((held.terms.attempts, held.terms.priority, held.terms.queue, held.terms.deadline,
-                          held.terms.soft), (2, 2, 30.0, 3000.0, 750.0))
+        self.assertEqual(
+            (held.terms.attempts, held.terms.priority, held.terms.queue, held.terms.deadline, held.terms.soft),
+            (2, 2, 30.0, 3000.0, 750.0),
+        )
         self.assertEqual(sorted(held.origins), ["attempt", "attempts", "deadline", "priority", "queue"])
         self.assertEqual(got.find("tok", "pq").route.name, "base")
 
@@ -238,9 +285,15 @@
         chance = random.Random(5)
         tried = 0
         for _ in range(3000):
-            terms = Terms(10.0, chance.uniform(300, 5000), chance.uniform(50, 3000), None, chance.randint(1, 3),
-                          Pause(chance.uniform(0, 300), chance.choice([1, 2, 3]), 400.0, chance.uniform(0, 1)),
-                          queue=chance.choice([None, 100.0]))
+            terms = Terms(
+                10.0,
+                chance.uniform(300, 5000),
+                chance.uniform(50, 3000),
+                None,
+                chance.randint(1, 3),
+                Pause(chance.uniform(0, 300), chance.choice([1, 2, 3]), 400.0, chance.uniform(0, 1)),
+                queue=chance.choice([None, 100.0]),
+            )
             (refusal, *_), many = check.check(terms, _method("idem"), STRICT) or [None], terms.attempts
             if refusal is None or "(attempt " not in refusal.nearest:
                 continue
@@ -261,38 +314,73 @@
 
 SPANS = st.floats(1, 5000).map(lambda ms: round(ms, 3))
 FIELDS = {
-    "attempt": st.tuples(SPANS, st.none() | SPANS), "attempts": st.integers(1, 5), "queue": SPANS,
-    "deadline": SPANS, "soft-deadline": SPANS, "priority": st.integers(-9, 9),
+    "attempt": st.tuples(SPANS, st.none() | SPANS),
+    "attempts": st.integers(1, 5),
+    "queue": SPANS,
+    "deadline": SPANS,
+    "soft-deadline": SPANS,
+    "priority": st.integers(-9, 9),
     "pause": st.builds(Pause, SPANS, st.integers(1, 4).map(float), st.just(float("inf")) | SPANS, st.floats(0, 2)),
     "again": st.frozensets(st.sampled_from(OUTCOMES)),
     "second": st.none() | st.tuples(SPANS, st.none(), st.integers(2, 4), st.just(0.05)),
-    "budget": st.builds(Budget, SPANS, st.floats(0, 1), st.floats(0, 5))}
+    "budget": st.builds(Budget, SPANS, st.floats(0, 1), st.floats(0, 5)),
+}
 
 
 class Generated(unittest.TestCase):
     @settings(max_examples=200, deadline=None)
-    @given(st.lists(st.tuples(st.sampled_from(["idem", "side", "tok", "i*", "*"]), st.sampled_from(
-        ["p", "p*", "pq*", 'a "b"\\*', "*"]), st.fixed_dictionaries({}, optional=FIELDS)), min_size=1, max_size=4))
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["idem", "side", "tok", "i*", "*"]),
+                st.sampled_from(["p", "p*", "pq*", 'a "b"\\*', "*"]),
+                st.fixed_dictionaries({}, optional=FIELDS),
+            ),
+            min_size=1,
+            max_size=4,
+        )
+    )
     def test_round_trip(self, drawn):
         """Parsed, printed and parsed again it is the same."""
         place = sexp.Spot("f", 1, 1)
-        made = [routes.Route(f"r{at}", place, Pattern(method, program), None,
-                             {name: (value, place) for name, value in fields.items()})
-                for at, (method, program, fields) in enumerate(drawn)]
+        made = [
+            routes.Route(
+                f"r{at}",
+                place,
+                Pattern(method, program),
+                None,
+                {name: (value, place) for name, value in fields.items()},
+            )
+            for at, (method, program, fields) in enumerate(drawn)
+        ]
         text = routes.written(made)
         notes = routes.Notes()
         back = routes.ROUTES(sexp.parse(text, "f")[0], notes)
         self.assertEqual(notes.troubles, [])
-        self.assertEqual([(r.name, r.takes, {n: v for n, (v, _) in r.stated.items()}) for r in back],
-                         [(r.name, r.takes, {n: v for n, (v, _) in r.stated.items()}) for r in made])
+        self.assertEqual(
+            [(r.name, r.takes, {n: v for n, (v, _) in r.stated.items()}) for r in back],
+            [(r.name, r.takes, {n: v for n, (v, _) in r.stated.items()}) for r in made],
+        )
         self.assertEqual(routes.written(back), text)
 
     @settings(max_examples=400, deadline=None)
-    @given(st.fixed_dictionaries({"attempt": st.floats(1, 2000), "attempts": st.integers(1, 4), "again": st.frozensets(
-        st.sampled_from(OUTCOMES)), "queue": st.none() | st.floats(0, 500), "pause": st.builds(
-            Pause, st.floats(0, 300), st.integers(1, 3).map(float), st.just(400.0), st.floats(0, 1)),
-        "second": st.none() | st.builds(Second, st.floats(1, 1000))}), st.sampled_from([STRICT, OPEN, LOOSE]),
-        st.sampled_from(["idem", "side", "tok"]), st.randoms(use_true_random=False))
+    @given(
+        st.fixed_dictionaries(
+            {
+                "attempt": st.floats(1, 2000),
+                "attempts": st.integers(1, 4),
+                "again": st.frozensets(st.sampled_from(OUTCOMES)),
+                "queue": st.none() | st.floats(0, 500),
+                "pause": st.builds(
+                    Pause, st.floats(0, 300), st.integers(1, 3).map(float), st.just(400.0), st.floats(0, 1)
+                ),
+                "second": st.none() | st.builds(Second, st.floats(1, 1000)),
+            }
+        ),
+        st.sampled_from([STRICT, OPEN, LOOSE]),
+        st.sampled_from(["idem", "side", "tok"]),
+        st.randoms(use_true_random=False),
+    )
     def test_accepted_keep_the_rules(self, fields, ground, name, chance):
         """Accepted terms, played under scripted worst cases, end in time, never two at once, never a second effect."""
         terms, method = Terms(10.0, 4000.0, linger=None, **fields), _method(name)
@@ -336,6 +424,7 @@
 
     def test_mistakes_are_found(self):
         """(a sum made wrong) -> a course past the deadline that it would let through, or a refusal without need."""
+
         def without(name):
             return lambda terms, ground: [part for part in worst(terms, ground) if part.name != name]
 
@@ -344,11 +433,18 @@
 
         def no_spread(terms, ground):
             pauses = sum(terms.pause.least(nth) for nth in range(1, terms.attempts))
-            return [Part(part.name, pauses) if part.name.startswith("pauses") else part
-                    for part in worst(terms, ground)]
-
-        for name, wrong in (("queue", without("queue")), ("tick", without("tick")), ("dial", without("dial")),
-                            ("answer's way", without("answer-way")), ("spread", no_spread), ("one less", short_by_one)):
+            return [
+                Part(part.name, pauses) if part.name.startswith("pauses") else part for part in worst(terms, ground)
+            ]
+
+        for name, wrong in (
+            ("queue", without("queue")),
+            ("tick", without("tick")),
+            ("dial", without("dial")),
+            ("answer's way", without("answer-way")),
+            ("spread", no_spread),
+            ("one less", short_by_one),
+        ):
             with self.subTest(left_out=name):
                 self.assertIn("deadline", proof.accepted_but_late(2, 1, wrong) or "")
         one_more = proof.refused_but_in_time(2, 1, lambda terms, ground: worst(terms, ground, 3))
@@ -363,26 +459,48 @@
 
 class Lookups(unittest.TestCase):
     def test_most_specific(self):
-        table = Table([(pattern, pattern) for pattern in (
-            Pattern(), Pattern("m"), Pattern("m", "p*"), Pattern("m", "pq*"), Pattern("m", "pqr"),
-            Pattern("m", "pqr", "t"), Pattern(program="z*"), Pattern("m", "z*"))])
+        table = Table(
+            [
+                (pattern, pattern)
+                for pattern in (
+                    Pattern(),
+                    Pattern("m"),
+                    Pattern("m", "p*"),
+                    Pattern("m", "pq*"),
+                    Pattern("m", "pqr"),
+                    Pattern("m", "pqr", "t"),
+                    Pattern(program="z*"),
+                    Pattern("m", "z*"),
+                )
+            ]
+        )
         for rpc, want in (
-                (("x", "x"), Pattern()), (("m", "x"), Pattern("m")), (("m", "p"), Pattern("m", "p*")),
-                (("m", "pqx"), Pattern("m", "pq*")), (("m", "pqr"), Pattern("m", "pqr")),
-                (("m", "pqr", "t"), Pattern("m", "pqr", "t")), (("m", "pqr", "u"), Pattern("m", "pqr")),
-                (("x", "zz"), Pattern(program="z*")), (("m", "zz"), Pattern("m", "z*"))):
+            (("x", "x"), Pattern()),
+            (("m", "x"), Pattern("m")),
+            (("m", "p"), Pattern("m", "p*")),
+            (("m", "pqx"), Pattern("m", "pq*")),
+            (("m", "pqr"), Pattern("m", "pqr")),
+            (("m", "pqr", "t"), Pattern("m", "pqr", "t")),
+            (("m", "pqr", "u"), Pattern("m", "pqr")),
+            (("x", "zz"), Pattern(program="z*")),
+            (("m", "zz"), Pattern("m", "z*")),
+        ):
             with self.subTest(rpc=rpc):
                 self.assertEqual(table.find(*rpc), want)
         self.assertIsNone(Table([]).find("m", "p"))
 
     def test_ties(self):
         for patterns, count in (
-                ([Pattern("m"), Pattern(program="p")], 1), ([Pattern("m"), Pattern("m", "p")], 0),
-                ([Pattern("m"), Pattern(program="p"), Pattern("m", "p")], 0), ([Pattern(), Pattern()], 1),
-                ([Pattern("m"), Pattern("n")], 0), ([Pattern("a*", "p"), Pattern("ab", "p*")], 1),
-                ([Pattern(program="p*"), Pattern(program="pq*")], 0),
-                ([Pattern("m", "p*"), Pattern("m", tenant="t"), Pattern(program="p*", tenant="t")], 3),
-                ([Pattern("m", "p*"), Pattern("m", tenant="t"), Pattern("m", "p*", "t")], 0)):
+            ([Pattern("m"), Pattern(program="p")], 1),
+            ([Pattern("m"), Pattern("m", "p")], 0),
+            ([Pattern("m"), Pattern(program="p"), Pattern("m", "p")], 0),
+            ([Pattern(), Pattern()], 1),
+            ([Pattern("m"), Pattern("n")], 0),
+            ([Pattern("a*", "p"), Pattern("ab", "p*")], 1),
+            ([Pattern(program="p*"), Pattern(program="pq*")], 0),
+            ([Pattern("m", "p*"), Pattern("m", tenant="t"), Pattern(program="p*", tenant="t")], 3),
+            ([Pattern("m", "p*"), Pattern("m", tenant="t"), Pattern("m", "p*", "t")], 0),
+        ):
             with self.subTest(patterns=patterns):
                 self.assertEqual(len(ties(patterns)), count)
 
@@ -398,8 +516,10 @@
 
     def test_two_thousand(self):
         """A file of 2,000 routes is checked within seconds, and each trouble in it is found."""
-        lines = [f'(route "r{at}" (takes (method "idem") (program "p{at}/*")) (attempts 2) (attempt 1 s))'
-                 for at in range(2000)]
+        lines = [
+            f'(route "r{at}" (takes (method "idem") (program "p{at}/*")) (attempts 2) (attempt 1 s))'
+            for at in range(2000)
+        ]
         lines[777] = lines[777].replace("1 s", "2 s")
         lines[1500] = lines[1500].replace("p1500", "p1499")
         began = time.monotonic()
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -36,9 +36,11 @@
 from wickdyke.worker.source import Folder, Unknown
 from wickdyke.worker.store import Pace, Store
 
-MANIFEST = '(package "{name}" (version "{version}") (entry "main:run") (memory {memory} MB) (lanes {lanes})' \
+MANIFEST = (
+    '(package "{name}" (version "{version}") (entry "main:run") (memory {memory} MB) (lanes {lanes})'
     ' (run-time 5 s) (environment (set "WORD" "sea")))'
-CODE = '''
+)
+CODE = """
 import os, sys, time
 held, mother = [], os.getpid()
 def run(asked):
@@ -66,7 +68,7 @@
     if asked.get("odd"):
         return object()
     return {"pid": os.getpid(), "word": os.environ["WORD"], "version": VERSION}
-'''
+"""
 
 
 def write(folder, name="p", version="1.0", memory=64, lanes=2, code=CODE, manifest=None):
@@ -93,19 +95,24 @@
         """(manifest, files beside) -> words of the one trouble."""
         good = MANIFEST.format(name="p", version="1.0", memory=64, lanes=1)
         for text, words in (
-                (good.replace('"p"', '"../p"'), ("../p", "letters")), (good.replace('"p"', '"/p"'), ("letters",)),
-                (good.replace('"p"', '"p/"'), ("letters",)), (good.replace("1.0", "one"), ("one", "numbers with dots")),
-                (good.replace("main:run", "main"), ("main", "a module and a function")),
-                (good.replace("main:run", "other:run"), ("other", "other.py")),
-                (good.replace("64 MB", "64"), ("without a unit", "MB")),
-                (good.replace("(lanes 1)", "(lanes 0)"), ("0", "1 to 256")),
-                (good.replace('"WORD"', '"A=B"'), ("A=B", "without =")),
-                (good.replace('(set "WORD" "sea")', '(set "W" "1") (set "W" "2")'), ("second time",)),
-                (good.replace("(memory 64 MB)", ""), ("without memory",)),
-                (good[:-1] + ' (digest "md5:1"))', ("md5:1", "sha256")),
-                (good[:-1] + ' (digest "sha256:' + "0" * 64 + '"))', ("take (digest ...) out",)),
-                (good + good, ("a second (package ...)",)), ("(package", ("never closed",)), ("", ("nothing",)),
-                ("\udcff", ("no UTF-8",))):
+            (good.replace('"p"', '"../p"'), ("../p", "letters")),
+            (good.replace('"p"', '"/p"'), ("letters",)),
+            (good.replace('"p"', '"p/"'), ("letters",)),
+            (good.replace("1.0", "one"), ("one", "numbers with dots")),
+            (good.replace("main:run", "main"), ("main", "a module and a function")),
+            (good.replace("main:run", "other:run"), ("other", "other.py")),
+            (good.replace("64 MB", "64"), ("without a unit", "MB")),
+            (good.replace("(lanes 1)", "(lanes 0)"), ("0", "1 to 256")),
+            (good.replace('"WORD"', '"A=B"'), ("A=B", "without =")),
+            (good.replace('(set "WORD" "sea")', '(set "W" "1") (set "W" "2")'), ("second time",)),
+            (good.replace("(memory 64 MB)", ""), ("without memory",)),
+            (good[:-1] + ' (digest "md5:1"))', ("md5:1", "sha256")),
+            (good[:-1] + ' (digest "sha256:' + "0" * 64 + '"))', ("take (digest ...) out",)),
+            (good + good, ("a second (package ...)",)),
+            ("(package", ("never closed",)),
+            ("", ("nothing",)),
+            ("\udcff", ("no UTF-8",)),
+        ):
             with self.subTest(text=text):
                 shutil.rmtree(self.path("f"), ignore_errors=True)
                 write(self.path("f"))
@@ -154,18 +161,21 @@
         right = text[:-1] + f' (digest "{package.content_digest([("main.py", code)])}"))'
         plain = [("package.sexp", right), ("main.py", code)]
         for entries, cut, words in (
-                ([*plain, ("../out.py", b"1")], None, ("../out.py", "stay inside")),
-                ([*plain, ("/etc/out", b"1")], None, ("/etc/out", "stay inside")),
-                ([*plain, ("a/../../b", b"1")], None, ("stay inside",)),
-                ([*plain, ("a\\b", b"1")], None, ("stay inside",)),
-                ([*plain, ("link", b"/etc/passwd", 0o120777)], None, ("link", "plain files")),
-                ([*plain, ("pipe", b"", 0o010644)], None, ("plain files",)),
-                ([*plain, ("main.py", code)], None, ("twice",)),
-                ([*plain, ("more.py", b"1")], None, ("digest", "as its manifest says")),
-                ([("package.sexp", right), ("main.py", code + b"#")], None, ("digest",)),
-                ([("package.sexp", text), ("main.py", code)], None, ("without a digest",)),
-                ([("main.py", code)], None, ("no package.sexp",)),
-                (plain, 100, ("whole zip",)), (plain, -10, ("whole zip",)), (plain, 0, ("whole zip",))):
+            ([*plain, ("../out.py", b"1")], None, ("../out.py", "stay inside")),
+            ([*plain, ("/etc/out", b"1")], None, ("/etc/out", "stay inside")),
+            ([*plain, ("a/../../b", b"1")], None, ("stay inside",)),
+            ([*plain, ("a\\b", b"1")], None, ("stay inside",)),
+            ([*plain, ("link", b"/etc/passwd", 0o120777)], None, ("link", "plain files")),
+            ([*plain, ("pipe", b"", 0o010644)], None, ("plain files",)),
+            ([*plain, ("main.py", code)], None, ("twice",)),
+            ([*plain, ("more.py", b"1")], None, ("digest", "as its manifest says")),
+            ([("package.sexp", right), ("main.py", code + b"#")], None, ("digest",)),
+            ([("package.sexp", text), ("main.py", code)], None, ("without a digest",)),
+            ([("main.py", code)], None, ("no package.sexp",)),
+            (plain, 100, ("whole zip",)),
+            (plain, -10, ("whole zip",)),
+            (plain, 0, ("whole zip",)),
+        ):
             with self.subTest(entries=[name for name, *_ in entries], cut=cut):
                 with warnings.catch_warnings():
                     warnings.simplefilter("ignore")
@@ -187,7 +197,7 @@
         right = package.from_zip(path)
         for at in range(0, len(whole), 7):
             with open(self.path("b.zip"), "wb") as sink:
-                sink.write(whole[:at] + bytes([whole[at] ^ 0x41]) + whole[at + 1:])
+                sink.write(whole[:at] + bytes([whole[at] ^ 0x41]) + whole[at + 1 :])
             try:
                 self.assertEqual(package.from_zip(self.path("b.zip"))[1], right[1], at)
             except Unusable:
@@ -199,8 +209,17 @@
             write(self.path("f" + version), name="a/p", version=version)
             package.pack(self.path("f" + version), self.path("s"))
         store = Folder(self.path("s"))
-        for program, version in (("a/p", "1.10"), ("a/p@1.9", "1.9"), ("a/p@1.2.3", "1.2.3"), ("a/p@2", None),
-                                 ("a", None), ("../s/a/p", None), ("a/p@", None), ("", None), ("a/../a/p", None)):
+        for program, version in (
+            ("a/p", "1.10"),
+            ("a/p@1.9", "1.9"),
+            ("a/p@1.2.3", "1.2.3"),
+            ("a/p@2", None),
+            ("a", None),
+            ("../s/a/p", None),
+            ("a/p@", None),
+            ("", None),
+            ("a/../a/p", None),
+        ):
             with self.subTest(program=program):
                 if version is None:
                     self.assertRaises(Unknown, store.find, program)
@@ -271,6 +290,7 @@
                         if seen[0] == kill_at:
                             os._exit(9)
                         return real(*args, **more)
+
                     return step
 
                 for name in steps:
@@ -426,8 +446,10 @@
         self.store(pace=4 * len(self.whole), readers=1)
         service, done = Service(self.path("s.sock")), []
         found = service.find("p")
-        readers = [threading.Thread(target=lambda at=at: done.append(service.fetch(found, self.path(f"got{at}"))))
-                   for at in range(2)]
+        readers = [
+            threading.Thread(target=lambda at=at: done.append(service.fetch(found, self.path(f"got{at}"))))
+            for at in range(2)
+        ]
         for reader in readers:
             reader.start()
         for reader in readers:
@@ -444,8 +466,9 @@
         """A worker whose store is a service: loads through it; a store that is away is a miss, and then it is back."""
         made = self.store()
         with open(self.path("w.sexp"), "w") as sink:
-            sink.write(SHOP.format(memory=400, idle=60, cache=50, more="").replace(
-                '(folder "store")', '(service "s.sock")'))
+            sink.write(
+                SHOP.format(memory=400, idle=60, cache=50, more="").replace('(folder "store")', '(service "s.sock")')
+            )
         shop = workshop.read(self.path("w.sexp"))
         worker = Worker(shop, Service(shop.service), logs.logger(io.StringIO(), False)[0])
         worker.open()
@@ -472,8 +495,9 @@
 
     def say(self, method, /, **params):
         self.turn += 1
-        self.sock.sendall(msgspec.json.encode({"jsonrpc": "2.0", "method": method, "params": params, "id": self.turn})
-                          + b"\n")
+        self.sock.sendall(
+            msgspec.json.encode({"jsonrpc": "2.0", "method": method, "params": params, "id": self.turn}) + b"\n"
+        )
         return self.turn
 
     def answer(self, ident):
@@ -490,8 +514,9 @@
     def run(self, program="p", left=20000.0, memory=64.0, **asked):
         """(error code or None, output or message) of a call."""
         told = self.answer(self.send(program, left, memory, **asked))
-        return (None, told["result"]["output"]) if "result" in told else (told["error"]["code"],
-                                                                          told["error"]["message"])
+        return (
+            (None, told["result"]["output"]) if "result" in told else (told["error"]["code"], told["error"]["message"])
+        )
 
     def close(self):
         self.sock.shutdown(socket.SHUT_RDWR)
@@ -508,15 +533,16 @@
         """(file) -> words of the one trouble."""
         good = SHOP.format(memory=400, idle=60, cache=50, more="")
         for text, words in (
-                (good.replace('(folder "store")', ""), ("with neither", "(folder PATH) or (service ADDRESS)")),
-                (good.replace('(folder "store")', '(folder "store") (service "s.sock")'), ("with both",)),
-                (good.replace("400 MB", "400"), ("without a unit", "400 MB")),
-                (good.replace("400 MB", "1 MB"), ("1 MB", "16 to")),
-                (good.replace('"w1.sock"', '"10.0.0.1:80"'), ("10.0.0.1", "loopback")),
-                (good.replace("(name", "(nam"), ("did you mean name",)),
-                (good.replace("calls-at-once 8", "calls-at-once 0"), ("0", "1 to 4096")),
-                (good.replace("(calls-at-once 8)", "(ramp (start-share 0) (ramp 1 s))"), ("0.001 to 1",)),
-                ("", ("nothing", "(worker ...)"))):
+            (good.replace('(folder "store")', ""), ("with neither", "(folder PATH) or (service ADDRESS)")),
+            (good.replace('(folder "store")', '(folder "store") (service "s.sock")'), ("with both",)),
+            (good.replace("400 MB", "400"), ("without a unit", "400 MB")),
+            (good.replace("400 MB", "1 MB"), ("1 MB", "16 to")),
+            (good.replace('"w1.sock"', '"10.0.0.1:80"'), ("10.0.0.1", "loopback")),
+            (good.replace("(name", "(nam"), ("did you mean name",)),
+            (good.replace("calls-at-once 8", "calls-at-once 0"), ("0", "1 to 4096")),
+            (good.replace("(calls-at-once 8)", "(ramp (start-share 0) (ramp 1 s))"), ("0.001 to 1",)),
+            ("", ("nothing", "(worker ...)")),
+        ):
             with self.subTest(text=text):
                 with open(self.path("w.sexp"), "w") as sink:
                     sink.write(text)
@@ -528,9 +554,12 @@
 
     def test_examples_by_hand(self):
         """check, pack, worker: as a user would, up to a call through the worker."""
+
         def command(*argv):
-            return subprocess.run([sys.executable, "-m", "wickdyke.cli", *argv], capture_output=True, text=True,
-                                  timeout=60)
+            return subprocess.run(
+                [sys.executable, "-m", "wickdyke.cli", *argv], capture_output=True, text=True, timeout=60
+            )
+
         write(self.path("f"))
         with open(self.path("w.sexp"), "w") as sink:
             sink.write(SHOP.format(memory=400, idle=60, cache=50, more=""))
@@ -538,8 +567,11 @@
         self.assertEqual((checked.returncode, checked.stdout.count(": good")), (0, 2), checked.stderr)
         self.assertEqual(command("pack", self.path("f"), "--into", self.path("store")).returncode, 0)
         self.assertEqual(command("pack", self.path("none")).returncode, 2)
-        process = subprocess.Popen([sys.executable, "-m", "wickdyke.cli", "worker", self.path("w.sexp")],
-                                   stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "wickdyke.cli", "worker", self.path("w.sexp")],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
         try:
             self.assertIn(b"ready", process.stdout.readline())
             self.assertEqual(command("worker", self.path("w.sexp")).returncode, 2)  # a live one is there
@@ -575,10 +607,15 @@
         _, gate = self.worker(takes=200)  # the output that is too long takes 80 MB while it is made
         first = gate.run()[1]["pid"]
         for asked, left, code, words, same in (
-                ({}, 20000, None, "", True), ({"fail": 1}, 20000, -32012, "ValueError: asked to", True),
-                ({"odd": 1}, 20000, -32012, "TypeError", True), ({"leave": 1}, 20000, -32012, "SystemExit", True),
-                ({"big": 1}, 20000, -32012, "an output of", True), ({"spin": 1}, 300, -32014, "time is up", True),
-                ({"flood": 1}, 300, -32014, "time is up", True), ({"die": 1}, 20000, -32015, "its copy ended", False)):
+            ({}, 20000, None, "", True),
+            ({"fail": 1}, 20000, -32012, "ValueError: asked to", True),
+            ({"odd": 1}, 20000, -32012, "TypeError", True),
+            ({"leave": 1}, 20000, -32012, "SystemExit", True),
+            ({"big": 1}, 20000, -32012, "an output of", True),
+            ({"spin": 1}, 300, -32014, "time is up", True),
+            ({"flood": 1}, 300, -32014, "time is up", True),
+            ({"die": 1}, 20000, -32015, "its copy ended", False),
+        ):
             with self.subTest(asked=asked):
                 beside = gate.send(sleep=0.05) if same else None
                 got, told = gate.run(left=left, **asked)
@@ -662,8 +699,12 @@
         for name in "xy":
             package.pack(self.path(name), self.path("store"))
         _, gate = self.worker()
-        for program, why in (("none", "no package none"), ("x", "RuntimeError: at import"), ("y", "is no function"),
-                             ("../p", "names no package")):
+        for program, why in (
+            ("none", "no package none"),
+            ("x", "RuntimeError: at import"),
+            ("y", "is no function"),
+            ("../p", "names no package"),
+        ):
             with self.subTest(program=program):
                 self.assertEqual(gate.run(program)[0], -32011)
                 self.assertTrue(until(lambda why=why: why in self.said.getvalue()), self.said.getvalue())
@@ -691,15 +732,23 @@
             time.sleep(0.2)
             gate.answer(gate.say("hold", program="p", memory_mb=64.0, lanes=2, copies=1))
         self.assertEqual(self.said.getvalue().count("event=loaded"), 1)
-        self.assertTrue(until(lambda: gate.answer(gate.say(
-            "hold", program="p", memory_mb=64.0, lanes=2, copies=0))["result"] == {"copies": 0}))
+        self.assertTrue(
+            until(
+                lambda: gate.answer(gate.say("hold", program="p", memory_mb=64.0, lanes=2, copies=0))["result"]
+                == {"copies": 0}
+            )
+        )
 
     def test_malformed(self):
         """(what a gateway says) -> the code; the worker goes on."""
         _, gate = self.worker()
-        for line, code in ((b"{", -32700), (b"[]", -32600), (b'{"jsonrpc":"2.0","method":"none","id":1}', -32601),
-                           (b'{"jsonrpc":"2.0","method":"run","params":{"program":1},"id":2}', -32602),
-                           (b'{"jsonrpc":"2.0","method":"hello","params":{},"id":3}', -32602)):
+        for line, code in (
+            (b"{", -32700),
+            (b"[]", -32600),
+            (b'{"jsonrpc":"2.0","method":"none","id":1}', -32601),
+            (b'{"jsonrpc":"2.0","method":"run","params":{"program":1},"id":2}', -32602),
+            (b'{"jsonrpc":"2.0","method":"hello","params":{},"id":3}', -32602),
+        ):
             with self.subTest(line=line):
                 gate.sock.sendall(line + b"\n")
                 told = msgspec.json.decode(gate.source.readline())
@@ -740,8 +789,11 @@
             sink.write(SHOP.format(memory=400, idle=60, cache=50, more=""))
         for whom in ("worker", "parent", "copy"):
             with self.subTest(whom=whom):
-                process = subprocess.Popen([sys.executable, "-m", "wickdyke.cli", "worker", self.path("w.sexp")],
-                                           stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+                process = subprocess.Popen(
+                    [sys.executable, "-m", "wickdyke.cli", "worker", self.path("w.sexp")],
+                    stdout=subprocess.PIPE,
+                    stderr=subprocess.DEVNULL,
+                )
                 try:
                     self.assertIn(b"ready", process.stdout.readline())
                     gate = Gate(self.path("w1.sock"))
@@ -789,13 +841,17 @@
             write(self.path(name), name=name, code=CODE + "#" + os.urandom(200_000).hex())
             package.pack(self.path(name), self.path("store"))
         with open(self.path("w.sexp"), "w") as sink:
-            sink.write(SHOP.format(memory=400, idle=60, cache=50, more="").replace(
-                '(folder "store")', '(service "s.sock")'))
+            sink.write(
+                SHOP.format(memory=400, idle=60, cache=50, more="").replace('(folder "store")', '(service "s.sock")')
+            )
         slow = Store(self.path("s.sock"), self.path("store"), 50_000.0, 8, None)
         parts = []
         for at in range(2):
-            process = subprocess.Popen([sys.executable, "-m", "wickdyke.cli", "worker", self.path("w.sexp")],
-                                       stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+            process = subprocess.Popen(
+                [sys.executable, "-m", "wickdyke.cli", "worker", self.path("w.sexp")],
+                stdout=subprocess.PIPE,
+                stderr=subprocess.DEVNULL,
+            )
             try:
                 self.assertIn(b"ready", process.stdout.readline())
                 if at:  # what the first left is swept before it serves
@@ -804,8 +860,15 @@
                 if not at:
                     for name in "ab":
                         gate.send(name)
-                    self.assertTrue(until(lambda: sum(size > 0 for size in map(
-                        os.path.getsize, sorted(glob.glob(self.path("cache", PART + "*"))))) == 2))
+                    self.assertTrue(
+                        until(
+                            lambda: sum(
+                                size > 0
+                                for size in map(os.path.getsize, sorted(glob.glob(self.path("cache", PART + "*"))))
+                            )
+                            == 2
+                        )
+                    )
                     process.kill()
                     parts = os.listdir(self.path("cache"))
                     slow.close()
@@ -842,9 +905,11 @@
 
     def test_only_real_troubles(self):
         """(runtime, trouble) -> words of the refusal: faults of stand-ins are not asked of workers of our own."""
-        for runtime, trouble, words in (("yes", '(at 1 s (hang "w1"))', "kill-copy"),
-                                        ("yes", '(on (call-out "w1" 3) (die "w1"))', "can have"),
-                                        ("no", '(at 1 s (kill-copy "w1"))', "stand-ins have no such")):
+        for runtime, trouble, words in (
+            ("yes", '(at 1 s (hang "w1"))', "kill-copy"),
+            ("yes", '(on (call-out "w1" 3) (die "w1"))', "can have"),
+            ("no", '(at 1 s (kill-copy "w1"))', "stand-ins have no such"),
+        ):
             with self.subTest(trouble=trouble), tempfile.TemporaryDirectory(prefix="wd-") as folder:
                 with open(os.path.join(folder, "s.sexp"), "w") as sink:
                     sink.write(f"""(script "s" (length 1 s) (runtime {runtime}) (method "m" (effect idempotent)
--- a/tests/wrong.py
+++ b/tests/wrong.py
@@ -34,8 +34,11 @@
 
 
 def _deaf(roster, rows, now):
-    return _rows(roster, [Row(**{name: getattr(row, name) for name in row.__slots__ if name != "state"},
-                              state="ready") for row in rows], now)
+    return _rows(
+        roster,
+        [Row(**{name: getattr(row, name) for name in row.__slots__ if name != "state"}, state="ready") for row in rows],
+        now,
+    )
 
 
 def _draining(roster, name):
--- a/wickdyke/cli/__init__.py
+++ b/wickdyke/cli/__init__.py
@@ -11,6 +11,18 @@
     """A gateway that sends RPCs to workers which load programs on demand."""
 
 
-for _command in (serve.serve, serve.up, check.check, call.call, prove.prove, prove.judge, prove.replay, routes.routes,
-                 move.command, worker.worker, worker.pack, worker.store):
+for _command in (
+    serve.serve,
+    serve.up,
+    check.check,
+    call.call,
+    prove.prove,
+    prove.judge,
+    prove.replay,
+    routes.routes,
+    move.command,
+    worker.worker,
+    worker.pack,
+    worker.store,
+):
     main.add_command(_command)
--- a/wickdyke/cli/call.py
+++ b/wickdyke/cli/call.py
@@ -20,8 +20,16 @@
 @click.option("--memory", type=float, help="Memory of a copy in MB (else from the gateway's settings).")
 @click.option("--lanes", type=int, help="RPCs that a copy runs at once.")
 @click.option("--token", help="The mark by which a repeat of a tokened RPC is known.")
-def call(socket: str, method: str, program: str, input: str, time_left: float | None, memory: float | None,
-         lanes: int | None, token: str | None) -> None:
+def call(
+    socket: str,
+    method: str,
+    program: str,
+    input: str,
+    time_left: float | None,
+    memory: float | None,
+    lanes: int | None,
+    token: str | None,
+) -> None:
     """Send one RPC to the gateway at SOCKET and print its final answer.
 
     INPUT is JSON. Exit code 0: ok; 3: denied (it had no effect); 4: aborted (nothing is promised); 2: the
@@ -37,8 +45,11 @@
         print(f"INPUT: found {input[:40]!r}, expected JSON ({bad})", file=sys.stderr)
         raise SystemExit(2) from None
     said = {"method": method, "program": program, "input": msgspec.Raw(input.encode())}
-    said |= {name: value for name, value in (("time_left_ms", time_left), ("memory_mb", memory), ("lanes", lanes),
-                                             ("token", token)) if value is not None}
+    said |= {
+        name: value
+        for name, value in (("time_left_ms", time_left), ("memory_mb", memory), ("lanes", lanes), ("token", token))
+        if value is not None
+    }
     try:
         sock = addresses.connect(socket, 1000)
         sock.sendall(jsonrpc.request_line("call", jsonrpc.encode(said), 1))
--- a/wickdyke/cli/check.py
+++ b/wickdyke/cli/check.py
@@ -17,8 +17,13 @@
         routes.read(made.routes, made.methods, ground(made))
 
 
-KINDS = {"workers": roll.read, "script": scripts.read, "worker": workshop.read, "store": workshop.read_depot,
-         "package": lambda file: package.from_folder(os.path.dirname(os.path.abspath(file)))}
+KINDS = {
+    "workers": roll.read,
+    "script": scripts.read,
+    "worker": workshop.read,
+    "store": workshop.read_depot,
+    "package": lambda file: package.from_folder(os.path.dirname(os.path.abspath(file))),
+}
 
 
 @click.command()
--- a/wickdyke/cli/move.py
+++ b/wickdyke/cli/move.py
@@ -63,8 +63,10 @@
 def _beside(made: station.Station) -> list[str]:
     """What no longer fits in the files that the new one names and that stay as they are."""
     told = []
-    for name, read in ((made.workers, lambda file: roll.read(file, made.zones, made.kinds)),
-                       (made.routes, lambda file: routes.read(file, made.methods, ground(made)))):
+    for name, read in (
+        (made.workers, lambda file: roll.read(file, made.zones, made.kinds)),
+        (made.routes, lambda file: routes.read(file, made.methods, ground(made))),
+    ):
         try:
             if name is not None:
                 read(name)
--- a/wickdyke/cli/prove.py
+++ b/wickdyke/cli/prove.py
@@ -50,8 +50,10 @@
 def _play(script: scripts.Script, folder: str | None, brief: bool) -> bool:
     made = folder or tempfile.mkdtemp(prefix="wd-")
     say: Callable[[str], None] = (lambda text: None) if brief else print
-    say(f"{script.name}, seed {script.seed}: {script.gateways} gateways, {script.workers} workers, "
-        f"{script.length / 1000:g} s")
+    say(
+        f"{script.name}, seed {script.seed}: {script.gateways} gateways, {script.workers} workers, "
+        f"{script.length / 1000:g} s"
+    )
     director = Director(script, made, say=say)
     try:
         judge = Judge(trace.read(director.run()))
@@ -60,8 +62,11 @@
         raise SystemExit(RIG) from None
     if brief:
         totals = {column: sum(counts[column] for counts in judge.outcomes().values()) for column in report.COLUMNS}
-        rules = "rules kept" if not judge.findings else "BROKEN " + ", ".join(
-            str(rule) for rule in sorted({finding.rule for finding in judge.findings}))
+        rules = (
+            "rules kept"
+            if not judge.findings
+            else "BROKEN " + ", ".join(str(rule) for rule in sorted({finding.rule for finding in judge.findings}))
+        )
         print(f"{script.name} | {script.seed} | {rules} | " + " | ".join(map(str, totals.values())), flush=True)
     else:
         say("\n" + report.verdict(judge))
@@ -72,8 +77,6 @@
     return bool(judge.findings)
 
 
-
-
 @click.command()
 @click.argument("traces", nargs=-1, required=True, type=click.Path())
 def judge(traces: tuple[str, ...]) -> None:
@@ -85,8 +88,13 @@
     Example:
         wickdyke judge run/bad-day-11
     """
-    paths = [os.path.join(each, name) for each in traces if os.path.isdir(each)
-             for name in sorted(os.listdir(each)) if name.endswith(".trace")]
+    paths = [
+        os.path.join(each, name)
+        for each in traces
+        if os.path.isdir(each)
+        for name in sorted(os.listdir(each))
+        if name.endswith(".trace")
+    ]
     paths += [each for each in traces if not os.path.isdir(each)]
     try:
         judged = Judge(trace.read(paths))
--- a/wickdyke/cli/routes.py
+++ b/wickdyke/cli/routes.py
@@ -41,8 +41,10 @@
         raise SystemExit(2)
     held = found.find(method, program, tenant) if found else None
     if held is None:
-        print(f"no route takes it: soft deadline {known.soft:g} ms, deadline {known.deadline:g} ms; "
-              "the module goes by its own lights")
+        print(
+            f"no route takes it: soft deadline {known.soft:g} ms, deadline {known.deadline:g} ms; "
+            "the module goes by its own lights"
+        )
         return
     print(f'route "{held.route.name}", {held.route.spot}')
     rows = []
@@ -59,10 +61,14 @@
         stated = held.route.holds(name)
         if stated is not None:
             text = files.field_text(name, stated[0])
-            values[name] = text[len(name) + 2:-1]
+            values[name] = text[len(name) + 2 : -1]
         else:
-            own = {"soft-deadline": f"{held.terms.soft:g} ms", "deadline": f"{held.terms.deadline:g} ms",
-                   "attempts": str(held.terms.attempts), "again": " ".join(sorted(held.terms.again)),
-                   "priority": str(held.terms.priority)}
+            own = {
+                "soft-deadline": f"{held.terms.soft:g} ms",
+                "deadline": f"{held.terms.deadline:g} ms",
+                "attempts": str(held.terms.attempts),
+                "again": " ".join(sorted(held.terms.again)),
+                "priority": str(held.terms.priority),
+            }
             values[name] = own.get(name, "-")
     return values
--- a/wickdyke/drill/codec.py
+++ b/wickdyke/drill/codec.py
@@ -38,26 +38,71 @@
 outcome = one_of(OUTCOMES)
 EVENTS: dict[str, tuple[tuple[str, Callable], ...]] = {
     "HALT": (("instance", count),),
-    "FLEET": (("instance", count), ("mode", one_of({m: m for m in "0123"})), ("revision", maybe(whole)),
-              ("entries", maybe(count))),
-    "NEW_REQUEST": (("instance", count), ("id", count), ("bits", count), ("left", span), ("class", count),
-                    ("routine", word), ("effort", maybe(span)), ("project", maybe(count)),
-                    ("footprint-mb", number), ("load-time-ms", maybe(number)), ("parallel", number)),
-    "FIRST_BYTE": (("instance", count), ("id", count), ("round-no", count), ("worker", word),
-                   ("latency", span)),
-    "REPORT_BACK": (("instance", count), ("id", count), ("round-no", count), ("worker", word),
-                    ("reason", outcome), ("latency", span), ("complete", flag), ("note", maybe(count)),
-                    ("health-info", maybe(report))),
+    "FLEET": (
+        ("instance", count),
+        ("mode", one_of({m: m for m in "0123"})),
+        ("revision", maybe(whole)),
+        ("entries", maybe(count)),
+    ),
+    "NEW_REQUEST": (
+        ("instance", count),
+        ("id", count),
+        ("bits", count),
+        ("left", span),
+        ("class", count),
+        ("routine", word),
+        ("effort", maybe(span)),
+        ("project", maybe(count)),
+        ("footprint-mb", number),
+        ("load-time-ms", maybe(number)),
+        ("parallel", number),
+    ),
+    "FIRST_BYTE": (
+        ("instance", count),
+        ("id", count),
+        ("round-no", count),
+        ("worker", word),
+        ("latency", span),
+    ),
+    "REPORT_BACK": (
+        ("instance", count),
+        ("id", count),
+        ("round-no", count),
+        ("worker", word),
+        ("reason", outcome),
+        ("latency", span),
+        ("complete", flag),
+        ("note", maybe(count)),
+        ("health-info", maybe(report)),
+    ),
     "ABORTED": (("instance", count), ("id", count)),
     "WAKEUP": (("instance", count), ("cookie", count)),
-    "PING_RESULT": (("instance", count), ("worker", word), ("reason", outcome), ("latency", span),
-                    ("health-info", maybe(report))),
+    "PING_RESULT": (
+        ("instance", count),
+        ("worker", word),
+        ("reason", outcome),
+        ("latency", span),
+        ("health-info", maybe(report)),
+    ),
     "MEMO": (("instance", count), ("src", count), ("raw", maybe(raw))),
-    "BROUGHT_UP": (("instance", count), ("reason", outcome), ("worker", word), ("instances", count),
-                   ("latency", span), ("routine", word)),
+    "BROUGHT_UP": (
+        ("instance", count),
+        ("reason", outcome),
+        ("worker", word),
+        ("instances", count),
+        ("latency", span),
+        ("routine", word),
+    ),
 }
-ROW = (("worker", word), ("rack-zone", count), ("sku", count), ("cluster", maybe(whole)),
-       ("lifecycle", one_of(STATES)), ("capacity-hint", maybe(number)), ("born", maybe(whole)))
+ROW = (
+    ("worker", word),
+    ("rack-zone", count),
+    ("sku", count),
+    ("cluster", maybe(whole)),
+    ("lifecycle", one_of(STATES)),
+    ("capacity-hint", maybe(number)),
+    ("born", maybe(whole)),
+)
 
 
 def parts(name: str, values: list[str], fields: tuple) -> list:
@@ -76,8 +121,15 @@
 def listing(values: list[str]) -> Listing:
     """One entry of the worker list."""
     ident, zone, kind, cell, state, size, born = parts("ROW", values, ROW)
-    return Listing(ident, zone, kind, -1 if cell is None else cell, state, 1.0 if size is None else size,
-                   born / 1000 if born else None)
+    return Listing(
+        ident,
+        zone,
+        kind,
+        -1 if cell is None else cell,
+        state,
+        1.0 if size is None else size,
+        born / 1000 if born else None,
+    )
 
 
 def note(value: int | None) -> tuple[str | None, int]:
--- a/wickdyke/drill/host.py
+++ b/wickdyke/drill/host.py
@@ -125,8 +125,17 @@
             case "NEW_REQUEST", [ident, bits, left, method, program, work, _, memory, load, lanes]:
                 if method >= len(front_end.methods):
                     raise BadInput(f"NEW_REQUEST: class is {method}, expected one of the settings")
-                front_end.took(ident, left, front_end.methods[method], program, memory,
-                               max(1, int(lanes)), load, work if bits & 1 else None, bool(bits & 2))
+                front_end.took(
+                    ident,
+                    left,
+                    front_end.methods[method],
+                    program,
+                    memory,
+                    max(1, int(lanes)),
+                    load,
+                    work if bits & 1 else None,
+                    bool(bits & 2),
+                )
             case "REPORT_BACK", [ident, number, _, outcome, _, complete, note, report]:
                 standing, company = codec.note(note)
                 front_end.ended(ident, number, outcome, complete, standing, company, report)
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -39,8 +39,16 @@
 class Desk:
     """Carries out what the module decides; see docs/architecture.md for the door it uses."""
 
-    def __init__(self, station, seed: int, log, speech: Speech, roster: Roster, tape: "Tape | None" = None,
-                 ward: "Ward | None" = None) -> None:
+    def __init__(
+        self,
+        station,
+        seed: int,
+        log,
+        speech: Speech,
+        roster: Roster,
+        tape: "Tape | None" = None,
+        ward: "Ward | None" = None,
+    ) -> None:
         self.station, self.log, self.tape, self.ward = station, log, tape, ward
         self.speech, self.roster = speech, roster
         self.events: queue.SimpleQueue = queue.SimpleQueue()
@@ -54,19 +62,43 @@
         self.stopping = self.told = False
         self.counts: Counter[str] = Counter()
         self.ident = 0
-        parts = {"seat": station.seat, "allowance": station.allowance, "stock": station.stock,
-                 "warmup": station.warmup, "ration": station.ration, "directory": station.directory,
-                 "tariff": station.tariff, "shares": station.shares}
+        parts = {
+            "seat": station.seat,
+            "allowance": station.allowance,
+            "stock": station.stock,
+            "warmup": station.warmup,
+            "ration": station.ration,
+            "directory": station.directory,
+            "tariff": station.tariff,
+            "shares": station.shares,
+        }
         now = clock()
         if tape is not None:
             tape.start(now, seed, station.methods, parts)
         self.front_end = FrontEnd(now, seed, station.methods, **parts)
         self.thread = threading.Thread(target=self._run, name="desk", daemon=True)
-        self.verbs = {"call": self._call, "cancel": self._cancel, "deny": self._deny, "abort": self._abort,
-                      "hold": self._hold, "probe": self._probe, "follow_list": self._follow, "note": self._note}
-        self.handlers = {"asked": self._asked, "left": self._left, "gone": self._gone, "rows": self._rows,
-                         "hello": self._hello, "lost": self._lost, "unheard": self._unheard,
-                         "draining": self._draining, "back": self._back, "withdrawn": self._withdrawn}
+        self.verbs = {
+            "call": self._call,
+            "cancel": self._cancel,
+            "deny": self._deny,
+            "abort": self._abort,
+            "hold": self._hold,
+            "probe": self._probe,
+            "follow_list": self._follow,
+            "note": self._note,
+        }
+        self.handlers = {
+            "asked": self._asked,
+            "left": self._left,
+            "gone": self._gone,
+            "rows": self._rows,
+            "hello": self._hello,
+            "lost": self._lost,
+            "unheard": self._unheard,
+            "draining": self._draining,
+            "back": self._back,
+            "withdrawn": self._withdrawn,
+        }
 
     # ---- called from other threads ----
 
@@ -113,8 +145,11 @@
         """When it is due next, if nothing comes before."""
         while self.ends and self.ends[0][1] not in self.asks:
             heapq.heappop(self.ends)
-        return min(self.front_end.wake_at, self.timers[0][0] if self.timers else float("inf"),
-                   self.ends[0][0] if self.ends else float("inf"))
+        return min(
+            self.front_end.wake_at,
+            self.timers[0][0] if self.timers else float("inf"),
+            self.ends[0][0] if self.ends else float("inf"),
+        )
 
     def turn_once(self, wait: float = 0.0) -> bool:
         """Takes what has come (waiting so many ms for a first event), does what is due, carries out what is
@@ -151,8 +186,11 @@
     def _broken(self, bad: Exception) -> None:
         self.counts["faults"] += 1
         last = traceback.extract_tb(bad.__traceback__)[-1]
-        self.log.error("fault in the desk", why=f"{type(bad).__name__}: {bad}",
-                       where=f"{os.path.basename(last.filename)}:{last.lineno}")
+        self.log.error(
+            "fault in the desk",
+            why=f"{type(bad).__name__}: {bad}",
+            where=f"{os.path.basename(last.filename)}:{last.lineno}",
+        )
 
     def _at(self, when: float, act: Callable, *args: object) -> None:
         heapq.heappush(self.timers, (when, next(self.turn), act, args))
@@ -201,8 +239,19 @@
         self.asks[self.ident] = ask
         self.counts["taken"] += 1
         heapq.heappush(self.ends, (clock() + left, self.ident))
-        self._inform("took", self.ident, left, ask.method, call.program, call.memory_mb, call.lanes,
-                     call.load_ms, call.work_ms, call.repeat, ask.timing)
+        self._inform(
+            "took",
+            self.ident,
+            left,
+            ask.method,
+            call.program,
+            call.memory_mb,
+            call.lanes,
+            call.load_ms,
+            call.work_ms,
+            call.repeat,
+            ask.timing,
+        )
 
     def _time_up(self, ident: int) -> None:
         ask = self.asks.get(ident)
@@ -262,8 +311,12 @@
                 # Also what waits for a worker to read. Could hurt nowhere: it never ran, and goes elsewhere.
                 if listing.state != "ready" and listing.ident in self.links:
                     self.links[listing.ident].recall()
-                self.log.info("worker listed", worker=listing.ident, state=listing.state,
-                              up_ms=None if listing.born is None else round(clock() - listing.born))
+                self.log.info(
+                    "worker listed",
+                    worker=listing.ident,
+                    state=listing.state,
+                    up_ms=None if listing.born is None else round(clock() - listing.born),
+                )
             self._inform("listed", changes, False)
 
     def _hello(self, link: Link, standing) -> None:
@@ -282,8 +335,7 @@
         if self.links.get(link.name) is link:
             self._listed(self.roster.draining(link.name))
 
-    def _back(self, link: Link | None, order: Order, outcome: str, result: object = None,
-              data: object = None) -> None:
+    def _back(self, link: Link | None, order: Order, outcome: str, result: object = None, data: object = None) -> None:
         ending = self.speech.ending(order, outcome, result, data)
         if order.kind == "run":
             self._run_back(order, ending)
@@ -345,10 +397,17 @@
         outcome = ending.outcome
         del ask.orders[call_out]
         self.counts[f"call_outs_{outcome}"] += 1
-        self.log.debug("call-out ended", rpc=ask.told, call_out=call_out.number, outcome=outcome,
-                       worker=call_out.place.worker.listing.ident, took_ms=round(clock() - call_out.sent, 1))
-        self._inform("ended", ask.told, call_out.number, outcome, ask.done, ending.standing,
-                     ending.company, ending.report)
+        self.log.debug(
+            "call-out ended",
+            rpc=ask.told,
+            call_out=call_out.number,
+            outcome=outcome,
+            worker=call_out.place.worker.listing.ident,
+            took_ms=round(clock() - call_out.sent, 1),
+        )
+        self._inform(
+            "ended", ask.told, call_out.number, outcome, ask.done, ending.standing, ending.company, ending.report
+        )
         self._forget(ask)
 
     def _withdrawn(self, ask: Ask, call_out: CallOut, outcome: str) -> None:
--- a/wickdyke/gateway/door.py
+++ b/wickdyke/gateway/door.py
@@ -44,8 +44,16 @@
 
     __slots__ = ("batch",)
 
-    def __init__(self, client: "Client", ident: jsonrpc.Ident, method: Method, call: front.Call, left: float,
-                 batch: Batch | None, timing: Timing | None) -> None:
+    def __init__(
+        self,
+        client: "Client",
+        ident: jsonrpc.Ident,
+        method: Method,
+        call: front.Call,
+        left: float,
+        batch: Batch | None,
+        timing: Timing | None,
+    ) -> None:
         super().__init__(client, ident, method, call, left, timing)
         self.batch = batch
 
@@ -121,8 +129,13 @@
 
     def _line(self, line: bytes) -> None:
         requests = list(jsonrpc.requests(line))
-        if not jsonrpc.is_batch(line) or requests and len(requests) == 1 and isinstance(requests[0], jsonrpc.Fault) \
-                and requests[0].ident is None:
+        if (
+            not jsonrpc.is_batch(line)
+            or requests
+            and len(requests) == 1
+            and isinstance(requests[0], jsonrpc.Fault)
+            and requests[0].ident is None
+        ):
             for each in requests:
                 self._one(each, None, None)
             return
@@ -180,23 +193,32 @@
         call = jsonrpc.params(front.Call, request.params, ident)
         method = self.door.methods.get(call.method)
         if method is None:
-            raise jsonrpc.Fault(jsonrpc.BAD_PARAMS, f"method: {call.method[:60]}, expected one of "
-                                + ", ".join(self.door.methods), ident)
+            raise jsonrpc.Fault(
+                jsonrpc.BAD_PARAMS,
+                f"method: {call.method[:60]}, expected one of " + ", ".join(self.door.methods),
+                ident,
+            )
         if method.effect == "tokened" and not call.token:
             raise jsonrpc.Fault(jsonrpc.BAD_PARAMS, f"token: missing, and {method.name} is tokened", ident)
         stated = self.door.stated(call.program)
         if call.memory_mb is None:
             if stated is None:
-                raise jsonrpc.Fault(jsonrpc.BAD_PARAMS, f"memory_mb: missing, and the settings state none for "
-                                    f"{call.program[:60]}", ident)
+                raise jsonrpc.Fault(
+                    jsonrpc.BAD_PARAMS,
+                    f"memory_mb: missing, and the settings state none for {call.program[:60]}",
+                    ident,
+                )
             call.memory_mb = stated.memory
         if call.lanes is None:
             call.lanes = stated.lanes if stated else 1
         if call.load_ms is None and stated:
             call.load_ms = stated.load
         if call.tenant and self.door.tenants and call.tenant not in self.door.tenants:
-            raise jsonrpc.Fault(jsonrpc.BAD_PARAMS, f"tenant: {call.tenant[:60]}, expected one of "
-                                + ", ".join(self.door.tenants), ident)
+            raise jsonrpc.Fault(
+                jsonrpc.BAD_PARAMS,
+                f"tenant: {call.tenant[:60]}, expected one of " + ", ".join(self.door.tenants),
+                ident,
+            )
         held = self.door.routes.find(call.method, call.program, call.tenant) if self.door.routes else None
         most = held.terms.deadline if held else method.deadline
         left = min(call.time_left_ms or most, most, least or most)
@@ -216,8 +238,9 @@
     can be taken, or nothing.
     """
 
-    def __init__(self, station: Station, desk: Callable[[tuple], None], busy: Callable[[], str],
-                 said: Callable[..., None]) -> None:
+    def __init__(
+        self, station: Station, desk: Callable[[tuple], None], busy: Callable[[], str], said: Callable[..., None]
+    ) -> None:
         self.bounds: Bounds = station.bounds
         self.desk, self.busy, self.said = desk, busy, said
         self.methods = {method.name: method for method in station.methods}
--- a/wickdyke/gateway/link.py
+++ b/wickdyke/gateway/link.py
@@ -44,8 +44,9 @@
     ("back", order, outcome, result bytes or None, data bytes or None).
     """
 
-    def __init__(self, name: str, address: str, gateway: str, tell: Callable[..., None], dial: float,
-                 line: int, unread: int) -> None:
+    def __init__(
+        self, name: str, address: str, gateway: str, tell: Callable[..., None], dial: float, line: int, unread: int
+    ) -> None:
         self.name, self.address, self.gateway, self.tell = name, address, gateway, tell
         self.dial, self.line, self.unread = dial, line, unread
         self.lock = threading.Lock()
--- a/wickdyke/gateway/log.py
+++ b/wickdyke/gateway/log.py
@@ -42,7 +42,7 @@
             lost, self.lost = self.lost, 0
             try:
                 if lost:
-                    self.sink.write(f"event=\"log lines lost\" lines={lost}\n")
+                    self.sink.write(f'event="log lines lost" lines={lost}\n')
                 self.sink.write(line + "\n")
                 if self.lines.empty():
                     self.sink.flush()
@@ -53,11 +53,16 @@
 def logger(sink: TextIO, json: bool, debug: bool = False, **bound: object):
     """(logger, scribe): logfmt or JSON lines with time, level and the bound keys; `debug` for each call-out too."""
     scribe = Scribe(sink)
-    drawn = structlog.processors.JSONRenderer() if json else structlog.processors.LogfmtRenderer(
-        key_order=["timestamp", "level", "event"], drop_missing=True)
-    log = structlog.wrap_logger(scribe, processors=[
-        structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True), drawn],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG if debug else logging.INFO))
+    drawn = (
+        structlog.processors.JSONRenderer()
+        if json
+        else structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"], drop_missing=True)
+    )
+    log = structlog.wrap_logger(
+        scribe,
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True), drawn],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG if debug else logging.INFO),
+    )
     return log.bind(**bound), scribe
 
 
--- a/wickdyke/gateway/parts.py
+++ b/wickdyke/gateway/parts.py
@@ -17,8 +17,9 @@
 
     __slots__ = ("client", "ident", "method", "call", "left", "timing", "rpc", "sent", "done", "orders", "told")
 
-    def __init__(self, client: Any, ident: Any, method: Method, call: Any, left: float,
-                 timing: Timing | None = None) -> None:
+    def __init__(
+        self, client: Any, ident: Any, method: Method, call: Any, left: float, timing: Timing | None = None
+    ) -> None:
         self.client, self.ident, self.method, self.call, self.left = client, ident, method, call, left
         self.timing = timing  # as the routes are now; a file read later is for those that come later
         self.rpc, self.sent, self.done, self.orders, self.told = None, 0, False, {}, None
--- a/wickdyke/gateway/roster.py
+++ b/wickdyke/gateway/roster.py
@@ -90,9 +90,15 @@
         if not seen.known:
             return []
         row = seen.row
-        listing = Listing(name, self.zones.index(row.zone) if row.zone in self.zones else 0,
-                          self.kinds.index(row.kind) if row.kind in self.kinds else 0, row.cell,
-                          "draining" if seen.draining else row.state, row.cores, seen.born)
+        listing = Listing(
+            name,
+            self.zones.index(row.zone) if row.zone in self.zones else 0,
+            self.kinds.index(row.kind) if row.kind in self.kinds else 0,
+            row.cell,
+            "draining" if seen.draining else row.state,
+            row.cores,
+            seen.born,
+        )
         if self.passed.get(name) == listing:
             return []
         self.passed[name] = listing
--- a/wickdyke/gateway/serve.py
+++ b/wickdyke/gateway/serve.py
@@ -65,8 +65,9 @@
                 return
             self.said = mark
             first, more = str(bad.troubles[0]), len(bad.troubles) - 1
-            self.log.warning(f"{self.what} unusable", why=first + (f" (and {more} more)" if more else ""),
-                             kept="the last good one")
+            self.log.warning(
+                f"{self.what} unusable", why=first + (f" (and {more} more)" if more else ""), kept="the last good one"
+            )
             return
         self.said = ()
         self.log.info(f"{self.what} read", **self.use(it))
@@ -92,15 +93,31 @@
         self.station, self.log = station, log
         seed = station.seed if station.seed is not None else random.SystemRandom().getrandbits(48)
         self.tape = Tape(station.tape) if station.tape else None
-        self.desk = Desk(station, seed, log, JsonRpc(station), Roster(station.zones, station.kinds), self.tape,
-                         Ward(station.isolation, station.seat.of, log))
+        self.desk = Desk(
+            station,
+            seed,
+            log,
+            JsonRpc(station),
+            Roster(station.zones, station.kinds),
+            self.tape,
+            Ward(station.isolation, station.seat.of, log),
+        )
         self.door = Door(station, self.desk.take, self.desk.busy, log.warning)
-        self.watchers = [Watcher("list", station.workers, station.reread, lambda path: roll.read(
-            path, station.zones, station.kinds), self._listed, log)]
+        self.watchers = [
+            Watcher(
+                "list",
+                station.workers,
+                station.reread,
+                lambda path: roll.read(path, station.zones, station.kinds),
+                self._listed,
+                log,
+            )
+        ]
         self.succession = Succession()
         if station.routes is not None:
-            self.watchers.append(Watcher("routes", station.routes, station.routes_reread, self._read_routes,
-                                         self._routed, log))
+            self.watchers.append(
+                Watcher("routes", station.routes, station.routes_reread, self._read_routes, self._routed, log)
+            )
             self.door.routes = self._read_routes(station.routes)  # none to fall back on
 
     def _listed(self, rows: list[roll.Row]) -> dict:
--- a/wickdyke/gateway/speech.py
+++ b/wickdyke/gateway/speech.py
@@ -23,8 +23,16 @@
     def run(self, call_out: CallOut, ask: Ask, left: float) -> Order:
         """A call-out, to be waited for so many ms."""
         program, call = call_out.rpc.program, ask.call
-        run = back.Run(call_out.rpc.method.name, program.name, call.input, program.memory, program.lanes, left,
-                       call.load_ms, call.token)
+        run = back.Run(
+            call_out.rpc.method.name,
+            program.name,
+            call.input,
+            program.memory,
+            program.lanes,
+            left,
+            call.load_ms,
+            call.token,
+        )
         return Order("run", call_out, "run", jsonrpc.encode(run))
 
     def hold(self, key: tuple, program: Program, copies: int) -> Order:
--- a/wickdyke/gateway/tape.py
+++ b/wickdyke/gateway/tape.py
@@ -15,8 +15,16 @@
 from wickdyke.logic import FrontEnd
 
 WAITING = 200000  # entries; a recording that can't be written as fast stops, and says so at its end
-PARTS = {"seat": Seat, "allowance": Allowance, "stock": Stock, "warmup": Warmup, "ration": Ration,
-         "directory": Directory, "tariff": Tariff, "shares": Shares}
+PARTS = {
+    "seat": Seat,
+    "allowance": Allowance,
+    "stock": Stock,
+    "warmup": Warmup,
+    "ration": Ration,
+    "directory": Directory,
+    "tariff": Tariff,
+    "shares": Shares,
+}
 
 
 def decided(decision: tuple) -> list:
@@ -114,15 +122,19 @@
     _, now, seed, methods, parts = first
     known = [msgspec.convert(method, Method, strict=False) for method in methods]
     named = {method.name: method for method in known}
-    front_end = FrontEnd(now, seed, known, **{name: msgspec.convert(parts[name], kind)
-                                              for name, kind in PARTS.items() if name in parts})
+    front_end = FrontEnd(
+        now, seed, known, **{name: msgspec.convert(parts[name], kind) for name, kind in PARTS.items() if name in parts}
+    )
     alike, said = 0, []
 
     def check(want: list) -> str | None:
         nonlocal said
         got, said = list(said), []
-        return None if msgspec.json.encode(got) == msgspec.json.encode(want) else (
-            f"at {now} ms: decided {got}, recorded {want}")
+        return (
+            None
+            if msgspec.json.encode(got) == msgspec.json.encode(want)
+            else (f"at {now} ms: decided {got}, recorded {want}")
+        )
 
     want: list | None = None
     for entry in source:
--- a/wickdyke/gateway/ward.py
+++ b/wickdyke/gateway/ward.py
@@ -27,10 +27,12 @@
 
     def __init__(self, isolation: Isolation, front_ends: int, log) -> None:
         self.log = log
-        self.programs = Programs(isolation.workers, isolation.loads_window,
-                                 Pauses(isolation.loads_first, isolation.loads_most, front_ends))
-        self.calls = Calls(isolation.copies, isolation.calls_window,
-                           Pauses(isolation.calls_first, isolation.calls_most, front_ends))
+        self.programs = Programs(
+            isolation.workers, isolation.loads_window, Pauses(isolation.loads_first, isolation.loads_most, front_ends)
+        )
+        self.calls = Calls(
+            isolation.copies, isolation.calls_window, Pauses(isolation.calls_first, isolation.calls_most, front_ends)
+        )
         self.cuts: dict[str, list[Cut]] = {}
 
     def turned_away(self, program: str, content, now: float) -> tuple[str, float] | None:
@@ -49,8 +51,12 @@
     def load_failed(self, program: str, worker: str, now: float) -> None:
         """A load of it failed there."""
         if (pause := self.programs.failed(program, worker, now)) is not None:
-            self.log.warning("program barred", program=program, pause_ms=round(pause),
-                             why="it loads nowhere: " + ", ".join(self.programs.known[program].failed))
+            self.log.warning(
+                "program barred",
+                program=program,
+                pause_ms=round(pause),
+                why="it loads nowhere: " + ", ".join(self.programs.known[program].failed),
+            )
 
     def ran(self, program: str, content) -> None:
         """A call of it ended without harm."""
@@ -60,8 +66,9 @@
     def copy_ended(self, program: str, mark: bytes, inside: int, now: float) -> None:
         """The copy that a call was in ended with it and others inside."""
         if (pause := self.calls.ended(program, mark, inside, now)) is not None:
-            self.log.warning("call barred", program=program, digest=mark.hex(), pause_ms=round(pause),
-                             why="copies end under it")
+            self.log.warning(
+                "call barred", program=program, digest=mark.hex(), pause_ms=round(pause), why="copies end under it"
+            )
 
     def cut(self, worker: str, start: int, program: str, mark: bytes) -> bool:
         """A connection ended with the call out. True for the first of that worker: `settle` is due a while later."""
--- a/wickdyke/platform/back.py
+++ b/wickdyke/platform/back.py
@@ -23,8 +23,15 @@
 IDLE_PART = 0.7  # of the time after which the worker ends an idle connection, we leave it
 PAST = 64  # ids no longer open on a connection that are remembered, so that a late or second answer meets none
 
-OUTCOMES = {b"ACK": "ok", b"NOENT": "miss", b"AGAIN": "full", b"EIO": "error", b"STALE": "unsent",
-            b"READY": "ok", b"AILING": "error"}
+OUTCOMES = {
+    b"ACK": "ok",
+    b"NOENT": "miss",
+    b"AGAIN": "full",
+    b"EIO": "error",
+    b"STALE": "unsent",
+    b"READY": "ok",
+    b"AILING": "error",
+}
 MET = (errno.ECONNRESET, errno.EPIPE)  # ends of a connection that was taken by the other side
 OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)  # they tell nothing of a worker
 TRIES = 3  # connections that one order is handed to before a byte of it went, at most
@@ -58,8 +65,14 @@
         company, copies = int(told.get("ahead", "0")), int(told.get("units", "0"))
     except ValueError:
         raise resp.Spoilt("counts that are no numbers") from None
-    return Ending(OUTCOMES[answer[1]], answer[3], NOTES.get(told.get("why", "")), company,
-                  report(told["rep"], names) if "rep" in told else None, copies)
+    return Ending(
+        OUTCOMES[answer[1]],
+        answer[3],
+        NOTES.get(told.get("why", "")),
+        company,
+        report(told["rep"], names) if "rep" in told else None,
+        copies,
+    )
 
 
 class Order(parts.Order):
@@ -108,8 +121,16 @@
 
     def link(self, name: str, address: str, tell) -> "Link":
         """The way to one worker."""
-        return Link(name, address, tell, self.loop, self.pool, self.station.allowance.dial,
-                    self.station.allowance.idle_close * IDLE_PART, self.names)
+        return Link(
+            name,
+            address,
+            tell,
+            self.loop,
+            self.pool,
+            self.station.allowance.dial,
+            self.station.allowance.idle_close * IDLE_PART,
+            self.names,
+        )
 
     def run(self, call_out: CallOut, ask: Ask, left: float) -> Order:
         """A call-out, to be waited for so many ms."""
@@ -168,9 +189,15 @@
     def takes(self, ident: bytes) -> bool:
         """Whether an order under that id may go here: never two under one, nor one of which an answer may yet come."""
         # Danger: where an answer stopped short, all that comes after it on that connection is taken for its rest.
-        return (not self.closed and not self.stale and self.load < STREAMS and not self.answers.begun
-                and ident not in self.open and ident not in self.past
-                and all(order.ident != ident for order in self.pending))
+        return (
+            not self.closed
+            and not self.stale
+            and self.load < STREAMS
+            and not self.answers.begun
+            and ident not in self.open
+            and ident not in self.past
+            and all(order.ident != ident for order in self.pending)
+        )
 
     def alive(self) -> bool:
         """Whether it still stands, as far as this side can tell without waiting."""
@@ -306,8 +333,17 @@
 class Link:
     """All connections to one worker."""
 
-    def __init__(self, name: str, address: str, tell: Callable[..., None], loop: Loop, pool: Pool, dial: float,
-                 idle: float, names: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        tell: Callable[..., None],
+        loop: Loop,
+        pool: Pool,
+        dial: float,
+        idle: float,
+        names: tuple[str, ...],
+    ) -> None:
         self.name, self.tell, self.loop, self.pool = name, tell, loop, pool
         host, _, port = address.rpartition(":")
         self.at, self.dial, self.idle, self.names = (host, int(port)), dial, idle, names
@@ -478,8 +514,9 @@
             conn.end("given up")
             return "cancelled"
         try:
-            with_kernel = conn.outbox.put(Parcel(resp.command(b"abort", order.ident), lambda: self._cancelled(
-                conn, order, done)))
+            with_kernel = conn.outbox.put(
+                Parcel(resp.command(b"abort", order.ident), lambda: self._cancelled(conn, order, done))
+            )
         except (Unread, OSError) as bad:
             conn.end(f"{type(bad).__name__}: {bad}")  # which tells of all that was on it
             return None
@@ -561,8 +598,9 @@
         self._maybe_close()
 
     def _maybe_close(self) -> None:
-        if not (self.closed or self.doubt or any(conn.load for conn in self.connections)
-                or self.beside and self.beside.load):
+        if not (
+            self.closed or self.doubt or any(conn.load for conn in self.connections) or self.beside and self.beside.load
+        ):
             self.close()
 
     def close(self) -> None:
--- a/wickdyke/platform/bus.py
+++ b/wickdyke/platform/bus.py
@@ -24,8 +24,16 @@
 
     first = True
 
-    def __init__(self, loop: Loop, address: tuple[str, int], last: Callable[[], int],
-                 tell: Callable[[list[dict]], None], log, most: float, seed: int) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        last: Callable[[], int],
+        tell: Callable[[list[dict]], None],
+        log,
+        most: float,
+        seed: int,
+    ) -> None:
         self.loop, self.address, self.last, self.tell, self.log = loop, address, last, tell, log
         # ms that one try may take to connect, and to the next at most: also where drains leave next to no time, a bus
         # that is slow to take a connection has to be reached.
@@ -104,8 +112,13 @@
             return
         self.connected, self.heard = True, clock()
         host = f"{self.address[0]}:{self.address[1]}"
-        said = self.http.send(h11.Request(method="GET", target=PATH, headers=[
-            ("Host", host), ("Accept", "text/event-stream"), ("Last-Event-ID", str(self.last()))]))
+        said = self.http.send(
+            h11.Request(
+                method="GET",
+                target=PATH,
+                headers=[("Host", host), ("Accept", "text/event-stream"), ("Last-Event-ID", str(self.last()))],
+            )
+        )
         try:
             self.sock.send(said + (self.http.send(h11.EndOfMessage()) or b""))
         except OSError as bad:
--- a/wickdyke/platform/front.py
+++ b/wickdyke/platform/front.py
@@ -84,9 +84,21 @@
     if not REPEAT.fullmatch(fields.get("r", "0")):
         raise Unfit(f"r is {fields['r'][:20]!r}, expected a number, true or false")
     work = _figure(fields["h"], "h", TIME_MOST) if "h" in fields else None
-    return method, Call(fields["i"].encode(), fields["o"], message.body, figures.get("memory_mb", 0.0),
-                        max(1, int(figures.get("lanes", 1.0))), figures.get("load_ms"), work,
-                        fields.get("r", "0") not in ("0", "false"), fields.get("k", "")), left
+    return (
+        method,
+        Call(
+            fields["i"].encode(),
+            fields["o"],
+            message.body,
+            figures.get("memory_mb", 0.0),
+            max(1, int(figures.get("lanes", 1.0))),
+            figures.get("load_ms"),
+            work,
+            fields.get("r", "0") not in ("0", "false"),
+            fields.get("k", ""),
+        ),
+        left,
+    )
 
 
 class Ask(parts.Ask):
@@ -266,8 +278,17 @@
 
     first = False
 
-    def __init__(self, loop: Loop, address: tuple[str, int], methods: list, most: int, take: Callable[[tuple], None],
-                 busy: Callable[[], str], log, tenants: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        methods: list,
+        most: int,
+        take: Callable[[tuple], None],
+        busy: Callable[[], str],
+        log,
+        tenants: tuple[str, ...] = (),
+    ) -> None:
         self.loop, self.address, self.most, self.take, self.busy, self.log = loop, address, most, take, busy, log
         self.methods, self.tenants = {method.name: method for method in methods}, tenants
         self.clients: dict[int, Client] = {}
--- a/wickdyke/platform/resp.py
+++ b/wickdyke/platform/resp.py
@@ -59,10 +59,10 @@
         if self.length >= 0:
             if len(buffer) < self.length + 2:
                 return False
-            if buffer[self.length:self.length + 2] != b"\r\n":
+            if buffer[self.length : self.length + 2] != b"\r\n":
                 raise Spoilt("a part that is longer than it says")
-            self.parts.append(bytes(buffer[:self.length]))
-            del buffer[:self.length + 2]
+            self.parts.append(bytes(buffer[: self.length]))
+            del buffer[: self.length + 2]
             self.length, self.missing = -1, self.missing - 1
             if not self.missing:
                 self.whole.append(self.parts)
@@ -83,7 +83,7 @@
         length, most = int(digits), self.part if self.missing else PARTS
         if length > most or not (length or self.missing):
             raise Spoilt(f"a length of {length} where {most} is the most")
-        del buffer[:end + 2]
+        del buffer[: end + 2]
         if self.missing:
             self.length = length
         else:
--- a/wickdyke/platform/roster.py
+++ b/wickdyke/platform/roster.py
@@ -48,8 +48,11 @@
                 self.offset = event["offset"]
                 self._take(event.get("topology"))
         after = {name: listing for name, (listing, _) in self.listed.items()}
-        gone = [Listing(was.ident, was.zone, was.kind, was.cell, "gone", was.size, was.born)
-                for name, was in before.items() if name not in after]
+        gone = [
+            Listing(was.ident, was.zone, was.kind, was.cell, "gone", was.size, was.born)
+            for name, was in before.items()
+            if name not in after
+        ]
         return gone + [listing for name, listing in after.items() if before.get(name) != listing]
 
     def _take(self, topology: object) -> None:
@@ -77,7 +80,12 @@
         if not (isinstance(ident, str) and ident and host and sign and 0 < int(port) < 65536):
             raise ValueError(address)
         zone, kind = each.get("zone"), each.get("machineType")
-        return Listing(ident, self.zones.index(zone) if zone in self.zones else 0,
-                       self.kinds.index(kind) if kind in self.kinds else 0, int(each.get("cell", -1)),
-                       STATES[each["lifecycle"]], float(each.get("weight") or 1.0),
-                       float(started) - self.ahead if started else None), address
+        return Listing(
+            ident,
+            self.zones.index(zone) if zone in self.zones else 0,
+            self.kinds.index(kind) if kind in self.kinds else 0,
+            int(each.get("cell", -1)),
+            STATES[each["lifecycle"]],
+            float(each.get("weight") or 1.0),
+            float(started) - self.ahead if started else None,
+        ), address
--- a/wickdyke/platform/serve.py
+++ b/wickdyke/platform/serve.py
@@ -50,17 +50,28 @@
         free = station.sockets - descriptors(station.sockets) - KEPT
         self.speech = Speech(self.loop, station, log, free - free // 2)
         self.desk = Desk(station, station.seed, log, self.speech, self.roster)
-        self.front = Front(self.loop, station.listen, station.methods, free // 2, self.desk.take, self.desk.busy, log,
-                           station.tenants)
-        self.bus = Bus(self.loop, station.bus, lambda: self.roster.offset, self._events, log,
-                       min(FOLLOW, BACK * station.directory.drain_grace), station.seed)
+        self.front = Front(
+            self.loop, station.listen, station.methods, free // 2, self.desk.take, self.desk.busy, log, station.tenants
+        )
+        self.bus = Bus(
+            self.loop,
+            station.bus,
+            lambda: self.roster.offset,
+            self._events,
+            log,
+            min(FOLLOW, BACK * station.directory.drain_grace),
+            station.seed,
+        )
         self.asked_to_end: float | None = None  # when
         self.asked_to_read = self.stopping = False
 
     def _fault(self, bad: Exception) -> None:
         last = traceback.extract_tb(bad.__traceback__)[-1]
-        self.log.error("fault in the loop", why=f"{type(bad).__name__}: {bad}"[:200],
-                       where=f"{os.path.basename(last.filename)}:{last.lineno}")
+        self.log.error(
+            "fault in the loop",
+            why=f"{type(bad).__name__}: {bad}"[:200],
+            where=f"{os.path.basename(last.filename)}:{last.lineno}",
+        )
 
     def _events(self, events: list[dict]) -> None:
         self.desk.take(("rows", events))
@@ -86,8 +97,12 @@
         self.bus.open()
         self.front.listen()
         self.front.ready = True
-        self.log.info("serving", listen=":".join(map(str, self.station.listen)),
-                      workers=len(self.roster.listed), sockets=self.station.sockets)
+        self.log.info(
+            "serving",
+            listen=":".join(map(str, self.station.listen)),
+            workers=len(self.roster.listed),
+            sockets=self.station.sockets,
+        )
         self._count()
         self.loop.every(SWEEP, self.speech.pool.sweep)
         self.loop.every(COUNTS, self._count)
@@ -95,10 +110,17 @@
         gc.freeze()
 
     def _count(self) -> None:
-        self.log.info("counts", clients=len(self.front.clients), open=len(self.desk.asks),
-                      connections=self.speech.pool.used, workers=len(self.desk.links),
-                      **self.desk.counts, **self.front.counts, **self.speech.pool.counts,
-                      **{f"bus_{name}": many for name, many in self.bus.counts.items()})
+        self.log.info(
+            "counts",
+            clients=len(self.front.clients),
+            open=len(self.desk.asks),
+            connections=self.speech.pool.used,
+            workers=len(self.desk.links),
+            **self.desk.counts,
+            **self.front.counts,
+            **self.speech.pool.counts,
+            **{f"bus_{name}": many for name, many in self.bus.counts.items()},
+        )
 
     def _reread(self) -> None:
         self.asked_to_read = False
@@ -156,8 +178,10 @@
         serving.open()
     except OSError as bad:
         host, port = station.listen
-        print(f"wickdyke.platform: {path}: listen is {host}:{port}: {bad.strerror}, expected an address that is free",
-              file=sys.stderr)
+        print(
+            f"wickdyke.platform: {path}: listen is {host}:{port}: {bad.strerror}, expected an address that is free",
+            file=sys.stderr,
+        )
         return 2
     serving.run()
     scribe.close()
--- a/wickdyke/platform/station.py
+++ b/wickdyke/platform/station.py
@@ -105,11 +105,18 @@
     memory = _limit(given, path, "memory_mb", 1)
     return Station(
         name=name or str(given.get("name") or "gateway"),
-        listen=address(listen or given.get("listen"), f"{path}: listen"), bus=bus(given, path), known=events,
-        seed=number, memory_mb=memory, sockets=int(_limit(given, path, "sockets", 64)),
-        zones=pairs.names("zones"), kinds=pairs.names("flavors"),
+        listen=address(listen or given.get("listen"), f"{path}: listen"),
+        bus=bus(given, path),
+        known=events,
+        seed=number,
+        memory_mb=memory,
+        sockets=int(_limit(given, path, "sockets", 64)),
+        zones=pairs.names("zones"),
+        kinds=pairs.names("flavors"),
         tenants=tuple(pairs.get(f"tenants.{at}.name", str) for at in range(pairs.get("tenants.count", terms.count, 0))),
-        bounds=SimpleNamespace(open_rpcs=int(max(LEAST, min(RPCS, memory * EACH_MB))), events=EVENTS), **started)
+        bounds=SimpleNamespace(open_rpcs=int(max(LEAST, min(RPCS, memory * EACH_MB))), events=EVENTS),
+        **started,
+    )
 
 
 def bus(given: dict, path: str) -> tuple[str, int]:
--- a/wickdyke/platform/thrift.py
+++ b/wickdyke/platform/thrift.py
@@ -56,7 +56,7 @@
                 raise Unreadable(f"a frame of {length} bytes")
             if len(buffer) - at - 4 < length:
                 break
-            found.append(bytes(buffer[at + 4:at + 4 + length]))
+            found.append(bytes(buffer[at + 4 : at + 4 + length]))
             at += 4 + length
         del buffer[:at]
         return found
@@ -80,7 +80,7 @@
         if length < 0 or length > len(self.data) - self.at:
             raise Unreadable(f"{length} bytes where {len(self.data) - self.at} are left")
         self.at += length
-        return self.data[self.at - length:self.at]
+        return self.data[self.at - length : self.at]
 
     def unpack(self, form: struct.Struct) -> tuple:
         return form.unpack(self.take(form.size))
@@ -171,26 +171,52 @@
 
 
 def _map(fields: dict[str, str]) -> bytes:
-    return b"".join([bytes((STRING, STRING)), _I32.pack(len(fields)),
-                     *[_string(each.encode()) for pair in fields.items() for each in pair]])
+    return b"".join(
+        [
+            bytes((STRING, STRING)),
+            _I32.pack(len(fields)),
+            *[_string(each.encode()) for pair in fields.items() for each in pair],
+        ]
+    )
 
 
 def _frame(kind: int, verb: str, number: int, result: bytes) -> bytes:
     name = verb.encode()
-    return b"".join((_I32.pack(12 + len(name) + len(result)), _I32.pack((VERSION | kind) - (1 << 32)), _string(name),
-                     _I32.pack(number), result))
+    return b"".join(
+        (
+            _I32.pack(12 + len(name) + len(result)),
+            _I32.pack((VERSION | kind) - (1 << 32)),
+            _string(name),
+            _I32.pack(number),
+            result,
+        )
+    )
 
 
 def answer(verb: str, number: int, body: bytes, good: bool = True) -> bytes:
     """The frame of an Answer."""
-    return _frame(REPLY, verb, number, b"".join((
-        _FIELD.pack(STRUCT, 0), _FIELD.pack(STRING, 1), _string(body), _FIELD.pack(MAP, 2), _map({}),
-        _FIELD.pack(BOOL, 3), bytes((good, STOP, STOP)))))
+    return _frame(
+        REPLY,
+        verb,
+        number,
+        b"".join(
+            (
+                _FIELD.pack(STRUCT, 0),
+                _FIELD.pack(STRING, 1),
+                _string(body),
+                _FIELD.pack(MAP, 2),
+                _map({}),
+                _FIELD.pack(BOOL, 3),
+                bytes((good, STOP, STOP)),
+            )
+        ),
+    )
 
 
 def _thrown(place: int, verb: str, number: int, fields: dict[str, str]) -> bytes:
-    return _frame(REPLY, verb, number, _FIELD.pack(STRUCT, place) + _FIELD.pack(MAP, 1) + _map(fields)
-                  + bytes((STOP, STOP)))
+    return _frame(
+        REPLY, verb, number, _FIELD.pack(STRUCT, place) + _FIELD.pack(MAP, 1) + _map(fields) + bytes((STOP, STOP))
+    )
 
 
 def shed(verb: str, number: int, fields: dict[str, str]) -> bytes:
@@ -205,5 +231,9 @@
 
 def problem(verb: str, number: int, why: str, code: int = PROTOCOL) -> bytes:
     """The frame of an application exception."""
-    return _frame(EXCEPTION, verb, number, _FIELD.pack(STRING, 1) + _string(why.encode()) + _FIELD.pack(I32, 2)
-                  + _I32.pack(code) + bytes((STOP,)))
+    return _frame(
+        EXCEPTION,
+        verb,
+        number,
+        _FIELD.pack(STRING, 1) + _string(why.encode()) + _FIELD.pack(I32, 2) + _I32.pack(code) + bytes((STOP,)),
+    )
--- a/wickdyke/protocol/back.py
+++ b/wickdyke/protocol/back.py
@@ -6,8 +6,17 @@
 
 VERSION = 1
 FULL, MISS, FAILED, DRAINING, OUT_OF_TIME, ENDED = -32010, -32011, -32012, -32013, -32014, -32015
-OUTCOMES = {FULL: "full", MISS: "miss", FAILED: "error", DRAINING: "full", OUT_OF_TIME: "timeout", ENDED: "error",
-            jsonrpc.NO_METHOD: "full", jsonrpc.BAD_PARAMS: "full", jsonrpc.INVALID: "full"}
+OUTCOMES = {
+    FULL: "full",
+    MISS: "miss",
+    FAILED: "error",
+    DRAINING: "full",
+    OUT_OF_TIME: "timeout",
+    ENDED: "error",
+    jsonrpc.NO_METHOD: "full",
+    jsonrpc.BAD_PARAMS: "full",
+    jsonrpc.INVALID: "full",
+}
 
 
 class Hello(msgspec.Struct):
--- a/wickdyke/protocol/jsonrpc.py
+++ b/wickdyke/protocol/jsonrpc.py
@@ -9,8 +9,7 @@
 import msgspec
 
 PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
-WORDS = {PARSE: "Parse error", INVALID: "Invalid Request", NO_METHOD: "Method not found",
-         BAD_PARAMS: "Invalid params"}
+WORDS = {PARSE: "Parse error", INVALID: "Invalid Request", NO_METHOD: "Method not found", BAD_PARAMS: "Invalid params"}
 DEEP = 64  # nesting that any message of ours stays far under; deeper input is refused before it is decoded
 
 Ident = str | int | float | None
--- a/wickdyke/proving/caller.py
+++ b/wickdyke/proving/caller.py
@@ -96,9 +96,15 @@
         final = front.final(result, problem)
         with self.lock:
             self.out.pop(ident, None)
-            self.caller.record("answered", now, mark=mark, gateway=self.gateway,
-                               answer=final.answer if final else "malformed",
-                               why=final.why if final else str(problem), call_outs=final.call_outs if final else 0)
+            self.caller.record(
+                "answered",
+                now,
+                mark=mark,
+                gateway=self.gateway,
+                answer=final.answer if final else "malformed",
+                why=final.why if final else str(problem),
+                call_outs=final.call_outs if final else 0,
+            )
 
 
 class Caller:
@@ -107,8 +113,7 @@
     def __init__(self, plan: Plan) -> None:
         self.plan, self.record = plan, Recorder(plan.trace, plan.name)
         self.chance = random.Random(plan.seed)
-        self.lines = [Line(self, name, path) for name, path in plan.gateways.items()
-                      for _ in range(plan.connections)]
+        self.lines = [Line(self, name, path) for name, path in plan.gateways.items() for _ in range(plan.connections)]
         self.rate, self.hot, self.once, self.short = plan.rate, (0, 0.0), 0.0, 0.0
         self.asked = 0
 
@@ -148,16 +153,23 @@
         self.asked += 1
         ident = self.asked
         mark = f"{plan.name}-{ident}"
-        call = {"method": kind.method, "program": program, "time_left_ms": left, "memory_mb": kind.memory_mb,
-                "lanes": kind.lanes, "load_ms": kind.load_ms,
-                "input": {"mark": mark, "work_ms": work, "load_ms": kind.load_ms}}
+        call = {
+            "method": kind.method,
+            "program": program,
+            "time_left_ms": left,
+            "memory_mb": kind.memory_mb,
+            "lanes": kind.lanes,
+            "load_ms": kind.load_ms,
+            "input": {"mark": mark, "work_ms": work, "load_ms": kind.load_ms},
+        }
         if kind.tokened:
             call["token"] = mark
         line = jsonrpc.request_line("call", jsonrpc.encode(call), ident)
         first = chance.randrange(len(self.lines))
         for step in range(len(self.lines)):
             if self.lines[(first + step) % len(self.lines)].ask(
-                    ident, mark, line, {"method": kind.method, "program": program, "left": left, "work": work}):
+                ident, mark, line, {"method": kind.method, "program": program, "left": left, "work": work}
+            ):
                 return
         self.record("unsent", mark=mark)
 
--- a/wickdyke/proving/director.py
+++ b/wickdyke/proving/director.py
@@ -85,9 +85,13 @@
     """The settings of one gateway of a script."""
     warmup, ration = script.warmup, script.ration
     lines = [
-        "(gateway", f'  (name "g{number}")', f'  (listen (json-rpc "g{number}.sock"))',
-        '  (workers (file "workers.sexp") (reread 50 ms))', f"  (seat (number {number - 1}) (of {script.gateways}))",
-        f"  (seed {script.seed * 1000 + number})", f'  (kind "k" (memory {script.memory:g} MB))',
+        "(gateway",
+        f'  (name "g{number}")',
+        f'  (listen (json-rpc "g{number}.sock"))',
+        '  (workers (file "workers.sexp") (reread 50 ms))',
+        f"  (seat (number {number - 1}) (of {script.gateways}))",
+        f"  (seed {script.seed * 1000 + number})",
+        f'  (kind "k" (memory {script.memory:g} MB))',
         *[f'  (zone "z{zone}")' for zone in range(1, script.zones + 1)],
         f'  (at "z{(number - 1) % script.zones + 1}")',
         f"  (report busy held queue{' pinned' if script.runtime else ''})",
@@ -98,21 +102,27 @@
         f"  (warmup (start-share {warmup['start_share']:g}) (ramp {warmup['ramp']:g} ms)"
         f" (multiple {warmup['multiple']:g}) (window {warmup['window']:g} ms))",
         f"  (ration (free {ration['free']:g}) (share {ration['share']:g}) (window {ration['window']:g} ms))",
-        f"  (drain-grace {script.drain_grace:g} ms)", f"  (answer-way {script.answer_way:g} ms)"]
+        f"  (drain-grace {script.drain_grace:g} ms)",
+        f"  (answer-way {script.answer_way:g} ms)",
+    ]
     for m in script.methods:
         window = f" (window {m.window:g} ms)" if m.effect == "tokened" else ""
-        lines.append(f'  (method "{m.name}" (effect {m.effect}) (scope {m.scope}){window}'
-                     f" (soft-deadline {m.soft:g} ms) (deadline {m.deadline:g} ms) (gain {m.gain:g})"
-                     f" (late-gain {m.late_gain:g}))")
+        lines.append(
+            f'  (method "{m.name}" (effect {m.effect}) (scope {m.scope}){window}'
+            f" (soft-deadline {m.soft:g} ms) (deadline {m.deadline:g} ms) (gain {m.gain:g})"
+            f" (late-gain {m.late_gain:g}))"
+        )
     return "\n".join(lines) + ")\n"
 
 
 def worker_text(script: Script, name: str) -> str:
     """The settings of one worker of our own in a script."""
-    return (f'(worker (name "{name}") (listen "{name}.sock") (store (service "store.sock"))\n'
-            f'  (cache (folder "{name}.cache") (most 200 MB)) (memory {script.memory:g} MB) (queue {script.queue})\n'
-            f"  (calls-at-once {script.cores}) (idle-life {script.idle_life:g} ms) (stop-within 300 ms)\n"
-            f"  (ramp (start-share {script.warmup['start_share']:g}) (ramp {script.warmup['ramp']:g} ms)))\n")
+    return (
+        f'(worker (name "{name}") (listen "{name}.sock") (store (service "store.sock"))\n'
+        f'  (cache (folder "{name}.cache") (most 200 MB)) (memory {script.memory:g} MB) (queue {script.queue})\n'
+        f"  (calls-at-once {script.cores}) (idle-life {script.idle_life:g} ms) (stop-within 300 ms)\n"
+        f"  (ramp (start-share {script.warmup['start_share']:g}) (ramp {script.warmup['ramp']:g} ms)))\n"
+    )
 
 
 PACKAGE = """import time
@@ -131,16 +141,23 @@
                 with open(os.path.join(folder, "main.py"), "w", encoding="utf-8") as sink:
                     sink.write(PACKAGE.format(load=method.load))
                 with open(os.path.join(folder, package.MANIFEST), "w", encoding="utf-8") as sink:
-                    sink.write(f'(package "{method.name}/{at}" (version "1") (entry "main:run")'
-                               f" (memory {method.memory:g} MB) (lanes {method.lanes}))")
+                    sink.write(
+                        f'(package "{method.name}/{at}" (version "1") (entry "main:run")'
+                        f" (memory {method.memory:g} MB) (lanes {method.lanes}))"
+                    )
                 package.pack(folder, store)
 
 
 class Director:
     """One run of a script in a folder of its own."""
 
-    def __init__(self, script: Script, folder: str, gateway: Sequence[str] = GATEWAY,
-                 say: Callable[[str], None] = lambda text: None) -> None:
+    def __init__(
+        self,
+        script: Script,
+        folder: str,
+        gateway: Sequence[str] = GATEWAY,
+        say: Callable[[str], None] = lambda text: None,
+    ) -> None:
         self.script, self.folder, self.gateway, self.say = script, folder, gateway, say
         shutil.rmtree(folder, ignore_errors=True)
         os.makedirs(folder)
@@ -173,8 +190,11 @@
         """Has the list tell of a worker, as late as lists do, and in the order in which things happened."""
         row = self.rows[name]
         self.list_due = max(self.list_due, clock() + (self.lag if lag is None else lag))
-        self._at(self.list_due - clock(), self._write, Row(
-            row.name, row.address, row.zone, row.kind, row.cell, row.cores, state, row.start))
+        self._at(
+            self.list_due - clock(),
+            self._write,
+            Row(row.name, row.address, row.zone, row.kind, row.cell, row.cores, state, row.start),
+        )
 
     def _write(self, row: Row) -> None:
         self.told[row.name] = row
@@ -182,8 +202,7 @@
         # it is put there, the rest from after; else what was sent rightly looks like a drain that was not kept.
         before = clock()
         self._replace()
-        self.record("told", before if row.state == "ready" else None, worker=row.name, state=row.state,
-                    start=row.start)
+        self.record("told", before if row.state == "ready" else None, worker=row.name, state=row.state, start=row.start)
 
     def _route(self, text: str) -> None:
         with open(self._path("routes.new"), "w", encoding="utf-8") as sink:
@@ -202,27 +221,67 @@
         trace = self._path(f"{name}.trace")
         if trace not in self.trace_files:
             self.trace_files.append(trace)
-        build = standin.Build(name, self._path(f"{name}.sock"), trace, self._path("store.sock"), start,
-                      script.seed * 7919 + start, script.cores, script.speed, script.memory, script.idle_life,
-                      queue_most=script.queue, cold=cold, **script.warmup)
-        self.rows[name] = Row(name, build.socket, scripts.zone_of(script, name), "k", int(name[1:]) % 3,
-                              float(script.cores) * script.speed, "ready", start)
+        build = standin.Build(
+            name,
+            self._path(f"{name}.sock"),
+            trace,
+            self._path("store.sock"),
+            start,
+            script.seed * 7919 + start,
+            script.cores,
+            script.speed,
+            script.memory,
+            script.idle_life,
+            queue_most=script.queue,
+            cold=cold,
+            **script.warmup,
+        )
+        self.rows[name] = Row(
+            name,
+            build.socket,
+            scripts.zone_of(script, name),
+            "k",
+            int(name[1:]) % 3,
+            float(script.cores) * script.speed,
+            "ready",
+            start,
+        )
         if name in self.workers:
             self.workers[name].end()
         if script.runtime:
             with open(self._path(f"{name}.sexp"), "w", encoding="utf-8") as sink:
                 sink.write(worker_text(script, name))
-            self.workers[name] = Child((sys.executable, "-m", "wickdyke.cli", "worker", self._path(f"{name}.sexp"),
-                                        "--trace", trace, "--start", str(start), "--log", self._path(f"{name}.log")),
-                                       self._path(f"{name}.err"), ready=False)
+            self.workers[name] = Child(
+                (
+                    sys.executable,
+                    "-m",
+                    "wickdyke.cli",
+                    "worker",
+                    self._path(f"{name}.sexp"),
+                    "--trace",
+                    trace,
+                    "--start",
+                    str(start),
+                    "--log",
+                    self._path(f"{name}.log"),
+                ),
+                self._path(f"{name}.err"),
+                ready=False,
+            )
             return
-        self.workers[name] = Child((sys.executable, "-m", "wickdyke.proving.standin",
-                                    msgspec.json.encode(build).decode()), self._path(f"{name}.err"), ready=False)
+        self.workers[name] = Child(
+            (sys.executable, "-m", "wickdyke.proving.standin", msgspec.json.encode(build).decode()),
+            self._path(f"{name}.err"),
+            ready=False,
+        )
 
     def _start_gateway(self, name: str) -> None:
         self.record("gateway-started", gateway=name)
-        self.gateways[name] = Child((*self.gateway, self._path(f"{name}.sexp"), "--log",
-                                     self._path(f"{name}.log")), self._path(f"{name}.err"), ready=False)
+        self.gateways[name] = Child(
+            (*self.gateway, self._path(f"{name}.sexp"), "--log", self._path(f"{name}.log")),
+            self._path(f"{name}.err"),
+            ready=False,
+        )
 
     def _start_store(self) -> None:
         script = self.script
@@ -231,24 +290,46 @@
                 write_packages(script, self._path("store"))
             with open(self._path("store.sexp"), "w", encoding="utf-8") as sink:
                 sink.write('(store (listen "store.sock") (folder "store"))')
-            self.store = Child((sys.executable, "-m", "wickdyke.cli", "store", self._path("store.sexp")),
-                               self._path("store.err"))
+            self.store = Child(
+                (sys.executable, "-m", "wickdyke.cli", "store", self._path("store.sexp")), self._path("store.err")
+            )
             return
         self.trace_files.append(self._path("store.trace"))
-        self.store = Child((sys.executable, "-m", "wickdyke.proving.store", msgspec.json.encode(store.Build(
-            self._path("store.sock"), self._path("store.trace"), script.store_pace)).decode()),
-            self._path("store.err"))
+        self.store = Child(
+            (
+                sys.executable,
+                "-m",
+                "wickdyke.proving.store",
+                msgspec.json.encode(
+                    store.Build(self._path("store.sock"), self._path("store.trace"), script.store_pace)
+                ).decode(),
+            ),
+            self._path("store.err"),
+        )
 
     def start(self, traffic: bool = True) -> None:
         """Begins everything; returns when all are ready."""
         script = self.script
-        self.record("terms", transit=script.transit, overlap=script.overlap, drain_grace=script.drain_grace,
-                    warmup=script.warmup, ration=script.ration,
-                    methods={m.name: {"effect": m.effect, "scope": m.scope, "window": m.window, "soft": m.soft}
-                             for m in script.methods},
-                    workers={name: {"zone": scripts.zone_of(script, name), "cell": int(name[1:]) % 3,
-                                    "capacity": script.cores * script.speed}
-                             for name in scripts.worker_names(script)})
+        self.record(
+            "terms",
+            transit=script.transit,
+            overlap=script.overlap,
+            drain_grace=script.drain_grace,
+            warmup=script.warmup,
+            ration=script.ration,
+            methods={
+                m.name: {"effect": m.effect, "scope": m.scope, "window": m.window, "soft": m.soft}
+                for m in script.methods
+            },
+            workers={
+                name: {
+                    "zone": scripts.zone_of(script, name),
+                    "cell": int(name[1:]) % 3,
+                    "capacity": script.cores * script.speed,
+                }
+                for name in scripts.worker_names(script)
+            },
+        )
         self._start_store()
         for name in scripts.worker_names(script):
             self._start_worker(name, cold=False)
@@ -268,14 +349,30 @@
             child.wait_ready((name,))
         if not traffic:
             return
-        kinds = [caller.Kind(m.name, m.part, m.deadline, m.work, m.programs, m.memory, m.lanes, m.load,
-                             m.effect == "tokened") for m in script.methods]
-        plan = caller.Plan("c1", self._path("c1.trace"),
-                           {f"g{n}": self._path(f"g{n}.sock") for n in range(1, script.gateways + 1)}, kinds,
-                           script.rate, script.length, script.seed, script.connections, script.most)
+        kinds = [
+            caller.Kind(
+                m.name, m.part, m.deadline, m.work, m.programs, m.memory, m.lanes, m.load, m.effect == "tokened"
+            )
+            for m in script.methods
+        ]
+        plan = caller.Plan(
+            "c1",
+            self._path("c1.trace"),
+            {f"g{n}": self._path(f"g{n}.sock") for n in range(1, script.gateways + 1)},
+            kinds,
+            script.rate,
+            script.length,
+            script.seed,
+            script.connections,
+            script.most,
+        )
         self.trace_files.append(plan.trace)
-        self.callers.append(Child((sys.executable, "-m", "wickdyke.proving.caller",
-                                   msgspec.json.encode(plan).decode()), self._path("c1.err")))
+        self.callers.append(
+            Child(
+                (sys.executable, "-m", "wickdyke.proving.caller", msgspec.json.encode(plan).decode()),
+                self._path("c1.err"),
+            )
+        )
 
     # ---- troubles ----
 
@@ -331,8 +428,11 @@
 
     def _traffic(self, kind: str, values: dict[str, float]) -> None:
         begins, ends = {
-            "burst": (values.get("factor"), 1.0), "hot": ([values.get("programs"), values.get("share")], [1, 0.0]),
-            "once": (values.get("share"), 0.0), "short": (values.get("share"), 0.0)}[kind]
+            "burst": (values.get("factor"), 1.0),
+            "hot": ([values.get("programs"), values.get("share")], [1, 0.0]),
+            "once": (values.get("share"), 0.0),
+            "short": (values.get("share"), 0.0),
+        }[kind]
         for child in self.callers:
             child.tell(**{kind: begins})
             self._at(values["for"], lambda child=child: child.tell(**{kind: ends}))
@@ -416,8 +516,7 @@
                 if trouble.at is not None:
                     self._at(trouble.at, self._do, trouble)
                 else:
-                    self.workers[trouble.event_worker].tell(on=trouble.event, nth=trouble.nth,
-                                                            fault=_fault(trouble))
+                    self.workers[trouble.event_worker].tell(on=trouble.event, nth=trouble.nth, fault=_fault(trouble))
             over = clock() + self.script.length + 20000 + max(m.deadline for m in self.script.methods)
             while any(child.process.poll() is None for child in self.callers):
                 self.step()
--- a/wickdyke/proving/judge.py
+++ b/wickdyke/proving/judge.py
@@ -9,8 +9,13 @@
 from dataclasses import dataclass, field
 
 NEVER_RAN = frozenset({"full", "miss"})
-RULES = {1: "no RPC lost", 2: "no effect twice", 3: "drains kept", 4: "no cold worker pushed over",
-         5: "load orders rationed"}
+RULES = {
+    1: "no RPC lost",
+    2: "no effect twice",
+    3: "drains kept",
+    4: "no cold worker pushed over",
+    5: "load orders rationed",
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,8 +115,10 @@
         entry, ends = asked.entry, asked.entry["t"] + asked.entry["left"]
         if not asked.answers:
             lost = asked.lost
-            killed = any(entry["t"] - self.transit <= at <= (lost["t"] if lost else ends) + self.transit
-                         for at in self.down[entry["gateway"]])
+            killed = any(
+                entry["t"] - self.transit <= at <= (lost["t"] if lost else ends) + self.transit
+                for at in self.down[entry["gateway"]]
+            )
             if not killed:
                 self.findings.append(_finding(1, lost or entry, f"{mark} got no answer"))
             return
@@ -127,8 +134,9 @@
 
     def _free_at(self, run: Run) -> float | None:
         """When the call-out was out no more: answered, cancelled, or its worker or gateway was gone."""
-        died = [at for at in self.dead[run.worker] + self.down[run.entry["gateway"]]
-                if at >= run.entry["t"] - self.transit]
+        died = [
+            at for at in self.dead[run.worker] + self.down[run.entry["gateway"]] if at >= run.entry["t"] - self.transit
+        ]
         times = [at for at in (run.free, min(died, default=None)) if at is not None]
         return min(times, default=None)
 
@@ -152,8 +160,9 @@
                     self._token(mark, method, earlier, run)
         for answer in (a for a in asked.answers if a["answer"] == "denied"):
             ran = [run for run in runs if run.how not in NEVER_RAN]
-            if ran and (method["effect"] == "side-effecting"
-                        or method["effect"] == "tokened" and method["scope"] != "all"):
+            if ran and (
+                method["effect"] == "side-effecting" or method["effect"] == "tokened" and method["scope"] != "all"
+            ):
                 self.findings.append(_finding(2, answer, f"{mark} denied, may have run at {ran[0].worker}"))
 
     def _token(self, mark: str, method: dict, earlier: Run, run: Run) -> None:
@@ -162,8 +171,9 @@
             self.findings.append(_finding(2, run.entry, f"{mark} sent again {late:.3f} ms past its window"))
         groups = [self.terms["workers"][each.worker].get(method["scope"]) for each in (earlier, run)]
         if method["scope"] != "all" and groups[0] != groups[1]:
-            self.findings.append(_finding(2, run.entry, f"{mark} sent from {method['scope']} {groups[0]} "
-                                          f"to {groups[1]}"))
+            self.findings.append(
+                _finding(2, run.entry, f"{mark} sent from {method['scope']} {groups[0]} to {groups[1]}")
+            )
 
     # ---- rule 3 ----
 
@@ -178,8 +188,14 @@
             elif entry["what"] == "run" or entry["what"] == "hold" and entry["copies"] > 0:
                 since = told.get(entry["by"])
                 if since is not None and entry["t"] > since + grace:
-                    self.findings.append(_finding(3, entry, f"{entry['what']} {entry['t'] - since:.3f} ms after "
-                                                  f"{entry['by']} was told to drain or be gone"))
+                    self.findings.append(
+                        _finding(
+                            3,
+                            entry,
+                            f"{entry['what']} {entry['t'] - since:.3f} ms after "
+                            f"{entry['by']} was told to drain or be gone",
+                        )
+                    )
 
     # ---- rule 4 ----
 
@@ -203,8 +219,14 @@
                 stands = warmup["multiple"] * share * self.terms["workers"][by]["capacity"] * warmup["window"]
                 got = sum(work for at, work in sent[by] if at > entry["t"] - warmup["window"])
                 if got > stands:
-                    self.findings.append(_finding(4, entry, f"{by}, {age:.0f} ms old, was sent {got:.1f} ms of work "
-                                                  f"in {warmup['window']:g} ms and stands {stands:.1f}"))
+                    self.findings.append(
+                        _finding(
+                            4,
+                            entry,
+                            f"{by}, {age:.0f} ms old, was sent {got:.1f} ms of work "
+                            f"in {warmup['window']:g} ms and stands {stands:.1f}",
+                        )
+                    )
 
     # ---- rule 5 ----
 
@@ -226,8 +248,11 @@
                 many = len(mine) - bisect_right(mine, t - ration["window"] + self.transit)
                 took = bisect_right(rpcs, t) - bisect_left(rpcs, t - ration["window"] - self.transit)
                 if many > ration["free"] + ration["share"] * took + 1e-9:
-                    self.findings.append(_finding(5, entry, f"{name} ordered {many} loads in {ration['window']:g} "
-                                                  f"ms with {took} RPCs taken"))
+                    self.findings.append(
+                        _finding(
+                            5, entry, f"{name} ordered {many} loads in {ration['window']:g} ms with {took} RPCs taken"
+                        )
+                    )
 
     # ---- what became of the RPCs ----
 
--- a/wickdyke/proving/report.py
+++ b/wickdyke/proving/report.py
@@ -25,8 +25,13 @@
 def table(head: tuple[str, ...], rows: list[list[str]]) -> str:
     """Columns under their heads; the first to the left."""
     widths = [max(len(row[at]) for row in [list(head), *rows]) for at in range(len(head))]
-    return "\n".join("  ".join(cell.ljust(width) if at == 0 else cell.rjust(width) for at, (cell, width)
-                               in enumerate(zip(row, widths, strict=True))).rstrip() for row in [list(head), *rows])
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) if at == 0 else cell.rjust(width)
+            for at, (cell, width) in enumerate(zip(row, widths, strict=True))
+        ).rstrip()
+        for row in [list(head), *rows]
+    )
 
 
 def verdict(judge: Judge, shown: int = 5) -> str:
@@ -37,11 +42,23 @@
         parts.append(f"rule {rule}, {name}: " + (f"BROKEN {len(broken)} times" if broken else "kept"))
         parts += [f"    {finding}" for finding in broken[:shown]]
     outcomes = judge.outcomes()
-    parts += ["", table(("method", *COLUMNS), [
-        [method, *[str(counts[column]) for column in COLUMNS]] for method, counts in sorted(outcomes.items())])]
+    parts += [
+        "",
+        table(
+            ("method", *COLUMNS),
+            [[method, *[str(counts[column]) for column in COLUMNS]] for method, counts in sorted(outcomes.items())],
+        ),
+    ]
     latencies = judge.latencies()
     if latencies:
-        parts += ["", table(("ok answers, ms", *[f"p{point:g}" for point in POINTS]), [
-            [method, *[f"{value:.1f}" for value in quantiles(samples)]]
-            for method, samples in sorted(latencies.items())])]
+        parts += [
+            "",
+            table(
+                ("ok answers, ms", *[f"p{point:g}" for point in POINTS]),
+                [
+                    [method, *[f"{value:.1f}" for value in quantiles(samples)]]
+                    for method, samples in sorted(latencies.items())
+                ],
+            ),
+        ]
     return "\n".join(parts)
--- a/wickdyke/proving/script.py
+++ b/wickdyke/proving/script.py
@@ -117,15 +117,21 @@
         return Trouble(form.name, (), {}, form.spot, text=text, **when)
     names = tuple(str(item.value) for item in form.items if isinstance(item, Atom) and item.kind == "string")
     if (whom == "none") != (not names):
-        notes.add(form.spot, f"({form.name} with {len(names)} names)",
-                  "none" if whom == "none" else f"at least one {whom.removesuffix('s')} in double quotes")
+        notes.add(
+            form.spot,
+            f"({form.name} with {len(names)} names)",
+            "none" if whom == "none" else f"at least one {whom.removesuffix('s')} in double quotes",
+        )
     values: dict[str, float] = {name: absent for name, (_, absent) in figures.items()}
     for item in form.items:
         if isinstance(item, Form) and item.name in figures:
             values[item.name] = figures[item.name][0](item, notes)
         elif isinstance(item, Form) or item.kind != "string":
-            notes.add(item.spot, check.shown(item), "names, and " + (", ".join(f"({f} ...)" for f in figures)
-                                                                     or "nothing else"))
+            notes.add(
+                item.spot,
+                check.shown(item),
+                "names, and " + (", ".join(f"({f} ...)" for f in figures) or "nothing else"),
+            )
     return Trouble(form.name, names, values, form.spot, **when)
 
 
@@ -160,34 +166,74 @@
 
 
 METHOD = record(
-    lambda spot, soft_deadline, **values: MethodTraffic(soft=soft_deadline, **values), named=True,
+    lambda spot, soft_deadline, **values: MethodTraffic(soft=soft_deadline, **values),
+    named=True,
     effect=Field(choice(idempotent="idempotent", tokened="tokened", side_effecting="side-effecting")),
-    scope=Field(choice(all="all", zone="zone", cell="cell"), "all"), window=Field(span(), 0.0),
-    soft_deadline=Field(span(1)), deadline=Field(span(1)), gain=Field(number(0, 1e6), 1.0),
-    late_gain=Field(number(0, 1), 0.2), part=Field(number(0, 1e6), 1.0), work=Field(span(0.01)),
-    programs=Field(count(1, 10000), 20), memory=Field(size(), 2000.0), lanes=Field(count(1, 1000), 4),
-    load=Field(span(), 500.0))
-WARMUP = record(lambda spot, **values: values, start_share=Field(number(0.001, 1), 0.25),
-                ramp=Field(span(), 6000.0), multiple=Field(number(1, 1000), 3.0), window=Field(span(1), 1500.0))
-RATION = record(lambda spot, **values: values, free=Field(number(0, 1e6), 0.0), share=Field(number(0, 1e6), 0.0),
-                window=Field(span(), 0.0))
+    scope=Field(choice(all="all", zone="zone", cell="cell"), "all"),
+    window=Field(span(), 0.0),
+    soft_deadline=Field(span(1)),
+    deadline=Field(span(1)),
+    gain=Field(number(0, 1e6), 1.0),
+    late_gain=Field(number(0, 1), 0.2),
+    part=Field(number(0, 1e6), 1.0),
+    work=Field(span(0.01)),
+    programs=Field(count(1, 10000), 20),
+    memory=Field(size(), 2000.0),
+    lanes=Field(count(1, 1000), 4),
+    load=Field(span(), 500.0),
+)
+WARMUP = record(
+    lambda spot, **values: values,
+    start_share=Field(number(0.001, 1), 0.25),
+    ramp=Field(span(), 6000.0),
+    multiple=Field(number(1, 1000), 3.0),
+    window=Field(span(1), 1500.0),
+)
+RATION = record(
+    lambda spot, **values: values,
+    free=Field(number(0, 1e6), 0.0),
+    share=Field(number(0, 1e6), 0.0),
+    window=Field(span(), 0.0),
+)
+
+
 def _script(spot: Spot, at: list, on: list, method: list, route: list, **values) -> Script:
     return Script(methods=method, troubles=[*at, *on], routes=" ".join(route), **values)
 
 
 SCRIPT = record(
-    _script, named=True, route=Field(lambda form, notes: sexp.written(form), None, many=True),
-    cancel=Field(flag, True), runtime=Field(flag, False), holds=Field(flag, True),
-    seed=Field(count(0, 2**31), 1), length=Field(span(100)), gateways=Field(count(1, 64), 2),
-    workers=Field(count(1, 200), 6), zones=Field(count(1, 20), 1), cores=Field(count(1, 1000), 4),
-    speed=Field(number(0.01, 100), 1.0), memory=Field(size(1), 24000.0), queue=Field(count(1, 10**6), 200),
-    idle_life=Field(span(100), 6000.0), rate=Field(number(0.1, 100000), 100.0),
-    connections=Field(count(1, 1000), 2), most=Field(count(0, 10**7), 0), call_outs=Field(count(1, 100), 3),
-    overlap=Field(flag, False), drain_grace=Field(span(), 1000.0), list_lag=Field(span(), 500.0),
-    answer_way=Field(span(), 150.0), transit=Field(span(), 250.0), store_pace=Field(count(1, 10000), 8),
+    _script,
+    named=True,
+    route=Field(lambda form, notes: sexp.written(form), None, many=True),
+    cancel=Field(flag, True),
+    runtime=Field(flag, False),
+    holds=Field(flag, True),
+    seed=Field(count(0, 2**31), 1),
+    length=Field(span(100)),
+    gateways=Field(count(1, 64), 2),
+    workers=Field(count(1, 200), 6),
+    zones=Field(count(1, 20), 1),
+    cores=Field(count(1, 1000), 4),
+    speed=Field(number(0.01, 100), 1.0),
+    memory=Field(size(1), 24000.0),
+    queue=Field(count(1, 10**6), 200),
+    idle_life=Field(span(100), 6000.0),
+    rate=Field(number(0.1, 100000), 100.0),
+    connections=Field(count(1, 1000), 2),
+    most=Field(count(0, 10**7), 0),
+    call_outs=Field(count(1, 100), 3),
+    overlap=Field(flag, False),
+    drain_grace=Field(span(), 1000.0),
+    list_lag=Field(span(), 500.0),
+    answer_way=Field(span(), 150.0),
+    transit=Field(span(), 250.0),
+    store_pace=Field(count(1, 10000), 8),
     warmup=Field(WARMUP, {"start_share": 0.25, "ramp": 6000.0, "multiple": 3.0, "window": 1500.0}),
     ration=Field(RATION, {"free": 0.0, "share": 0.0, "window": 0.0}),
-    method=Field(METHOD, many=True), at=Field(_at, None, many=True), on=Field(_on, None, many=True))
+    method=Field(METHOD, many=True),
+    at=Field(_at, None, many=True),
+    on=Field(_on, None, many=True),
+)
 
 
 def worker_names(script: Script) -> list[str]:
@@ -206,20 +252,31 @@
     form = check.only_form(sexp.read(path), "script", path, notes)
     script = SCRIPT(form, notes) if form is not None else None
     if script is not None:
-        known = {"workers": worker_names(script), "gateway": [f"g{n}" for n in range(1, script.gateways + 1)],
-                 "zone": [f"z{n}" for n in range(1, script.zones + 1)], "none": []}
+        known = {
+            "workers": worker_names(script),
+            "gateway": [f"g{n}" for n in range(1, script.gateways + 1)],
+            "zone": [f"z{n}" for n in range(1, script.zones + 1)],
+            "none": [],
+        }
         for trouble in script.troubles:
             for name in trouble.who:
                 if name not in known[KINDS[trouble.kind][0]]:
                     notes.add(trouble.spot, f'"{name}"', "one of " + ", ".join(known[KINDS[trouble.kind][0]]))
             if script.runtime and (trouble.event or trouble.kind in OF_STANDINS):
-                notes.add(trouble.spot, f"({trouble.kind} ...)", "a trouble that workers of our own can have: "
-                          + ", ".join(kind for kind in KINDS if kind not in OF_STANDINS))
+                notes.add(
+                    trouble.spot,
+                    f"({trouble.kind} ...)",
+                    "a trouble that workers of our own can have: "
+                    + ", ".join(kind for kind in KINDS if kind not in OF_STANDINS),
+                )
             elif not script.runtime and trouble.kind in OF_RUNTIME:
                 notes.add(trouble.spot, f"({trouble.kind} ...)", "it with (runtime yes): stand-ins have no such thing")
         for method in script.methods:
             if method.soft >= method.deadline:
-                notes.add(form.spot, f'method "{method.name}" with a soft deadline of {method.soft:g} ms',
-                          f"one before its deadline, {method.deadline:g} ms")
+                notes.add(
+                    form.spot,
+                    f'method "{method.name}" with a soft deadline of {method.soft:g} ms',
+                    f"one before its deadline, {method.deadline:g} ms",
+                )
     notes.done()
     return script
--- a/wickdyke/proving/standin.py
+++ b/wickdyke/proving/standin.py
@@ -128,8 +128,11 @@
         memory = sum(c.memory for each in self.copies.values() for c in each if c.busy or not c.ready)
         self.report = {
             "busy": min(1.0, self.running / self.build.cores + self.faults.get("neighbour", 0.0)),
-            "held": float(held), "queue": float(max(0, held - self.running)),
-            "loads": float(self.loading + len(self.loads)), "pinned": memory / self.build.memory_mb}
+            "held": float(held),
+            "queue": float(max(0, held - self.running)),
+            "loads": float(self.loading + len(self.loads)),
+            "pinned": memory / self.build.memory_mb,
+        }
         if "age" in self.faults:
             self.faults["age"] += self.faults["age_step"]
         for program, copies in list(self.copies.items()):
@@ -144,8 +147,14 @@
 
     def _heard(self, wire: Wire, request: jsonrpc.Request) -> None:
         with self.lock:
-            act = {"hello": self._hello, "run": self._run, "hold": self._hold, "drop": self._drop,
-                   "cancel": self._cancel, "probe": self._probe}.get(request.method)
+            act = {
+                "hello": self._hello,
+                "run": self._run,
+                "hold": self._hold,
+                "drop": self._drop,
+                "cancel": self._cancel,
+                "probe": self._probe,
+            }.get(request.method)
             if act is None:
                 wire.say(jsonrpc.problem(request.ident, jsonrpc.NO_METHOD, "Method not found"))
                 return
@@ -157,8 +166,14 @@
         self.record("hello", gateway=wire.who, start=self.build.start)
         if self._hangs():
             return
-        wire.say(jsonrpc.result(request.ident, jsonrpc.encode(back.Standing(
-            back.VERSION, self.build.name, self.build.start, clock() - self.born, self.draining))))
+        wire.say(
+            jsonrpc.result(
+                request.ident,
+                jsonrpc.encode(
+                    back.Standing(back.VERSION, self.build.name, self.build.start, clock() - self.born, self.draining)
+                ),
+            )
+        )
 
     def _hangs(self) -> bool:
         return "hang" in self.faults
@@ -171,8 +186,17 @@
         run = msgspec.json.decode(request.params, type=back.Run)
         asked = msgspec.json.decode(run.input, type=Input)
         now = clock()
-        self.record("run", now, mark=asked.mark, gateway=wire.who, program=run.program, work=asked.work_ms,
-                    token=run.token, start=self.build.start, job=self.seen["call-out"] + 1)
+        self.record(
+            "run",
+            now,
+            mark=asked.mark,
+            gateway=wire.who,
+            program=run.program,
+            work=asked.work_ms,
+            token=run.token,
+            start=self.build.start,
+            job=self.seen["call-out"] + 1,
+        )
         self.seen["call-out"] += 1
         self._trigger("call-out")
         company = sum(job.run.program == run.program and not job.ended for job in self.jobs.values())
@@ -238,8 +262,15 @@
 
     def _load(self, program: str, memory: float, lanes: int, load: float) -> bool:
         held = sum(c.memory for each in self.copies.values() for c in each)
-        idle = sorted((c for each in self.copies.values() for c in each
-                       if c.ready and not c.busy and not self.waiting.get(c.program)), key=lambda c: c.used)
+        idle = sorted(
+            (
+                c
+                for each in self.copies.values()
+                for c in each
+                if c.ready and not c.busy and not self.waiting.get(c.program)
+            ),
+            key=lambda c: c.used,
+        )
         while held + memory > self.build.memory_mb and idle:
             out = idle.pop(0)
             self.copies[out.program].remove(out)
@@ -301,7 +332,7 @@
             wire.say(jsonrpc.problem(request.ident, back.DRAINING, "draining"))
             return
         copies = self.copies.setdefault(hold.program, [])
-        for copy in copies[:hold.copies]:
+        for copy in copies[: hold.copies]:
             copy.used = clock()
         while len(copies) < hold.copies:
             if not self._load(hold.program, hold.memory_mb, hold.lanes, hold.load_ms or 500.0):
--- a/wickdyke/proving/trace.py
+++ b/wickdyke/proving/trace.py
@@ -25,8 +25,11 @@
     def __call__(self, what: str, t: float | None = None, **more: object) -> None:
         """Writes one line; `t` where it happened before now."""
         self.n += 1
-        os.write(self.file, msgspec.json.encode(
-            {"t": clock() if t is None else t, "by": self.by, "n": self.n, "what": what, **more}) + b"\n")
+        os.write(
+            self.file,
+            msgspec.json.encode({"t": clock() if t is None else t, "by": self.by, "n": self.n, "what": what, **more})
+            + b"\n",
+        )
 
 
 class Broken(Exception):
--- a/wickdyke/settings/check.py
+++ b/wickdyke/settings/check.py
@@ -43,8 +43,14 @@
     if len(form.items) == 1 and isinstance(form.items[0], Atom) and form.items[0].kind == kind:
         return form.items[0]
     found = " ".join(map(shown, form.items)) or "nothing"
-    fix = f'write "{form.items[0].text}"' if kind == "string" and len(form.items) == 1 \
-        and isinstance(form.items[0], Atom) and form.items[0].kind == "word" else ""
+    fix = (
+        f'write "{form.items[0].text}"'
+        if kind == "string"
+        and len(form.items) == 1
+        and isinstance(form.items[0], Atom)
+        and form.items[0].kind == "word"
+        else ""
+    )
     notes.add(form.spot, f"({form.name} {found})" if form.items else f"({form.name})", expected, fix)
     return None
 
@@ -60,19 +66,29 @@
             return None
         unit = items[1] if len(items) == 2 and isinstance(items[1], Atom) else None
         if len(items) == 1:
-            notes.add(value.spot, f"{value.text} without a unit", f"{what} with its unit ({listed})",
-                      f"write {value.text} {next(u for u, f in units.items() if f == 1.0)}"
-                      f" if that is what is meant")
+            notes.add(
+                value.spot,
+                f"{value.text} without a unit",
+                f"{what} with its unit ({listed})",
+                f"write {value.text} {next(u for u, f in units.items() if f == 1.0)} if that is what is meant",
+            )
             return None
         if unit is None or unit.text not in units:
             close = {u.lower(): u for u in units}.get(str(getattr(unit, "text", "")).lower())
-            notes.add((unit or value).spot, f"the unit {' '.join(map(shown, items[1:]))}", f"one of {listed}",
-                      f"write {close}" if close else "")
+            notes.add(
+                (unit or value).spot,
+                f"the unit {' '.join(map(shown, items[1:]))}",
+                f"one of {listed}",
+                f"write {close}" if close else "",
+            )
             return None
         amount = value.value * units[unit.text]
         if not least <= amount <= most:
-            notes.add(value.spot, f"{value.text} {unit.text}", f"{what} of {least:g} to {most:g} "
-                      + next(u for u, f in units.items() if f == 1.0))
+            notes.add(
+                value.spot,
+                f"{value.text} {unit.text}",
+                f"{what} of {least:g} to {most:g} " + next(u for u, f in units.items() if f == 1.0),
+            )
             return None
         return amount
 
@@ -91,6 +107,7 @@
 
 def number(least: float, most: float) -> Reader:
     """A plain number."""
+
     def reader(form: Form, notes: Notes) -> float | None:
         atom = _only(form, notes, "number", f"one number of {least:g} to {most:g}")
         if atom is not None and not least <= atom.value <= most:
@@ -190,14 +207,22 @@
                 continue
             if item.name not in table:
                 near = get_close_matches(item.name, table, 1, 0.5)
-                notes.add(item.spot, f"({item.name} ...)", f"a field of {form.name}",
-                          f"did you mean {near[0]}?" if near else "it knows " + ", ".join(table))
+                notes.add(
+                    item.spot,
+                    f"({item.name} ...)",
+                    f"a field of {form.name}",
+                    f"did you mean {near[0]}?" if near else "it knows " + ", ".join(table),
+                )
                 excused.update(near)
                 continue
             known = table[item.name]
             if item.name in seen and not known.many:
-                notes.add(item.spot, f"({item.name} ...) a second time", "it once",
-                          f"the first stands in line {seen[item.name].line}")
+                notes.add(
+                    item.spot,
+                    f"({item.name} ...) a second time",
+                    "it once",
+                    f"the first stands in line {seen[item.name].line}",
+                )
                 continue
             seen[item.name] = item.spot
             value = known.reader(item, notes)
--- a/wickdyke/settings/roll.py
+++ b/wickdyke/settings/roll.py
@@ -27,10 +27,16 @@
 
 
 WORKER = record(
-    _row, named=True, address=Field(address.read), zone=Field(text, None), kind=Field(text, None),
-    cell=Field(count(0, 10**6), 0), cores=Field(number(0.01, 10**6), 1.0),
+    _row,
+    named=True,
+    address=Field(address.read),
+    zone=Field(text, None),
+    kind=Field(text, None),
+    cell=Field(count(0, 10**6), 0),
+    cores=Field(number(0.01, 10**6), 1.0),
     state=Field(choice(ready="ready", draining="draining", gone="gone"), "ready"),
-    start=Field(count(0, 2**53), 0))
+    start=Field(count(0, 2**53), 0),
+)
 WORKERS = record(lambda spot, worker: worker, worker=Field(WORKER, None, many=True))
 
 
@@ -52,19 +58,24 @@
 def read(path: str, zones: tuple[str, ...] = (), kinds: tuple[str, ...] = ()) -> list[Row]:
     """The rows of a file; raises Unusable with all that is wrong. Paths of sockets hang on its folder."""
     folder = os.path.dirname(path)
-    return [replace(row, address=address.beside(row.address, folder))
-            for row in rows(sexp.read(path), path, zones, kinds)]
+    return [
+        replace(row, address=address.beside(row.address, folder)) for row in rows(sexp.read(path), path, zones, kinds)
+    ]
 
 
 def written(rows_: list[Row]) -> str:
     """The text of a list, as `read` takes it."""
+
     def quoted(value: str) -> str:
         return '"' + value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
 
     lines = ["(workers"]
     for row in rows_:
-        places = "".join(f" ({what} {quoted(value)})" for what, value in (("zone", row.zone), ("kind", row.kind))
-                         if value)
-        lines.append(f"  (worker {quoted(row.name)} (address {quoted(row.address)}){places} (cell {row.cell})"
-                     f" (cores {row.cores:g}) (state {row.state}) (start {row.start}))")
+        places = "".join(
+            f" ({what} {quoted(value)})" for what, value in (("zone", row.zone), ("kind", row.kind)) if value
+        )
+        lines.append(
+            f"  (worker {quoted(row.name)} (address {quoted(row.address)}){places} (cell {row.cell})"
+            f" (cores {row.cores:g}) (state {row.state}) (start {row.start}))"
+        )
     return "\n".join(lines) + ")\n"
--- a/wickdyke/settings/routes.py
+++ b/wickdyke/settings/routes.py
@@ -98,18 +98,41 @@
     return after, after_share, at_once, part
 
 
-SECOND = record(_seconds, after=Field(span(1.0), None), after_share=Field(number(0.01, 10), None),
-                at_once=Field(count(2, 10), 2), part=Field(number(0.0001, 1), 0.05))
-PAUSE = record(lambda spot, **values: Pause(**values), first=Field(span()), growth=Field(number(1, 100), 1.0),
-               most=Field(span(), float("inf")), spread=Field(number(0, 10), 0.0))
-BUDGET = record(lambda spot, **values: Budget(**values), window=Field(span()), share=Field(number(0, 100), 0.0),
-                floor=Field(number(0, 1e6), 0.0))
-TAKES = record(lambda spot, **parts: Pattern(**parts), method=Field(text, ANY), program=Field(text, ANY),
-               tenant=Field(text, ANY))
+SECOND = record(
+    _seconds,
+    after=Field(span(1.0), None),
+    after_share=Field(number(0.01, 10), None),
+    at_once=Field(count(2, 10), 2),
+    part=Field(number(0.0001, 1), 0.05),
+)
+PAUSE = record(
+    lambda spot, **values: Pause(**values),
+    first=Field(span()),
+    growth=Field(number(1, 100), 1.0),
+    most=Field(span(), float("inf")),
+    spread=Field(number(0, 10), 0.0),
+)
+BUDGET = record(
+    lambda spot, **values: Budget(**values),
+    window=Field(span()),
+    share=Field(number(0, 100), 0.0),
+    floor=Field(number(0, 1e6), 0.0),
+)
+TAKES = record(
+    lambda spot, **parts: Pattern(**parts), method=Field(text, ANY), program=Field(text, ANY), tenant=Field(text, ANY)
+)
 READERS: dict[str, check.Reader] = {
-    "soft-deadline": span(1.0), "deadline": span(1.0), "attempt": _attempt, "attempts": count(1, 100),
-    "pause": PAUSE, "again": _again, "second": _second, "budget": BUDGET, "queue": span(),
-    "priority": count(-1000, 1000)}
+    "soft-deadline": span(1.0),
+    "deadline": span(1.0),
+    "attempt": _attempt,
+    "attempts": count(1, 100),
+    "pause": PAUSE,
+    "again": _again,
+    "second": _second,
+    "budget": BUDGET,
+    "queue": span(),
+    "priority": count(-1000, 1000),
+}
 
 
 def _placed(reader: check.Reader) -> check.Reader:
@@ -117,12 +140,18 @@
 
 
 def _route(spot: Spot, name: str, takes: Pattern, like: str | None, **stated) -> Route:
-    return Route(name, spot, takes, like, {key.replace("_", "-"): value for key, value in stated.items()
-                                           if value is not None})
-
-
-ROUTE = record(_route, named=True, takes=Field(TAKES, Pattern()), like=Field(text, None),
-               **{name.replace("-", "_"): Field(_placed(reader), None) for name, reader in READERS.items()})
+    return Route(
+        name, spot, takes, like, {key.replace("_", "-"): value for key, value in stated.items() if value is not None}
+    )
+
+
+ROUTE = record(
+    _route,
+    named=True,
+    takes=Field(TAKES, Pattern()),
+    like=Field(text, None),
+    **{name.replace("-", "_"): Field(_placed(reader), None) for name, reader in READERS.items()},
+)
 ROUTES = record(lambda spot, route: route, route=Field(ROUTE, None, many=True))
 
 
@@ -137,8 +166,12 @@
                 break
             if named[like] in line:
                 if route is named[like]:
-                    notes.add(route.spot, f'route "{route.name}" like itself: '
-                              + " like ".join(f'"{each.name}"' for each in [*line, route]), "no circle")
+                    notes.add(
+                        route.spot,
+                        f'route "{route.name}" like itself: '
+                        + " like ".join(f'"{each.name}"' for each in [*line, route]),
+                        "no circle",
+                    )
                 break
             line.append(named[like])
         route.line = line
@@ -155,12 +188,25 @@
     if second is not None:
         after, share, at_once, part = second
         if (after is None) == (share is None):
-            notes.add(origins["second"], "(second ...) with " + ("neither" if after is None else "both"),
-                      "either (after TIME) or (after-share SHARE)")
+            notes.add(
+                origins["second"],
+                "(second ...) with " + ("neither" if after is None else "both"),
+                "either (after TIME) or (after-share SHARE)",
+            )
         second = Second(after if after is not None else soft * (share or 0.0), at_once, part)
-    terms = Terms(soft, deadline, attempt, linger, values.get("attempts", 1), values.get("pause", Pause()),
-                  values.get("again", NEVER_RAN), second, values.get("budget"), values.get("queue"),
-                  values.get("priority", 0))
+    terms = Terms(
+        soft,
+        deadline,
+        attempt,
+        linger,
+        values.get("attempts", 1),
+        values.get("pause", Pause()),
+        values.get("again", NEVER_RAN),
+        second,
+        values.get("budget"),
+        values.get("queue"),
+        values.get("priority", 0),
+    )
     return Held(route, terms, origins, timing(terms, route.name))
 
 
@@ -180,8 +226,11 @@
     for route in routes:
         mine = [method for method in methods if covers(route.takes.method, method.name)]
         if not mine:
-            notes.add(route.spot, f'route "{route.name}" for method "{route.takes.method}", which no RPC can have',
-                      "one of " + ", ".join(method.name for method in methods))
+            notes.add(
+                route.spot,
+                f'route "{route.name}" for method "{route.takes.method}", which no RPC can have',
+                "one of " + ", ".join(method.name for method in methods),
+            )
         for method in mine:
             one = held[route.name, method.name] = _terms(route, method, notes)
             known = arithmetic_method(method)
@@ -224,9 +273,18 @@
     a file read anew, also for those taken under the earlier one."""
     pause, second, budget = terms.pause, terms.second, terms.budget
     most = min(pause.most, terms.deadline)  # a recording has no word for the infinite, and longer is never over
-    return Timing(terms.soft, terms.attempt, terms.attempts, (pause.first, pause.growth, most, pause.spread),
-                  terms.again, (second.after, second.at_once, second.share) if second else None,
-                  (budget.window, budget.share, budget.floor) if budget else None, terms.queue, terms.priority, account)
+    return Timing(
+        terms.soft,
+        terms.attempt,
+        terms.attempts,
+        (pause.first, pause.growth, most, pause.spread),
+        terms.again,
+        (second.after, second.at_once, second.share) if second else None,
+        (budget.window, budget.share, budget.floor) if budget else None,
+        terms.queue,
+        terms.priority,
+        account,
+    )
 
 
 def may_follow(new: Routes, path: str, succession: Succession, now: float) -> None:
@@ -236,11 +294,19 @@
     stranded = succession.strands(new.payers(), now)
     for each in stranded:
         payer, budget = each.payer, each.payer.budget
-        fix = (f"nearest: first (budget (window {budget.window:g} ms) (share {budget.share:g}) (floor 1)), and this "
-               f"{payer.lives:g} ms later" if each.until is None else f"this will pass in {each.until - now:.0f} ms")
-        notes.add(named.get(payer.name, Spot(path, 1, 1)), f'route "{payer.name}" {each.why}, and its RPCs in flight '
-                  f"pay for further attempts from its share alone (floor {budget.floor:g})",
-                  "a change that leaves them a budget", fix)
+        fix = (
+            f"nearest: first (budget (window {budget.window:g} ms) (share {budget.share:g}) (floor 1)), and this "
+            f"{payer.lives:g} ms later"
+            if each.until is None
+            else f"this will pass in {each.until - now:.0f} ms"
+        )
+        notes.add(
+            named.get(payer.name, Spot(path, 1, 1)),
+            f'route "{payer.name}" {each.why}, and its RPCs in flight '
+            f"pay for further attempts from its share alone (floor {budget.floor:g})",
+            "a change that leaves them a budget",
+            fix,
+        )
     if stranded and all(each.until is not None for each in stranded):
         raise sexp.NotYet(notes.troubles)
     notes.done()
@@ -270,7 +336,7 @@
             return f"(second {begins} (at-once {at_once}) (part {part!r}))"
         case "budget", Budget():
             return f"(budget (window {_time(value.window)}) (share {value.share!r}) (floor {value.floor!r}))"
-        case ("soft-deadline" | "deadline" | "queue"), _:
+        case (("soft-deadline" | "deadline" | "queue"), _):
             return f"({name} {_time(value)})"
     return f"({name} {value})"
 
@@ -284,8 +350,11 @@
     lines = ["(routes"]
     for route in routes:
         parts = [f"(like {_quoted(route.like)})"] if route.like is not None else []
-        parts.append("(takes " + " ".join(f"({name} {_quoted(getattr(route.takes, name))})"
-                                          for name in ("method", "program", "tenant")) + ")")
+        parts.append(
+            "(takes "
+            + " ".join(f"({name} {_quoted(getattr(route.takes, name))})" for name in ("method", "program", "tenant"))
+            + ")"
+        )
         parts += [field_text(name, value) for name, (value, _) in route.stated.items()]
         lines.append(f"  (route {_quoted(route.name)}\n    " + "\n    ".join(parts) + ")")
     return "\n".join(lines) + ")\n"
--- a/wickdyke/settings/sexp.py
+++ b/wickdyke/settings/sexp.py
@@ -63,8 +63,12 @@
     spot: Spot = Spot("", 1, 1)
 
 
-_grammar = Lark(resources.files(__package__).joinpath("sexp.lark").read_text(), parser="lalr",
-                propagate_positions=True, maybe_placeholders=False)
+_grammar = Lark(
+    resources.files(__package__).joinpath("sexp.lark").read_text(),
+    parser="lalr",
+    propagate_positions=True,
+    maybe_placeholders=False,
+)
 _ESCAPES = {'\\"': '"', "\\\\": "\\", "\\n": "\n"}
 
 
@@ -72,7 +76,7 @@
     out, at, body = [], 0, text[1:-1]
     while at < len(body):
         step = 2 if body[at] == "\\" else 1
-        out.append(_ESCAPES.get(body[at:at + step], body[at:at + step]))
+        out.append(_ESCAPES.get(body[at : at + step], body[at : at + step]))
         at += step
     return "".join(out)
 
@@ -129,15 +133,19 @@
     except (UnexpectedEOF, UnexpectedToken) as bad:
         if isinstance(bad, UnexpectedEOF) or bad.token.type == "$END":
             line, column = _unclosed(text)
-            raise Unusable([Trouble(Spot(file, line, column), "a bracket that is never closed",
-                                    "a ) for each (")]) from None
+            raise Unusable(
+                [Trouble(Spot(file, line, column), "a bracket that is never closed", "a ) for each (")]
+            ) from None
         found = f"{str(bad.token)!r}"
         expected = "( to open a form" if bad.token.type != "RPAR" else "no ) here: none is open"
         raise Unusable([Trouble(Spot(file, bad.line, bad.column), found, expected)]) from None
     except UnexpectedCharacters as bad:
-        found = repr(text[bad.pos_in_stream:bad.pos_in_stream + 1])
-        what = 'a string that ends on its line, with \\" \\\\ and \\n as its only escapes' if found == "'\"'" \
+        found = repr(text[bad.pos_in_stream : bad.pos_in_stream + 1])
+        what = (
+            'a string that ends on its line, with \\" \\\\ and \\n as its only escapes'
+            if found == "'\"'"
             else "( ) a number, a word or a string in double quotes"
+        )
         raise Unusable([Trouble(Spot(file, bad.line, bad.column), found, what)]) from None
     except UnexpectedInput as bad:
         raise Unusable([Trouble(Spot(file, bad.line, bad.column), "something else", "S-expressions")]) from None
@@ -153,5 +161,6 @@
     except UnicodeDecodeError:
         raise Unusable([Trouble(Spot(path, 1, 1), "bytes that are not text", "UTF-8 text")]) from None
     except OSError as bad:
-        raise Unusable([Trouble(Spot(path, 1, 1), f"no readable file ({bad.strerror})",
-                                "a file of S-expressions")]) from None
+        raise Unusable(
+            [Trouble(Spot(path, 1, 1), f"no readable file ({bad.strerror})", "a file of S-expressions")]
+        ) from None
--- a/wickdyke/settings/station.py
+++ b/wickdyke/settings/station.py
@@ -79,73 +79,148 @@
     return lambda spot, **values: build(**values)
 
 
-def _method(spot: Spot, name: str, effect: str, scope: str, window: float, soft_deadline: float, deadline: float,
-            soft_stretch: float, gain: float, late_gain: float) -> tuple[Method, Spot]:
+def _method(
+    spot: Spot,
+    name: str,
+    effect: str,
+    scope: str,
+    window: float,
+    soft_deadline: float,
+    deadline: float,
+    soft_stretch: float,
+    gain: float,
+    late_gain: float,
+) -> tuple[Method, Spot]:
     return Method(name, effect, scope, window, soft_deadline, soft_stretch, deadline, gain, late_gain), spot
 
 
 METHOD = record(
-    _method, named=True,
+    _method,
+    named=True,
     effect=Field(choice(idempotent="idempotent", tokened="tokened", side_effecting="side-effecting")),
-    scope=Field(choice(all="all", zone="zone", cell="cell"), "all"), window=Field(span(), 0.0),
-    soft_deadline=Field(span(1.0)), deadline=Field(span(1.0)), soft_stretch=Field(number(0, 1000), 0.0),
-    gain=Field(number(0, 1e6), 1.0), late_gain=Field(number(0, 1), 0.0))
+    scope=Field(choice(all="all", zone="zone", cell="cell"), "all"),
+    window=Field(span(), 0.0),
+    soft_deadline=Field(span(1.0)),
+    deadline=Field(span(1.0)),
+    soft_stretch=Field(number(0, 1000), 0.0),
+    gain=Field(number(0, 1e6), 1.0),
+    late_gain=Field(number(0, 1), 0.0),
+)
 PROGRAM = record(
-    lambda spot, name, memory, lanes, load: Stated(name, memory, lanes, load, spot), named=True,
-    memory=Field(size(0)), lanes=Field(count(1, 4096), 1), load=Field(span(), None))
+    lambda spot, name, memory, lanes, load: Stated(name, memory, lanes, load, spot),
+    named=True,
+    memory=Field(size(0)),
+    lanes=Field(count(1, 4096), 1),
+    load=Field(span(), None),
+)
 KIND = record(lambda spot, name, memory: (name, memory, spot), named=True, memory=Field(size()))
 LISTEN = record(lambda spot, json_rpc: json_rpc, json_rpc=Field(address.read))
-FOLLOWED = record(lambda spot, file, reread: (file, reread), file=Field(text),
-                  reread=Field(span(5.0, 60000.0), 100.0))
-SEAT = record(lambda spot, number, of: (number, of, spot), number=Field(count(0, 100000)),
-              of=Field(count(1, 100000)))
+FOLLOWED = record(lambda spot, file, reread: (file, reread), file=Field(text), reread=Field(span(5.0, 60000.0), 100.0))
+SEAT = record(lambda spot, number, of: (number, of, spot), number=Field(count(0, 100000)), of=Field(count(1, 100000)))
 CALL_OUTS = record(
-    lambda spot, most, **rest: Allowance(call_outs=most, **rest), most=Field(count(1, 100), 3),
-    overlap=Field(flag, False), cancel=Field(flag, True),
-    probe=Field(flag, True), retry_after=Field(span(), 0.0), dial=Field(span(1.0, 60000.0), 250.0),
-    idle_close=Field(span(1.0), 15000.0))
+    lambda spot, most, **rest: Allowance(call_outs=most, **rest),
+    most=Field(count(1, 100), 3),
+    overlap=Field(flag, False),
+    cancel=Field(flag, True),
+    probe=Field(flag, True),
+    retry_after=Field(span(), 0.0),
+    dial=Field(span(1.0, 60000.0), 250.0),
+    idle_close=Field(span(1.0), 15000.0),
+)
 TENANT = record(lambda spot, name, quota: (name, quota, spot), named=True, quota=Field(number(0.001, 1e9)))
 STOCK = record(
-    _part(dict), idle_life=Field(span(1.0)), may_hold=Field(flag, True), loads_on_call=Field(flag, True),
-    hold_wait=Field(span(1.0), 10000.0), tells_standing=Field(flag, True), tells_company=Field(flag, True))
-WARMUP = record(_part(Warmup), start_share=Field(number(0.001, 1)), ramp=Field(span()),
-                multiple=Field(number(1, 1000)), window=Field(span(1.0)))
+    _part(dict),
+    idle_life=Field(span(1.0)),
+    may_hold=Field(flag, True),
+    loads_on_call=Field(flag, True),
+    hold_wait=Field(span(1.0), 10000.0),
+    tells_standing=Field(flag, True),
+    tells_company=Field(flag, True),
+)
+WARMUP = record(
+    _part(Warmup),
+    start_share=Field(number(0.001, 1)),
+    ramp=Field(span()),
+    multiple=Field(number(1, 1000)),
+    window=Field(span(1.0)),
+)
 RATION = record(_part(Ration), free=Field(number(0, 1e6)), share=Field(number(0, 1e6)), window=Field(span()))
-TARIFF = record(_part(Tariff), **{name: Field(number(0, 100), 0.0) for name in
-                                  ("waste", "late", "fetch", "probe", "crossing", "idle_memory")})
-BOUNDS = record(_part(Bounds), connections=Field(count(1, 60000), 1024), open_rpcs=Field(count(1, 10**7), 32768),
-                open_each=Field(count(1, 10**6), 4096), line=Field(size(0.001, 1024), 16.0),
-                unread=Field(size(0.001, 4096), 32.0), events=Field(count(10, 10**7), 100000))
+TARIFF = record(
+    _part(Tariff),
+    **{name: Field(number(0, 100), 0.0) for name in ("waste", "late", "fetch", "probe", "crossing", "idle_memory")},
+)
+BOUNDS = record(
+    _part(Bounds),
+    connections=Field(count(1, 60000), 1024),
+    open_rpcs=Field(count(1, 10**7), 32768),
+    open_each=Field(count(1, 10**6), 4096),
+    line=Field(size(0.001, 1024), 16.0),
+    unread=Field(size(0.001, 4096), 32.0),
+    events=Field(count(10, 10**7), 100000),
+)
 LOADS = record(
-    _part(dict), workers=Field(count(1, 1000), 2), window=Field(span(1.0), 30000.0),
-    first=Field(span(1.0), 1000.0), most=Field(span(1.0), 60000.0))
+    _part(dict),
+    workers=Field(count(1, 1000), 2),
+    window=Field(span(1.0), 30000.0),
+    first=Field(span(1.0), 1000.0),
+    most=Field(span(1.0), 60000.0),
+)
 CALLS = record(
-    _part(dict), copies=Field(number(1, 1000), 3.0), window=Field(span(1.0), 60000.0),
-    first=Field(span(1.0), 10000.0), most=Field(span(1.0), 600000.0))
+    _part(dict),
+    copies=Field(number(1, 1000), 3.0),
+    window=Field(span(1.0), 60000.0),
+    first=Field(span(1.0), 10000.0),
+    most=Field(span(1.0), 600000.0),
+)
 
 
 def _isolation(spot: Spot, loads: dict, calls: dict) -> Isolation:
-    return Isolation(loads["workers"], loads["window"], loads["first"], loads["most"], calls["copies"],
-                     calls["window"], calls["first"], calls["most"])
+    return Isolation(
+        loads["workers"],
+        loads["window"],
+        loads["first"],
+        loads["most"],
+        calls["copies"],
+        calls["window"],
+        calls["first"],
+        calls["most"],
+    )
 
 
 ISOLATION = record(
-    _isolation, loads=Field(LOADS, {"workers": 2, "window": 30000.0, "first": 1000.0, "most": 60000.0}),
-    calls=Field(CALLS, {"copies": 3.0, "window": 60000.0, "first": 10000.0, "most": 600000.0}))
+    _isolation,
+    loads=Field(LOADS, {"workers": 2, "window": 30000.0, "first": 1000.0, "most": 60000.0}),
+    calls=Field(CALLS, {"copies": 3.0, "window": 60000.0, "first": 10000.0, "most": 600000.0}),
+)
 GATEWAY = record(
-    lambda spot, **values: (spot, values), name=Field(text, "gateway"), listen=Field(LISTEN),
-    workers=Field(FOLLOWED), routes=Field(FOLLOWED, (None, 100.0)), log=Field(text, None), tape=Field(text, None),
+    lambda spot, **values: (spot, values),
+    name=Field(text, "gateway"),
+    listen=Field(LISTEN),
+    workers=Field(FOLLOWED),
+    routes=Field(FOLLOWED, (None, 100.0)),
+    log=Field(text, None),
+    tape=Field(text, None),
     seed=Field(count(0, 2**53), None),
-    zone=Field(record(lambda spot, name: (name, spot), named=True), None, many=True), at=Field(text, None),
-    kind=Field(KIND, None, many=True), method=Field(METHOD, many=True),
-    program=Field(PROGRAM, None, many=True), seat=Field(SEAT, (0, 1, None)),
-    report=Field(words, ("busy", "held")), by_work=Field(flag, False),
-    call_outs=Field(CALL_OUTS, Allowance(3, False, True, True, 0.0, 250.0)), stock=Field(STOCK),
-    warmup=Field(WARMUP), ration=Field(RATION, Ration(0.0, 0.0, 0.0)), drain_grace=Field(span()),
-    tariff=Field(TARIFF, Tariff(0, 0, 0, 0, 0, 0)), bounds=Field(BOUNDS, Bounds(
-        1024, 32768, 4096, 16.0, 32.0, 100000)),
-    answer_way=Field(span(0.0, 60000.0), 20.0), probe_wait=Field(span(1.0, 60000.0), 250.0),
-    isolation=Field(ISOLATION, Isolation()), tenant=Field(TENANT, None, many=True))
+    zone=Field(record(lambda spot, name: (name, spot), named=True), None, many=True),
+    at=Field(text, None),
+    kind=Field(KIND, None, many=True),
+    method=Field(METHOD, many=True),
+    program=Field(PROGRAM, None, many=True),
+    seat=Field(SEAT, (0, 1, None)),
+    report=Field(words, ("busy", "held")),
+    by_work=Field(flag, False),
+    call_outs=Field(CALL_OUTS, Allowance(3, False, True, True, 0.0, 250.0)),
+    stock=Field(STOCK),
+    warmup=Field(WARMUP),
+    ration=Field(RATION, Ration(0.0, 0.0, 0.0)),
+    drain_grace=Field(span()),
+    tariff=Field(TARIFF, Tariff(0, 0, 0, 0, 0, 0)),
+    bounds=Field(BOUNDS, Bounds(1024, 32768, 4096, 16.0, 32.0, 100000)),
+    answer_way=Field(span(0.0, 60000.0), 20.0),
+    probe_wait=Field(span(1.0, 60000.0), 250.0),
+    isolation=Field(ISOLATION, Isolation()),
+    tenant=Field(TENANT, None, many=True),
+)
 
 
 def _contradictions(spot: Spot, got: dict, notes: Notes) -> None:
@@ -160,11 +235,12 @@
         if method.effect != "tokened" and method.window:
             notes.add(at, f'method "{method.name}" {method.effect} with a window', "a window only where tokened")
     for what, names, spots in (
-            ("method", [m.name for m, _ in got["method"]], [at for _, at in got["method"]]),
-            ("program", [p.name for p in got["program"]], [p.spot for p in got["program"]]),
-            ("kind", [k for k, _, _ in got["kind"]], [at for _, _, at in got["kind"]]),
-            ("tenant", [t for t, _, _ in got["tenant"]], [at for _, _, at in got["tenant"]]),
-            ("zone", [z for z, _ in got["zone"]], [at for _, at in got["zone"]])):
+        ("method", [m.name for m, _ in got["method"]], [at for _, at in got["method"]]),
+        ("program", [p.name for p in got["program"]], [p.spot for p in got["program"]]),
+        ("kind", [k for k, _, _ in got["kind"]], [at for _, _, at in got["kind"]]),
+        ("tenant", [t for t, _, _ in got["tenant"]], [at for _, _, at in got["tenant"]]),
+        ("zone", [z for z, _ in got["zone"]], [at for _, at in got["zone"]]),
+    ):
         check.unique(names, spots, what, notes)
     zones = [zone for zone, _ in got["zone"]]
     if got["at"] is not None and got["at"] not in zones:
@@ -177,8 +253,11 @@
     if got["workers"][0] == got["listen"]:
         notes.add(spot, f'"{got["listen"]}" as socket and as list of workers', "two different files")
     if got["bounds"].unread < got["bounds"].line:
-        notes.add(spot, f"unread of {got['bounds'].unread:g} MB under line of {got['bounds'].line:g} MB",
-                  "room for one line at least")
+        notes.add(
+            spot,
+            f"unread of {got['bounds'].unread:g} MB under line of {got['bounds'].line:g} MB",
+            "room for one line at least",
+        )
 
 
 def read(path: str) -> Station:
@@ -205,18 +284,37 @@
     number_, of, _ = got["seat"]
     bounds = got["bounds"]
     return Station(
-        name=got["name"], listen=listen, workers=beside(got["workers"][0]), reread=got["workers"][1],
-        routes=beside(got["routes"][0]), routes_reread=got["routes"][1],
-        log=beside(got["log"]), tape=beside(got["tape"]), seed=got["seed"], zones=zones,
-        kinds=tuple(kind for kind, _, _ in got["kind"]), methods=[method for method, _ in got["method"]],
+        name=got["name"],
+        listen=listen,
+        workers=beside(got["workers"][0]),
+        reread=got["workers"][1],
+        routes=beside(got["routes"][0]),
+        routes_reread=got["routes"][1],
+        log=beside(got["log"]),
+        tape=beside(got["tape"]),
+        seed=got["seed"],
+        zones=zones,
+        kinds=tuple(kind for kind, _, _ in got["kind"]),
+        methods=[method for method, _ in got["method"]],
         programs=got["program"],
         seat=Seat(number_, of, zones.index(got["at"]) if got["at"] else 0, got["report"], got["by_work"]),
         allowance=got["call_outs"],
         stock=Stock(memory=tuple(memory for _, memory, _ in got["kind"]), **got["stock"]),
-        warmup=got["warmup"], ration=got["ration"], directory=Directory(True, 0.0, got["drain_grace"]),
+        warmup=got["warmup"],
+        ration=got["ration"],
+        directory=Directory(True, 0.0, got["drain_grace"]),
         tariff=got["tariff"],
-        bounds=Bounds(bounds.connections, bounds.open_rpcs, bounds.open_each, round(bounds.line * 2**20),
-                      round(bounds.unread * 2**20), bounds.events),
-        answer_way=got["answer_way"], probe_wait=got["probe_wait"], isolation=got["isolation"],
+        bounds=Bounds(
+            bounds.connections,
+            bounds.open_rpcs,
+            bounds.open_each,
+            round(bounds.line * 2**20),
+            round(bounds.unread * 2**20),
+            bounds.events,
+        ),
+        answer_way=got["answer_way"],
+        probe_wait=got["probe_wait"],
+        isolation=got["isolation"],
         tenants=tuple(tenant for tenant, _, _ in got["tenant"]),
-        shares=Shares(tuple(quota for _, quota, _ in got["tenant"])))
+        shares=Shares(tuple(quota for _, quota, _ in got["tenant"])),
+    )
--- a/wickdyke/settings/terms.py
+++ b/wickdyke/settings/terms.py
@@ -127,13 +127,21 @@
 
 def method(terms: Terms, place: int) -> Method:
     """One of the methods."""
+
     def at(name: str, read: Callable, absent: object = None):
         return terms.get(f"lanes.{place}.{name}", read, absent)
 
     return Method(
-        name=at("name", str), effect=at("repeat", one_of(EFFECTS)), scope=at("key-scope", scope, "all"),
-        window=at("window", span, 0.0), soft=at("aim", span), soft_stretch=at("aim-stretch", number, 0.0),
-        deadline=at("deadline", span), gain=at("gain", number), late_gain=at("late-worth", number, 0.0))
+        name=at("name", str),
+        effect=at("repeat", one_of(EFFECTS)),
+        scope=at("key-scope", scope, "all"),
+        window=at("window", span, 0.0),
+        soft=at("aim", span),
+        soft_stretch=at("aim-stretch", number, 0.0),
+        deadline=at("deadline", span),
+        gain=at("gain", number),
+        late_gain=at("late-worth", number, 0.0),
+    )
 
 
 def paired(pairs: list[str]) -> Terms:
@@ -174,38 +182,55 @@
     return {
         "methods": [method(terms, place) for place in range(get("lanes.count", count))],
         "seat": Seat(
-            number=get("self-index", count), of=get("instances", count), zone=get("zone", count, 0),
+            number=get("self-index", count),
+            of=get("instances", count),
+            zone=get("zone", count, 0),
             report=tuple(REPORTS.get(name, name) for name in terms.names("report.fields")),
-            by_work=get("value-by", one_of({"request": False, "work": True}), False)),
+            by_work=get("value-by", one_of({"request": False, "work": True}), False),
+        ),
         "allowance": Allowance(
-            call_outs=get("limits.send-cap", count), overlap=get("limits.second-copies", truth),
-            cancel=get("limits.cancelling", truth), probe=get("limits.probing", truth),
-            retry_after=get("limits.max-retry-after", span, 0.0) if get("limits.retry-after", truth, False)
-            else 0.0,
-            dial=get("limits.dial-timeout", span), idle_close=get("limits.idle-close", span, 15000.0)),
+            call_outs=get("limits.send-cap", count),
+            overlap=get("limits.second-copies", truth),
+            cancel=get("limits.cancelling", truth),
+            probe=get("limits.probing", truth),
+            retry_after=get("limits.max-retry-after", span, 0.0) if get("limits.retry-after", truth, False) else 0.0,
+            dial=get("limits.dial-timeout", span),
+            idle_close=get("limits.idle-close", span, 15000.0),
+        ),
         "stock": Stock(
             memory=terms.numbers("family-info.memory-mb-by-kind"),
             idle_life=get("family-info.idle-life", span),
             may_hold=get("family-info.may-load", truth),
             loads_on_call=get("family-info.if-cold", one_of({"load": True, "miss": False})),
-            hold_wait=get("family-info.load-wait", span), tells_standing=get("family-info.warm-notes", truth),
-            tells_company=get("family-info.says-company", truth)),
+            hold_wait=get("family-info.load-wait", span),
+            tells_standing=get("family-info.warm-notes", truth),
+            tells_company=get("family-info.says-company", truth),
+        ),
         "warmup": Warmup(
-            start_share=get("rules.cold-from", number), ramp=get("rules.ramp-time", span),
-            multiple=get("rules.overload-factor", number), window=get("rules.tip-after", span)),
+            start_share=get("rules.cold-from", number),
+            ramp=get("rules.ramp-time", span),
+            multiple=get("rules.overload-factor", number),
+            window=get("rules.tip-after", span),
+        ),
         "ration": Ration(
-            free=get("family-info.free-loads", number, 0.0), share=get("family-info.load-part", number, 0.0),
-            window=get("family-info.load-window", span, 0.0)),
+            free=get("family-info.free-loads", number, 0.0),
+            share=get("family-info.load-part", number, 0.0),
+            window=get("family-info.load-window", span, 0.0),
+        ),
         "directory": Directory(
             pushed=get("discovery", one_of({"automatic": True, "subscribe": False})),
             ask_within=get("rules.ask-within", span, 0.0),
-            drain_grace=get("rules.stop-sending-within", span)),
+            drain_grace=get("rules.stop-sending-within", span),
+        ),
         "shares": Shares(
-            quotas=tuple(get(f"tenants.{place}.quota-rps", number)
-                         for place in range(get("tenants.count", count, 0)))),
+            quotas=tuple(get(f"tenants.{place}.quota-rps", number) for place in range(get("tenants.count", count, 0)))
+        ),
         "tariff": Tariff(
-            waste=get("prices.waste", number, 0.0), late=get("prices.late-fail", number, 0.0),
-            fetch=get("prices.origin", number, 0.0), probe=get("prices.probe", number, 0.0),
+            waste=get("prices.waste", number, 0.0),
+            late=get("prices.late-fail", number, 0.0),
+            fetch=get("prices.origin", number, 0.0),
+            probe=get("prices.probe", number, 0.0),
             crossing=get("prices.cross-zone", number, 0.0),
-            idle_memory=get("family-info.idle-memory-cost", number, 0.0)),
+            idle_memory=get("family-info.idle-memory-cost", number, 0.0),
+        ),
     }
--- a/wickdyke/settings/workshop.py
+++ b/wickdyke/settings/workshop.py
@@ -39,16 +39,33 @@
 
 
 def _workshop(store: tuple, cache: dict, **values) -> Workshop:
-    return Workshop(folder=store[1]["folder"], service=store[1]["service"], cache=cache["folder"],
-                    cache_most=cache["most"], **values)
+    return Workshop(
+        folder=store[1]["folder"],
+        service=store[1]["service"],
+        cache=cache["folder"],
+        cache_most=cache["most"],
+        **values,
+    )
 
 
 WORKSHOP = record(
-    _workshop, name=Field(text), listen=Field(address.read), store=Field(STORE), cache=Field(CACHE),
-    memory=Field(size(16)), calls_at_once=Field(count(1, 4096), 2 * (os.cpu_count() or 1)),
-    loads_at_once=Field(count(1, 256), 4), queue=Field(count(1, 10**6), 200), idle_life=Field(span(10), 30000.0),
-    run_time=Field(span(1), 60000.0), stop_within=Field(span(1), 1000.0), measure=Field(span(10), 250.0),
-    ramp=Field(RAMP, Ramp()), log=Field(text, None), trace=Field(text, None))
+    _workshop,
+    name=Field(text),
+    listen=Field(address.read),
+    store=Field(STORE),
+    cache=Field(CACHE),
+    memory=Field(size(16)),
+    calls_at_once=Field(count(1, 4096), 2 * (os.cpu_count() or 1)),
+    loads_at_once=Field(count(1, 256), 4),
+    queue=Field(count(1, 10**6), 200),
+    idle_life=Field(span(10), 30000.0),
+    run_time=Field(span(1), 60000.0),
+    stop_within=Field(span(1), 1000.0),
+    measure=Field(span(10), 250.0),
+    ramp=Field(RAMP, Ramp()),
+    log=Field(text, None),
+    trace=Field(text, None),
+)
 
 
 @dataclass(slots=True)
@@ -61,8 +78,13 @@
     readers: int
 
 
-DEPOT = record(lambda spot, **values: Depot(**values), listen=Field(address.read), folder=Field(text),
-               pace=Field(size(0.001), 100.0), readers=Field(count(1, 10000), 64))
+DEPOT = record(
+    lambda spot, **values: Depot(**values),
+    listen=Field(address.read),
+    folder=Field(text),
+    pace=Field(size(0.001), 100.0),
+    readers=Field(count(1, 10000), 64),
+)
 
 
 def read_depot(path: str) -> Depot:
@@ -82,8 +104,11 @@
     form = check.only_form(sexp.read(path), "worker", path, notes)
     made = WORKSHOP(form, notes) if form is not None else None
     if made is not None and (made.folder is None) == (made.service is None):
-        notes.add(made.spot, "(store ...) with " + ("neither" if made.folder is None else "both"),
-                  "either (folder PATH) or (service ADDRESS)")
+        notes.add(
+            made.spot,
+            "(store ...) with " + ("neither" if made.folder is None else "both"),
+            "either (folder PATH) or (service ADDRESS)",
+        )
     notes.done()
     base = os.path.dirname(os.path.abspath(path))
     made.cache = os.path.join(base, made.cache)
--- a/wickdyke/timing/change.py
+++ b/wickdyke/timing/change.py
@@ -46,10 +46,14 @@
     def strands(self, new: list[Payer], now: float) -> list[Stranded]:
         """What would be stranded if `new` came into force now."""
         named = {payer.name: payer for payer in new}
-        found = [Stranded(payer, why, until) for payer, until in
-                 [*((payer, None) for payer in self.now_held),
-                  *((payer, until) for until, payer in self.earlier if until > now)]
-                 if payer.hangs and (why := _cut_off(payer, named.get(payer.name), new))]
+        found = [
+            Stranded(payer, why, until)
+            for payer, until in [
+                *((payer, None) for payer in self.now_held),
+                *((payer, until) for until, payer in self.earlier if until > now),
+            ]
+            if payer.hangs and (why := _cut_off(payer, named.get(payer.name), new))
+        ]
         return list({(each.payer, each.until): each for each in found}.values())
 
     def follow(self, new: list[Payer], now: float) -> None:
@@ -70,7 +74,12 @@
     both = old.takes.meets(heir.takes)
     if both is None:
         return "takes none of the RPCs it took"
-    if any(payer.name != old.name and payer.takes.covers(both) and heir.takes.covers(payer.takes)
-           and payer.takes != heir.takes for payer in new):
+    if any(
+        payer.name != old.name
+        and payer.takes.covers(both)
+        and heir.takes.covers(payer.takes)
+        and payer.takes != heir.takes
+        for payer in new
+    ):
         return "leaves all the RPCs it took to others"
     return ""
