--- a/wickdyke/timing/check.py
+++ b/wickdyke/timing/check.py
@@ -48,8 +48,13 @@
 
 def _deadlines(terms: Terms, ground: Ground, found: list[Refusal]) -> None:
     if terms.soft >= terms.deadline:
-        found.append(Refusal("soft-deadline", f"a soft deadline of {terms.soft:g} ms",
-                             f"one before the deadline, {terms.deadline:g} ms"))
+        found.append(
+            Refusal(
+                "soft-deadline",
+                f"a soft deadline of {terms.soft:g} ms",
+                f"one before the deadline, {terms.deadline:g} ms",
+            )
+        )
         return
     parts = worst(terms, ground)
     if total(parts) <= terms.deadline:
@@ -60,40 +65,85 @@
     rest = terms.deadline - total(parts) + (terms.queue or 0.0)
     near += [f"(queue {int(rest)} ms)"] if terms.queue and rest >= 0 else []
     near = near or [f"(deadline {int(-(-total(parts) // 1))} ms)"]
-    found.append(Refusal("attempts" if terms.attempts > 1 else "deadline",
-                         f"{terms.attempts} attempts that can take {shown(parts)}",
-                         f"at most the deadline, {terms.deadline:g} ms", " or ".join(near), course(terms, ground)))
+    found.append(
+        Refusal(
+            "attempts" if terms.attempts > 1 else "deadline",
+            f"{terms.attempts} attempts that can take {shown(parts)}",
+            f"at most the deadline, {terms.deadline:g} ms",
+            " or ".join(near),
+            course(terms, ground),
+        )
+    )
 
 
 def _counts(terms: Terms, ground: Ground, found: list[Refusal]) -> None:
     if terms.attempts > ground.call_outs:
-        found.append(Refusal("attempts", f"{terms.attempts} attempts", f"at most the {ground.call_outs} call-outs of "
-                             "(call-outs (most ...))", f"(attempts {ground.call_outs})"))
+        found.append(
+            Refusal(
+                "attempts",
+                f"{terms.attempts} attempts",
+                f"at most the {ground.call_outs} call-outs of (call-outs (most ...))",
+                f"(attempts {ground.call_outs})",
+            )
+        )
     if terms.pause.most < terms.pause.first:
-        found.append(Refusal("pause", f"a first pause of {terms.pause.first:g} ms over the most of "
-                             f"{terms.pause.most:g} ms", "the first at most the most",
-                             f"(first {terms.pause.most:g} ms)"))
+        found.append(
+            Refusal(
+                "pause",
+                f"a first pause of {terms.pause.first:g} ms over the most of {terms.pause.most:g} ms",
+                "the first at most the most",
+                f"(first {terms.pause.most:g} ms)",
+            )
+        )
     if "timeout" in terms.again and terms.attempt is None and terms.attempts > 1:
-        found.append(Refusal("again", "timeout tried again, and no time for one attempt",
-                             "(attempt TIME): without it the time-out is the RPC's own end"))
+        found.append(
+            Refusal(
+                "again",
+                "timeout tried again, and no time for one attempt",
+                "(attempt TIME): without it the time-out is the RPC's own end",
+            )
+        )
 
 
 def _at_once(terms: Terms, ground: Ground, found: list[Refusal]) -> None:
     second = terms.second
     if second is not None:
         if not ground.overlap:
-            found.append(Refusal("second", f"a second copy after {second.after:g} ms", "none: this deployment forbids "
-                                 "two call-outs at once", "leave (second ...) out",
-                                 ((0.0, "taken, sent"), (second.after, "a second copy is sent beside the first"))))
+            found.append(
+                Refusal(
+                    "second",
+                    f"a second copy after {second.after:g} ms",
+                    "none: this deployment forbids two call-outs at once",
+                    "leave (second ...) out",
+                    ((0.0, "taken, sent"), (second.after, "a second copy is sent beside the first")),
+                )
+            )
         elif terms.attempts < second.at_once:
-            found.append(Refusal("second", f"{second.at_once} at once of {terms.attempts} attempts in all",
-                                 "an attempt for each copy", f"(attempts {second.at_once})"))
+            found.append(
+                Refusal(
+                    "second",
+                    f"{second.at_once} at once of {terms.attempts} attempts in all",
+                    "an attempt for each copy",
+                    f"(attempts {second.at_once})",
+                )
+            )
         elif terms.attempt is not None and second.after >= terms.attempt:
-            found.append(Refusal("second", f"a second copy after {second.after:g} ms", "one before the attempt's time "
-                                 f"is up, {terms.attempt:g} ms", f"(after {terms.attempt - 1:g} ms)"))
+            found.append(
+                Refusal(
+                    "second",
+                    f"a second copy after {second.after:g} ms",
+                    f"one before the attempt's time is up, {terms.attempt:g} ms",
+                    f"(after {terms.attempt - 1:g} ms)",
+                )
+            )
         elif second.after >= terms.deadline - ground.answer_way:
-            found.append(Refusal("second", f"a second copy after {second.after:g} ms",
-                                 f"one before the client gives up, {terms.deadline:g} ms"))
+            found.append(
+                Refusal(
+                    "second",
+                    f"a second copy after {second.after:g} ms",
+                    f"one before the client gives up, {terms.deadline:g} ms",
+                )
+            )
     tried = terms.attempts > 1 and "timeout" in terms.again and terms.attempt is not None
     if ground.overlap or ground.cancel or not tried:
         return
@@ -101,36 +151,66 @@
     if terms.linger is None or least < terms.linger:
         rest = "for as long as its worker likes" if terms.linger is None else f"for {terms.linger:g} ms more"
         sent = terms.attempt + least
-        found.append(Refusal(
-            "pause", f"a pause of {least:g} ms after a time-out that does not cancel, its call-out out {rest}",
-            "no two call-outs at once", f"(pause (first {terms.linger:g} ms))" if terms.linger is not None else
-            "(linger TIME) of the attempt and a pause as long, or (cancel yes)",
-            ((0.0, "attempt 1 is sent"), (terms.attempt, "its time is up; it is still out"),
-             (sent, "attempt 2 is sent beside it"))))
+        found.append(
+            Refusal(
+                "pause",
+                f"a pause of {least:g} ms after a time-out that does not cancel, its call-out out {rest}",
+                "no two call-outs at once",
+                f"(pause (first {terms.linger:g} ms))"
+                if terms.linger is not None
+                else "(linger TIME) of the attempt and a pause as long, or (cancel yes)",
+                (
+                    (0.0, "attempt 1 is sent"),
+                    (terms.attempt, "its time is up; it is still out"),
+                    (sent, "attempt 2 is sent beside it"),
+                ),
+            )
+        )
 
 
 def _effects(terms: Terms, method: Method, ground: Ground, found: list[Refusal]) -> None:
     may_have_run = sorted(terms.again - NEVER_RAN)
     if method.effect == "side-effecting":
         if terms.second is not None:
-            found.append(Refusal("second", f'a second copy of "{method.name}"', "none: it is side-effecting",
-                                 "leave (second ...) out"))
+            found.append(
+                Refusal(
+                    "second",
+                    f'a second copy of "{method.name}"',
+                    "none: it is side-effecting",
+                    "leave (second ...) out",
+                )
+            )
         if may_have_run and terms.attempts > 1:
-            found.append(Refusal("again", f'"{method.name}" tried again after {", ".join(may_have_run)}',
-                                 "only what never ran: it is side-effecting",
-                                 f"(again {' '.join(sorted(terms.again & NEVER_RAN)) or 'full'})",
-                                 ((0.0, "attempt 1 is sent and runs"), (1.0, f"it ends as {may_have_run[0]}"),
-                                  (2.0 + terms.pause.least(1), "attempt 2 is sent and runs again"))))
+            found.append(
+                Refusal(
+                    "again",
+                    f'"{method.name}" tried again after {", ".join(may_have_run)}',
+                    "only what never ran: it is side-effecting",
+                    f"(again {' '.join(sorted(terms.again & NEVER_RAN)) or 'full'})",
+                    (
+                        (0.0, "attempt 1 is sent and runs"),
+                        (1.0, f"it ends as {may_have_run[0]}"),
+                        (2.0 + terms.pause.least(1), "attempt 2 is sent and runs again"),
+                    ),
+                )
+            )
     elif method.effect == "tokened" and may_have_run and terms.attempts > 1:
         if terms.attempt is None:
             return  # the module sends none past the window; the course is as long as the RPC
         parts = [part for part in worst(terms, ground) if part.name not in ("queue", "answer-way")][1:]
         span = total(parts) - terms.attempt - ground.dial
         if span > method.window:
-            found.append(Refusal("attempts", f'"{method.name}" sent again up to {span:g} ms after its first attempt',
-                                 f"at most its window, {method.window:g} ms",
-                                 schedule=((0.0, "attempt 1 is sent and runs"),
-                                           (span, f"attempt {terms.attempts} is sent past the window"))))
+            found.append(
+                Refusal(
+                    "attempts",
+                    f'"{method.name}" sent again up to {span:g} ms after its first attempt',
+                    f"at most its window, {method.window:g} ms",
+                    schedule=(
+                        (0.0, "attempt 1 is sent and runs"),
+                        (span, f"attempt {terms.attempts} is sent past the window"),
+                    ),
+                )
+            )
 
 
 def _budget(terms: Terms, found: list[Refusal]) -> None:
@@ -140,8 +220,20 @@
     if not budget.window:
         found.append(Refusal("budget", "a budget over a window of 0 ms", "a window", "(window 10 s)"))
     elif budget.floor < 1 and not budget.share:
-        found.append(Refusal("budget", f"a floor of {budget.floor:g} and no share", "a budget that can pay one further "
-                             "attempt", "(floor 1)"))
+        found.append(
+            Refusal(
+                "budget",
+                f"a floor of {budget.floor:g} and no share",
+                "a budget that can pay one further attempt",
+                "(floor 1)",
+            )
+        )
     elif terms.attempts == 1 and terms.second is None:
-        found.append(Refusal("budget", "a budget and one attempt in all", "further attempts that it could pay",
-                             "(attempts 2), or leave (budget ...) out"))
+        found.append(
+            Refusal(
+                "budget",
+                "a budget and one attempt in all",
+                "further attempts that it could pay",
+                "(attempts 2), or leave (budget ...) out",
+            )
+        )
--- a/wickdyke/timing/routes.py
+++ b/wickdyke/timing/routes.py
@@ -72,8 +72,7 @@
     """The known patterns that cover this one, the longest first, itself included."""
     stem = pattern.removesuffix(ANY)
     whole = [pattern] if pattern in known else []
-    return whole + [wide for end in range(len(stem), -1, -1)
-                    if (wide := stem[:end] + ANY) in known and wide != pattern]
+    return whole + [wide for end in range(len(stem), -1, -1) if (wide := stem[:end] + ANY) in known and wide != pattern]
 
 
 class Table:
@@ -82,8 +81,9 @@
     def __init__(self, routes: list[tuple[Pattern, Any]]) -> None:
         self.routes = {pattern.parts: route for pattern, route in routes}
         self.known = [{parts[at] for parts in self.routes} for at in range(3)]
-        self.ends = [sorted({len(each) - 1 for each in known if each.endswith(ANY)}, reverse=True)
-                     for known in self.known]
+        self.ends = [
+            sorted({len(each) - 1 for each in known if each.endswith(ANY)}, reverse=True) for known in self.known
+        ]
         self.looks = 0
 
     def _fits(self, at: int, name: str) -> list[str]:
--- a/wickdyke/timing/terms.py
+++ b/wickdyke/timing/terms.py
@@ -123,8 +123,11 @@
 
 def shown(parts: list[Part]) -> str:
     """The sum as a person checks it."""
-    addends = [f"{part.name} {part.times} x {part.each:g}" if part.times > 1 else f"{part.name} {part.each:g}"
-               for part in parts if part.whole]
+    addends = [
+        f"{part.name} {part.times} x {part.each:g}" if part.times > 1 else f"{part.name} {part.each:g}"
+        for part in parts
+        if part.whole
+    ]
     return " + ".join(addends) + f" = {total(parts):g} ms"
 
 
--- a/wickdyke/wire/server.py
+++ b/wickdyke/wire/server.py
@@ -113,8 +113,13 @@
 class Server(Listener):
     """Lines of JSON-RPC: `heard(wire, request)` for each request, `gone(wire)` when one hangs up."""
 
-    def __init__(self, address: str, heard: Callable[[Wire, jsonrpc.Request], None],
-                 gone: Callable[[Wire], None], line: int = LINE) -> None:
+    def __init__(
+        self,
+        address: str,
+        heard: Callable[[Wire, jsonrpc.Request], None],
+        gone: Callable[[Wire], None],
+        line: int = LINE,
+    ) -> None:
         self.heard, self.gone, self.line = heard, gone, line
         self.wires: set[Wire] = set()
         super().__init__(address, self._read)
--- a/wickdyke/worker/copy.py
+++ b/wickdyke/worker/copy.py
@@ -1,8 +1,8 @@
 """What runs in a copy's process: lanes, each a thread that calls the package's entry; lines to and from the worker.
 
-    worker to copy   {"id": 7, "input": ...}    {"stop": 7}
-    copy to worker   {"ready": true}   {"failed": "why"}   {"id": 7, "output": ...}   {"id": 7, "error": "why"}
-                     {"freed": 7}, once a stopped call has left its lane
+worker to copy   {"id": 7, "input": ...}    {"stop": 7}
+copy to worker   {"ready": true}   {"failed": "why"}   {"id": 7, "output": ...}   {"id": 7, "error": "why"}
+                 {"freed": 7}, once a stopped call has left its lane
 """
 
 import ctypes
--- a/wickdyke/worker/fetch.py
+++ b/wickdyke/worker/fetch.py
@@ -30,7 +30,7 @@
         """A connection broke with so many bytes there; ms to wait before the next, None to give up."""
         self.idle = 0 if have > self.had else self.idle + 1
         self.had = have
-        return None if self.idle >= self.breaks else min(self.most, self.first * 2.0 ** self.idle)
+        return None if self.idle >= self.breaks else min(self.most, self.first * 2.0**self.idle)
 
 
 class Service:
@@ -67,8 +67,9 @@
             follows, rest = self._ask(sock, "read", store.Read(found.digest, sink.tell()), store.Follows)
             left = follows.bytes
             if left != found.size - sink.tell() or len(rest) > left:
-                raise Unknown(f"{self.address}: {left} bytes of {found.digest} to come, "
-                              f"expected {found.size - sink.tell()}")
+                raise Unknown(
+                    f"{self.address}: {left} bytes of {found.digest} to come, expected {found.size - sink.tell()}"
+                )
             while left:
                 piece = rest or sock.recv(min(left, store.CHUNK))
                 if not piece:
--- a/wickdyke/worker/package.py
+++ b/wickdyke/worker/package.py
@@ -1,9 +1,9 @@
 """Packages: a manifest and Python code, as a folder or a zip. What is read is checked before anything of it is used.
 
-    (package "tags/agency-7"
-      (version "1.2.0") (entry "main:run") (memory 64 MB) (lanes 2) (run-time 5 s)
-      (environment (set "MODEL" "small"))
-      (digest "sha256:..."))     ; of all other files; `wickdyke pack` writes it
+(package "tags/agency-7"
+  (version "1.2.0") (entry "main:run") (memory 64 MB) (lanes 2) (run-time 5 s)
+  (environment (set "MODEL" "small"))
+  (digest "sha256:..."))     ; of all other files; `wickdyke pack` writes it
 """
 
 import hashlib
@@ -74,11 +74,16 @@
 
 
 PACKAGE = record(
-    lambda spot, **values: Manifest(spot=spot, **values), named=True,
+    lambda spot, **values: Manifest(spot=spot, **values),
+    named=True,
     version=Field(_matching(VERSION, 'numbers with dots, as "1.2.0"')),
-    entry=Field(_matching(ENTRY, 'a module and a function, as "main:run"')), memory=Field(size(1.0, 1e6)),
-    lanes=Field(count(1, 256), 1), run_time=Field(span(1.0), 60000.0), environment=Field(_environment, ()),
-    digest=Field(_matching(DIGEST, '"sha256:" and 64 hexadecimal digits'), None))
+    entry=Field(_matching(ENTRY, 'a module and a function, as "main:run"')),
+    memory=Field(size(1.0, 1e6)),
+    lanes=Field(count(1, 256), 1),
+    run_time=Field(span(1.0), 60000.0),
+    environment=Field(_environment, ()),
+    digest=Field(_matching(DIGEST, '"sha256:" and 64 hexadecimal digits'), None),
+)
 
 
 def manifest(content: bytes, path: str) -> Manifest:
@@ -123,8 +128,13 @@
 
 def _safe(name: str) -> bool:
     parts = name.split("/")
-    return bool(name) and not name.startswith("/") and "\\" not in name and "\0" not in name and all(
-        part not in ("", ".", "..") for part in parts)
+    return (
+        bool(name)
+        and not name.startswith("/")
+        and "\\" not in name
+        and "\0" not in name
+        and all(part not in ("", ".", "..") for part in parts)
+    )
 
 
 def from_folder(path: str) -> tuple[Manifest, list[tuple[str, bytes]]]:
@@ -162,8 +172,9 @@
                 if entry.filename in seen:
                     raise refuse(path, f"the entry {entry.filename[:80]!r} twice", "each once")
                 if entry.external_attr >> 16 and not stat.S_ISREG(entry.external_attr >> 16):
-                    raise refuse(path, f"the entry {entry.filename[:80]!r} that is a link or special file",
-                                 "plain files only")
+                    raise refuse(
+                        path, f"the entry {entry.filename[:80]!r} that is a link or special file", "plain files only"
+                    )
                 seen.add(entry.filename)
                 with archive.open(entry) as source:  # by what comes out, not by what the directory says
                     data = source.read(BYTES - total + 1)
@@ -171,8 +182,15 @@
                 files.append((entry.filename, data))
                 if len(files) > FILES or total > BYTES:
                     raise refuse(path, f"over {FILES} files or {BYTES >> 20} MB", "less")
-    except (zipfile.BadZipFile, zipfile.LargeZipFile, zlib.error, EOFError, NotImplementedError, RuntimeError,
-            ValueError) as bad:
+    except (
+        zipfile.BadZipFile,
+        zipfile.LargeZipFile,
+        zlib.error,
+        EOFError,
+        NotImplementedError,
+        RuntimeError,
+        ValueError,
+    ) as bad:
         raise refuse(path, f"an archive that can't be read ({bad})", "a whole zip") from None
     except OSError as bad:
         raise refuse(path, bad.strerror or str(bad), "a file that can be read") from None
@@ -197,13 +215,17 @@
 
 def written(made: Manifest, digest: str) -> str:
     """The manifest's text with that digest."""
+
     def quoted(value: str) -> str:
         return '"' + value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
 
     sets = "".join(f" (set {quoted(key)} {quoted(value)})" for key, value in made.environment)
-    return (f"(package {quoted(made.name)}\n  (version {quoted(made.version)}) (entry {quoted(made.entry)})"
-            f" (memory {made.memory!r} MB)\n  (lanes {made.lanes}) (run-time {made.run_time!r} ms)\n"
-            + (f"  (environment{sets})\n" if sets else "") + f"  (digest {quoted(digest)}))\n")
+    return (
+        f"(package {quoted(made.name)}\n  (version {quoted(made.version)}) (entry {quoted(made.entry)})"
+        f" (memory {made.memory!r} MB)\n  (lanes {made.lanes}) (run-time {made.run_time!r} ms)\n"
+        + (f"  (environment{sets})\n" if sets else "")
+        + f"  (digest {quoted(digest)}))\n"
+    )
 
 
 def pack(folder: str, target: str) -> tuple[Manifest, str]:
@@ -216,8 +238,9 @@
     except Unusable as bad:
         if not any("as its manifest says" in trouble.expected for trouble in bad.troubles):
             raise
-        raise refuse(folder, "a digest in the manifest that does not fit", "none: pack writes it",
-                     "take (digest ...) out") from None
+        raise refuse(
+            folder, "a digest in the manifest that does not fit", "none: pack writes it", "take (digest ...) out"
+        ) from None
     digest = content_digest(files)
     held = io.BytesIO()
     with zipfile.ZipFile(held, "w", zipfile.ZIP_DEFLATED) as archive:
--- a/wickdyke/worker/runtime.py
+++ b/wickdyke/worker/runtime.py
@@ -25,11 +25,22 @@
 from wickdyke.worker.cache import Cache, NoRoom
 from wickdyke.worker.schedule import Call, Copy, Hold, Schedule
 
-CODES = {schedule.FULL: back.FULL, schedule.MISS: back.MISS, schedule.FAILED: back.FAILED,
-         schedule.DRAINING: back.DRAINING, schedule.OUT_OF_TIME: back.OUT_OF_TIME, schedule.ENDED: back.ENDED}
-WORDS = {schedule.FULL: "full", schedule.MISS: "the load failed", schedule.FAILED: "failed",
-         schedule.DRAINING: "draining", schedule.OUT_OF_TIME: "its time is up",
-         schedule.ENDED: "its copy ended"}
+CODES = {
+    schedule.FULL: back.FULL,
+    schedule.MISS: back.MISS,
+    schedule.FAILED: back.FAILED,
+    schedule.DRAINING: back.DRAINING,
+    schedule.OUT_OF_TIME: back.OUT_OF_TIME,
+    schedule.ENDED: back.ENDED,
+}
+WORDS = {
+    schedule.FULL: "full",
+    schedule.MISS: "the load failed",
+    schedule.FAILED: "failed",
+    schedule.DRAINING: "draining",
+    schedule.OUT_OF_TIME: "its time is up",
+    schedule.ENDED: "its copy ended",
+}
 COMPANY = 30  # told at most
 START_WITHIN = 30.0  # s for a package to be imported
 OUTPUT, EVERY = 1 << 16, 0.05  # bytes of what a copy prints that are read, and how often in s: a flood waits
@@ -80,8 +91,17 @@
         self.start = start or random.SystemRandom().getrandbits(48)
         self.born = clock()
         self.cache = Cache(shop.cache, shop.cache_most)
-        self.schedule = Schedule(self.born, shop.memory, shop.calls_at_once, shop.loads_at_once, shop.queue,
-                                 shop.idle_life, shop.run_time, shop.stop_within, shop.ramp)
+        self.schedule = Schedule(
+            self.born,
+            shop.memory,
+            shop.calls_at_once,
+            shop.loads_at_once,
+            shop.queue,
+            shop.idle_life,
+            shop.run_time,
+            shop.stop_within,
+            shop.ramp,
+        )
         self.lock = threading.RLock()
         self.due = threading.Condition(self.lock)
         self.houses: dict[int, House] = {}
@@ -94,8 +114,11 @@
         self.measured: dict[str, float] = {"copies": 0.0, "worker": 0.0, "parent": 0.0, "cache": 0.0}
         self.server: Server | None = None
         self.control, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        self.parent = subprocess.Popen([sys.executable, "-m", "wickdyke.worker.parent", str(theirs.fileno())],
-                                       pass_fds=(theirs.fileno(),), stdin=subprocess.DEVNULL)
+        self.parent = subprocess.Popen(
+            [sys.executable, "-m", "wickdyke.worker.parent", str(theirs.fileno())],
+            pass_fds=(theirs.fileno(),),
+            stdin=subprocess.DEVNULL,
+        )
         theirs.close()
 
     # ---- its life ----
@@ -142,8 +165,14 @@
     # ---- what gateways say ----
 
     def _heard(self, wire: Wire, request: jsonrpc.Request) -> None:
-        act = {"hello": self._hello, "run": self._run, "hold": self._hold, "drop": self._drop, "cancel": self._cancel,
-               "probe": self._probe}.get(request.method)
+        act = {
+            "hello": self._hello,
+            "run": self._run,
+            "hold": self._hold,
+            "drop": self._drop,
+            "cancel": self._cancel,
+            "probe": self._probe,
+        }.get(request.method)
         if act is None:
             if not request.told:
                 wire.say(jsonrpc.problem(request.ident, jsonrpc.NO_METHOD, "Method not found"))
@@ -157,8 +186,14 @@
     def _hello(self, wire: Wire, request: jsonrpc.Request) -> None:
         wire.who = msgspec.json.decode(request.params, type=back.Hello).gateway
         self.record("hello", gateway=wire.who, start=self.start)
-        wire.say(jsonrpc.result(request.ident, jsonrpc.encode(back.Standing(
-            back.VERSION, self.shop.name, self.start, clock() - self.born, self.schedule.draining))))
+        wire.say(
+            jsonrpc.result(
+                request.ident,
+                jsonrpc.encode(
+                    back.Standing(back.VERSION, self.shop.name, self.start, clock() - self.born, self.schedule.draining)
+                ),
+            )
+        )
 
     def _probe(self, wire: Wire, request: jsonrpc.Request) -> None:
         with self.lock:
@@ -169,8 +204,11 @@
         self.schedule.woke(clock())
         figures = self.schedule.figures()
         taken = sum(mb for what, mb in self.measured.items() if what != "cache")  # that is on disk
-        return {**figures, "memory": taken / self.shop.memory,
-                **{f"{what}_mb": mb for what, mb in self.measured.items()}}
+        return {
+            **figures,
+            "memory": taken / self.shop.memory,
+            **{f"{what}_mb": mb for what, mb in self.measured.items()},
+        }
 
     def _run(self, wire: Wire, request: jsonrpc.Request) -> None:
         run = msgspec.json.decode(request.params, type=back.Run)
@@ -181,8 +219,16 @@
                 return
             self.turn += 1
             mark = _marked(run.input) if self.tracing else _Marked()
-            self.record("run", mark=mark.mark, gateway=wire.who, program=run.program, work=mark.work_ms,
-                        token=run.token, start=self.start, job=self.turn)
+            self.record(
+                "run",
+                mark=mark.mark,
+                gateway=wire.who,
+                program=run.program,
+                work=mark.work_ms,
+                token=run.token,
+                start=self.start,
+                job=self.turn,
+            )
             self.runs[key] = run
             self.marks[id(run)] = mark.mark, self.turn
             self.schedule.woke(clock())
@@ -259,8 +305,9 @@
         if run is None:
             return
         self._note_end(run, call.key[0], "ok" if outcome == "failed" and why else outcome)
-        told = jsonrpc.encode(back.Told(min(COMPANY, call.company), self._report(), self.schedule.draining,
-                                        call.inside))
+        told = jsonrpc.encode(
+            back.Told(min(COMPANY, call.company), self._report(), self.schedule.draining, call.inside)
+        )
         call.key[0].say(jsonrpc.problem(call.key[1], CODES[outcome], why or WORDS[outcome], told))
 
     def _hand(self, call: Call, copy: Copy) -> None:
@@ -342,8 +389,10 @@
             house = House(copy, mine, out, found.digest)
             with self.lock:
                 self.houses[copy.number] = house
-                self._tell_parent(copies.Order(copy.number, folder, made.entry, made.lanes, made.memory,
-                                               dict(made.environment)), (theirs.fileno(), into))
+                self._tell_parent(
+                    copies.Order(copy.number, folder, made.entry, made.lanes, made.memory, dict(made.environment)),
+                    (theirs.fileno(), into),
+                )
             theirs.close()
             os.close(into)
             threading.Thread(target=self._listen, args=(house,), name=f"copy {copy.number}", daemon=True).start()
@@ -434,8 +483,12 @@
                 if "started" in told:
                     house.pid = told["pid"]
                 else:
-                    self.log.info("copy's process ended", program=house.copy.program.name, copy=house.copy.number,
-                                  status=told["status"])
+                    self.log.info(
+                        "copy's process ended",
+                        program=house.copy.program.name,
+                        copy=house.copy.number,
+                        status=told["status"],
+                    )
         if not self.ended.is_set():
             self.log.error("parent ended", why="its process is gone")  # and with it all copies: a start anew is due
             os._exit(4)
@@ -452,8 +505,12 @@
         sizes = [(house, meter.family(house.pid)) for house in houses]
         mine, parents = meter.alone(os.getpid()), meter.alone(self.parent.pid)
         with self.lock:
-            self.measured = {"copies": sum(size for _, size in sizes), "worker": mine, "parent": parents,
-                             "cache": self.cache.bytes / (1 << 20)}
+            self.measured = {
+                "copies": sum(size for _, size in sizes),
+                "worker": mine,
+                "parent": parents,
+                "cache": self.cache.bytes / (1 << 20),
+            }
             self.schedule.woke(clock())
             for house, size in sizes:
                 if self.houses.get(house.copy.number) is house and size:
@@ -472,11 +529,19 @@
                 house.printed = (house.printed + data)[-OUTPUT:]
                 *whole, rest = house.printed.split(b"\n")
                 for line in whole[:20]:
-                    self.log.info("printed", program=house.copy.program.name, copy=house.copy.number,
-                                  line=line[:300].decode("utf-8", "replace"))
+                    self.log.info(
+                        "printed",
+                        program=house.copy.program.name,
+                        copy=house.copy.number,
+                        line=line[:300].decode("utf-8", "replace"),
+                    )
                 if len(whole) > 20:
-                    self.log.info("printed", program=house.copy.program.name, copy=house.copy.number,
-                                  line=f"({len(whole) - 20} lines more)")
+                    self.log.info(
+                        "printed",
+                        program=house.copy.program.name,
+                        copy=house.copy.number,
+                        line=f"({len(whole) - 20} lines more)",
+                    )
                 house.printed = rest[-300:]
 
 
@@ -490,4 +555,3 @@
         return msgspec.json.decode(content, type=_Marked)
     except msgspec.MsgspecError:
         return _Marked()
-
--- a/wickdyke/worker/schedule.py
+++ b/wickdyke/worker/schedule.py
@@ -98,8 +98,18 @@
 class Schedule:
     """The books of one worker."""
 
-    def __init__(self, now: float, memory: float, at_once: int, loads_at_once: int, queue: int, idle_life: float,
-                 run_time: float, stop_within: float, ramp: Ramp) -> None:
+    def __init__(
+        self,
+        now: float,
+        memory: float,
+        at_once: int,
+        loads_at_once: int,
+        queue: int,
+        idle_life: float,
+        run_time: float,
+        stop_within: float,
+        ramp: Ramp,
+    ) -> None:
         self.now, self.born, self.memory, self.at_once = now, now, memory, at_once
         self.loads_at_once, self.queue, self.idle_life = loads_at_once, queue, idle_life
         self.run_time, self.stop_within, self.ramp = run_time, stop_within, ramp
@@ -270,10 +280,14 @@
     def figures(self) -> dict[str, float]:
         """For reports: parts of calls at once and memory, RPCs held and waiting, loads."""
         held = len(self.calls)
-        return {"busy": min(1.0, self.running / self.at_once), "held": float(held),
-                "queue": float(max(0, held - self.running)), "loads": float(self.loading + len(self.loads)),
-                "pinned": sum(c.charge for c in self._copies() if not c.idle) / self.memory,
-                "cold": 1.0 - self.ramp.share(self.now - self.born)}
+        return {
+            "busy": min(1.0, self.running / self.at_once),
+            "held": float(held),
+            "queue": float(max(0, held - self.running)),
+            "loads": float(self.loading + len(self.loads)),
+            "pinned": sum(c.charge for c in self._copies() if not c.idle) / self.memory,
+            "cold": 1.0 - self.ramp.share(self.now - self.born),
+        }
 
     # ---- the books ----
 
@@ -297,9 +311,14 @@
         """Makes room by ending idle copies, those idle longest first; ends none where that would not do, nor `keep`
         nor a copy of `program`."""
         held = sum(copy.charge for copy in self._copies())
-        idle = sorted((copy for copy in self._copies() if copy.idle and copy is not keep
-                       and copy.program is not program and not copy.program.waiting),
-                      key=lambda copy: copy.used)
+        idle = sorted(
+            (
+                copy
+                for copy in self._copies()
+                if copy.idle and copy is not keep and copy.program is not program and not copy.program.waiting
+            ),
+            key=lambda copy: copy.used,
+        )
         if held - sum(copy.charge for copy in idle) + memory > self.memory:
             return False
         while held + memory > self.memory:
@@ -350,8 +369,11 @@
         now = self.now
         for call in [call for call in self.calls.values() if now >= call.ends]:
             self._time_up(call)
-        for call in [call for call in self.calls.values()
-                     if call.began is not None and now >= call.began + self._run_time(call.program)]:
+        for call in [
+            call
+            for call in self.calls.values()
+            if call.began is not None and now >= call.began + self._run_time(call.program)
+        ]:
             self._time_up(call)
         for copy in self._copies():
             if copy.stuck and now >= copy.stuck_since + self.stop_within:
@@ -367,8 +389,9 @@
         self._run()
         self._answer_holds()
         ordered = {hold.program for hold in self.holds.values()}
-        for program in [each for each in self.programs.values()
-                        if not each.copies and not each.waiting and each not in ordered]:
+        for program in [
+            each for each in self.programs.values() if not each.copies and not each.waiting and each not in ordered
+        ]:
             del self.programs[program.name]
             self.limits.pop(program.name, None)
 
@@ -408,13 +431,23 @@
     def _run(self) -> None:
         if self.running >= self.at_once:
             return
-        ready = sorted((call for program in self.programs.values() if program.waiting and any(
-            copy.state == "standing" for copy in program.copies) for call in program.waiting), key=lambda c: c.came)
+        ready = sorted(
+            (
+                call
+                for program in self.programs.values()
+                if program.waiting and any(copy.state == "standing" for copy in program.copies)
+                for call in program.waiting
+            ),
+            key=lambda c: c.came,
+        )
         for call in ready:
             if self.running >= self.at_once:
                 return
-            free = [copy for copy in call.program.copies
-                    if copy.state == "standing" and len(copy.calls) + copy.stuck < copy.lanes]
+            free = [
+                copy
+                for copy in call.program.copies
+                if copy.state == "standing" and len(copy.calls) + copy.stuck < copy.lanes
+            ]
             if free:
                 copy = min(free, key=lambda each: (len(each.calls) + each.stuck, each.number))
                 call.program.waiting.remove(call)
--- a/wickdyke/worker/source.py
+++ b/wickdyke/worker/source.py
@@ -49,7 +49,7 @@
             names = []
         for each in names:
             if each.startswith(short + "@") and each.endswith(".zip"):
-                number = each[len(short) + 1:-len(".zip")]
+                number = each[len(short) + 1 : -len(".zip")]
                 if package.VERSION.fullmatch(number) and version in (None, number):
                     held[package.order(number)] = number
         if not held:
--- a/wickdyke/worker/store.py
+++ b/wickdyke/worker/store.py
@@ -105,8 +105,10 @@
         found = self.folder.find(msgspec.json.decode(request.params, type=Find).program)
         with self.lock:
             self.paths[found.digest] = found
-        sock.sendall(jsonrpc.result(request.ident, jsonrpc.encode(Entry(
-            found.name, found.version, found.digest, found.size))) + b"\n")
+        sock.sendall(
+            jsonrpc.result(request.ident, jsonrpc.encode(Entry(found.name, found.version, found.digest, found.size)))
+            + b"\n"
+        )
 
     def _read(self, sock: socket.socket, request: jsonrpc.Request) -> None:
         asked = msgspec.json.decode(request.params, type=Read)
