--- /dev/null
+++ b/bench/recording.py
@@ -0,0 +1,48 @@
+"""Records what a hollow front end was told and decided, for `wickdyke replay` and tests/test_scale.py.
+
+    python -m bench.recording OUT.gz [SEED]
+
+A fleet of 120 workers, fewer than one cell holds, in which workers drain, go, come cold and fail. A text of the module
+that decides otherwise is found by its first decision that differs.
+"""
+
+import gzip
+import os
+import random
+import sys
+import tempfile
+from dataclasses import replace
+
+from bench.hollow import Draw, HollowFleet, Settings, listing
+from wickdyke.gateway.tape import Tape
+
+WORKERS, SPAN = 120, 24000.0
+
+
+def record(path: str, seed: int) -> None:
+    """Plays the fleet and writes the recording, compressed."""
+    settings = Settings(front_ends=20, zones=2, loads_on_call=bool(seed % 2), crossing=0.05 * (seed % 3), memory=4000.0)
+    with tempfile.TemporaryDirectory() as folder:
+        raw = os.path.join(folder, "tape")
+        tape = Tape(raw)
+        fleet = HollowFleet(settings, [listing(number, 2, kind=0) for number in range(WORKERS)], 1, seed, tape)
+        fleet.clients(60.0, Draw(400, 0.9, seed), SPAN)
+        chance, number = random.Random(seed), WORKERS
+        for at in range(2, int(SPAN / 1000), 2):
+            fleet.run(at * 1000.0)
+            leave = chance.sample(list(fleet.workers.values()), 6)
+            fleet.announce([replace(worker.listing, state="draining") for worker in leave[:3]])
+            fleet.announce([replace(worker.listing, state="gone") for worker in leave[3:]])
+            fleet.announce([listing(number + each, 2, born=fleet.now) for each in range(3)])
+            for worker in chance.sample(list(fleet.workers.values()), 3):
+                worker.dead = not worker.dead
+            number += 3
+        fleet.run(SPAN + 5000.0)
+        tape.close()
+        with open(raw, "rb") as source, open(path, "wb") as sink:
+            with gzip.GzipFile(fileobj=sink, mode="wb", mtime=0) as packed:
+                packed.write(source.read())
+
+
+if __name__ == "__main__":
+    record(sys.argv[1], int(sys.argv[2]) if len(sys.argv) > 2 else 1)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -61,6 +61,20 @@
         )
         self.list(rows if rows is not None else [row(name) for name in "abcdefghij"[:workers]])
 
+    @property
+    def cell(self):
+        """The one cell that all its workers fit."""
+        (cell,) = self.fe.fleet.cells.values()
+        return cell
+
+    @property
+    def ready(self):
+        return self.cell.ready
+
+    @property
+    def fill(self):
+        return self.cell.fill
+
     def list(self, rows, whole=True):
         self.fe.woke(self.clock)
         self.fe.listed(rows, whole)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -202,7 +202,7 @@
             self.assertEqual(running.said.getvalue().count("list unusable"), 5)
             os.unlink(os.path.join(running.folder, "workers.sexp"))
             self.assertTrue(until(lambda: running.said.getvalue().count("list unusable") == 6))
-            self.assertEqual(len(running.desk.front_end.ready), 1)
+            self.assertEqual(len(list(running.desk.front_end.fleet.ready())), 1)
 
     def test_changes(self):
         """(rows written) -> who is ready then."""
@@ -223,7 +223,8 @@
                 with self.subTest(rows=rows):
                     self.assertTrue(
                         until(
-                            lambda ready=ready: sorted(w.listing.ident for w in running.desk.front_end.ready) == ready
+                            lambda ready=ready: sorted(w.listing.ident for w in running.desk.front_end.fleet.ready())
+                            == ready
                         )
                     )
 
@@ -234,9 +235,9 @@
             for at in range(40):
                 client.ask(at, program=f"p{at}")
                 self.assertIn("result", client.answer())
-                if not any(w.listing.ident == "w0" for w in running.desk.front_end.ready):
+                if not any(w.listing.ident == "w0" for w in running.desk.front_end.fleet.ready()):
                     break
-            self.assertEqual([w.listing.ident for w in running.desk.front_end.ready], ["w1"])
+            self.assertEqual([w.listing.ident for w in running.desk.front_end.fleet.ready()], ["w1"])
             client.close()
 
     def test_restart_is_known(self):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -271,7 +271,10 @@
         here = rig.instance("w1", two.address, startedAtMs=start)
         source.event(rig.event(2, here))
         self.told(2)
+        for name in ("w0", "w1"):
+            serving.desk._link(name)
         books, links = dict(serving.desk.front_end.workers), dict(serving.desk.links)
+        self.assertEqual(set(links), {"w0", "w1"})
         cold = books["w1"].cold_from
         both = [rig.instance("w0", one.address), here]
         source.event(rig.event(3, *both, reset=True))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -12,7 +12,8 @@
 from tests.helpers import Fleet, called, row, verbs
 from wickdyke.chance import draw, mark
 from wickdyke.interface import Listing, Program, Ration, Seat, Warmup, Worker, place_of
-from wickdyke.logic import Guards, lot
+from wickdyke.fleet import Cell, lot
+from wickdyke.logic import Guards
 
 NEVER = ("full", "unreached", "miss")
 MAYBE = ("error", "timeout", "cut", "cancelled")
@@ -176,11 +177,9 @@
         for seat in range(many):
             guards = Guards(warm, Ration(0.0, 0.0, 0.0), Seat(seat, many, 0, (), False))
             old = worker("old", None)
-            old.reports.append((0.0, {}, 0))
-            old.busy = 0.5
             part = 2 * draw(mark("part"), seat)  # of the mean
             guards.carried.extend([(5000.0, 12 * size * 0.5 * 5000 / many * part)])
-            guards.survey([old], 5000.0)
+            guards.survey([Cell(0, 0, ready=[old], size=size, busy=(0.5, 1))], 5000.0)
             guards.rate /= 12
             front_ends.append((guards, worker("z", 5000.0)))
         for now in range(5000, int(5000 + warm.ramp), 50):
@@ -378,7 +377,7 @@
                 home = called(fleet.serve(calls=200))[-1]
                 for place in fleet.fe.programs["p"].places if state == "ready" else ():
                     place.worker.limit *= place.standing == 0
-                for worker in fleet.fe.ready:
+                for worker in fleet.ready:
                     worker.busy = busy
                 fleet.list([row(home, state=state)], whole=False)
                 self.assertEqual(bool(called(fleet.take())), elsewhere)
@@ -389,7 +388,9 @@
             fleet.list([row(name)])
             fleet.serve(calls=3)
             fleet.pass_time(600)
-        self.assertEqual((len(fleet.fe.programs["p"].lots), len(fleet.fe.health.met)), (1, 1))
+        ring, met, known = fleet.fe.programs["p"].ring, fleet.fe.health.met, fleet.fe.fleet
+        kept = (ring, met, known.workers, known.owners, known.places, known.sizes)
+        self.assertEqual([len(each) for each in kept], [1] * 6)
 
     def test_homes_leave_a_closed_worker(self):
         fleet = Fleet(workers=6)
@@ -397,7 +398,7 @@
             fleet.fe.probed(name, "ok", (0.2, 0.6))
         for at in range(400):
             fleet.serve(f"p{at % 5}", calls=1, ms=60.0)
-        opened = set(fleet.fe.fill.opened)
+        opened = set(fleet.fill.opened)
         self.assertLess(len(opened), 6)
         placed = {p.worker for program in fleet.fe.programs.values() for p in program.places if p.placed}
         self.assertLessEqual(placed, opened)
@@ -457,9 +458,9 @@
         for seed in range(4):  # of each front end's own
             fleet = Fleet(workers=6, loads_on_call=False, holds=None, call_outs=4, seed=seed)
             got = fleet.take()
-            for place in [place_of(got[0][1].program, worker) for worker in fleet.fe.ready[:3]]:
+            for place in [place_of(got[0][1].program, worker) for worker in fleet.ready[:3]]:
                 place.placed = True
-            first = min(fleet.fe.ready[:3], key=lambda w: lot(got[0][1].program, w))
+            first = min(fleet.ready[:3], key=lambda w: lot(got[0][1].program, w))
             while not (held := [d for d in got if d[0] == "hold"]):
                 got = fleet.end(got[-1][1], "miss") + fleet.pass_time(50)
             self.assertEqual(held[0][1], first)
@@ -494,7 +495,7 @@
         for quotas, want in (((), 4.0), ((16.0, 16.0), 2.0), ((64.0,), 4.0), ((320.0,), 20.0)):
             with self.subTest(quotas=quotas):
                 fleet = Fleet(workers=4, report=("held",), quotas=quotas)
-                fleet.fe.latency.survey(fleet.fe.ready, 200.0, fleet.clock)
+                fleet.fe.latency.survey(fleet.cell, [fleet.cell], 200.0, fleet.clock)
                 self.assertAlmostEqual(fleet.fe.latency.width(fleet.fe.workers["a"]), want)
 
     def test_a_program_spreads_where_no_company_is_told(self):
@@ -503,7 +504,7 @@
             with self.subTest(tells=tells):
                 fleet = Fleet(workers=6, loads_on_call=False, tells=tells)
                 fleet.take()
-                program, workers, fill = fleet.fe.programs["p"], fleet.fe.ready, fleet.fe.fill
+                program, workers, fill = fleet.fe.programs["p"], fleet.ready, fleet.fill
                 fill.unit, fill.opened, one = 1.0, dict.fromkeys(workers), dict.fromkeys(workers, 1.0)
                 got = fill.put(program, 0.6, 1.0, [], one, one, dict.fromkeys(workers, 9e9), fleet.clock)
                 self.assertEqual(len(got), homes)
@@ -529,8 +530,8 @@
                 fleet = Fleet(workers=1)
                 for _ in range(10):
                     fleet.take()
-                fleet.fe.fill.since = fleet.clock - age
-                self.assertAlmostEqual(fleet.fe.fill.demand(fleet.fe.programs["p"], fleet.clock), lanes)
+                fleet.fill.since = fleet.clock - age
+                self.assertAlmostEqual(fleet.fill.demand(fleet.fe.programs["p"], fleet.clock), lanes)
 
     def test_a_zone_is_a_fleet_of_its_own_where_crossing_costs(self):
         """(price of crossing, loads on call, workers of the zone shunned) -> the zones in which programs are placed."""
@@ -543,9 +544,9 @@
         ):
             with self.subTest(crossing=crossing, on_call=on_call, ill=ill):
                 fleet = Fleet(rows=rows, crossing=crossing, loads_on_call=on_call)
-                for worker in [w for w in fleet.fe.ready if w.listing.zone == 0][:ill]:
+                for worker in [w for w in fleet.ready if w.listing.zone == 0][:ill]:
                     worker.shuns = 1
-                self.assertEqual({w.listing.zone for w in fleet.fe.fill.know(fleet.fe.ready, fleet.clock)}, zones)
+                self.assertEqual({w.listing.zone for w in fleet.fill.know(fleet.clock)}, zones)
 
     def test_other_zones_count_in_part_while_ours_is_crowded(self):
         """(busy in our zone, in the other; periods) -> how much the other's workers count, and that some are homes."""
@@ -559,22 +560,22 @@
         ):
             with self.subTest(mine=mine, far=far, periods=periods):
                 fleet = Fleet(rows=rows, crossing=0.05, loads_on_call=False)
-                fill, ready = fleet.fe.fill, fleet.fe.ready
+                fill, ready = fleet.fill, fleet.ready
                 for worker in ready:
                     if (busy := far if worker.listing.zone else mine) is not None:
                         fleet.fe.latency.reported(worker, (busy, 4.0), fleet.clock)
                 for _ in range(periods):
-                    fill.know(ready, fleet.clock)
+                    fill.know(fleet.clock)
                 self.assertEqual((fill.reach, fill.known == ready), (reach, reach > 0))
                 heads = {
                     fill.ring(Program(f"p{n}", None, 1.0, 1, 0.0, *[deque()] * 4, mark(f"p{n}")))[0].listing.zone
                     for n in range(100)
                 }
                 self.assertEqual(heads, {0, 1} if reach else {0})
-                for worker in ready:
+                for worker in (worker for worker in ready if worker.reports):
                     worker.reports.clear()
                 for _ in range(4):  # nothing told any more: our zone alone again
-                    fill.know(ready, fleet.clock)
+                    fill.know(fleet.clock)
                 self.assertEqual({w.listing.zone for w in fill.known}, {0})
 
     def test_the_fleet_is_as_busy_as_fresh_reports_say(self):
@@ -583,7 +584,7 @@
             with self.subTest(old=old, young=young):
                 fleet = Fleet(workers=2)
                 for age, share in ((old, 1.0), (young, 0.5)):
-                    for worker in fleet.fe.ready:
+                    for worker in fleet.ready:
                         fleet.fe.latency.reported(worker, (share, 4.0), fleet.clock - age)
                 fleet.fe.next_fill = fleet.fe.wake_at = fleet.clock
                 fleet.pull()
@@ -696,9 +697,9 @@
                 fleet = Fleet(workers=10)
                 fleet.fe.woke(fleet.clock)
                 fleet.take()
-                for worker, outcome in zip(fleet.fe.ready, outcomes, strict=True):
+                for worker, outcome in zip(fleet.ready, outcomes, strict=True):
                     fleet.fe.health.saw(worker, outcome, fleet.clock)
-                last = fleet.fe.ready[-1]
+                last = fleet.ready[-1]
                 self.assertEqual((last.cold_from is not None, last in fleet.fe.health.shunned), (lost, lost))
 
 
@@ -839,7 +840,7 @@
                 fleet.take()
                 program, (a, b) = fleet.fe.programs["p"], fleet.fe.workers.values()
                 program.company.extend((worker, many) for many in company for worker in (a, b))
-                self.assertTrue(least <= fleet.fe.fill.wide(program, own, part) <= most)
+                self.assertTrue(least <= fleet.fill.wide(program, own, part) <= most)
 
     def test_late_answers_limit_all_our_call_outs(self):
         """(ms of each answer, busy share) -> whether what one front end has out at all workers is limited."""
@@ -859,8 +860,8 @@
                 fleet.take()
                 program, workers = fleet.fe.programs["p"], list(fleet.fe.workers.values())
                 home = min(workers, key=lambda w: lot(program, w))
-                fleet.fe.fill.unit, fleet.fe.fill.opened = 1.0, dict.fromkeys(workers)
+                fleet.fill.unit, fleet.fill.opened = 1.0, dict.fromkeys(workers)
                 room = {w: left if w is home else 1.0 for w in workers}
                 budget, part = dict.fromkeys(workers, 9e9), dict.fromkeys(workers, 1.0)
-                got = fleet.fe.fill.put(program, load, 1.0, [], part, room, budget, fleet.clock)
+                got = fleet.fill.put(program, load, 1.0, [], part, room, budget, fleet.clock)
                 self.assertEqual(got == [home], first)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 from unittest.mock import Mock, patch
 
 from tests import platform_rig as rig
+from wickdyke.gateway.parts import ListChange
 from wickdyke.interface import Method
 from wickdyke.platform import back, front, resp, roster, sse, station, thrift
 from wickdyke.platform.serve import Serving
@@ -159,14 +160,17 @@
             with self.subTest(name):
                 view = roster.Roster(("hall",), ("std", "slow"), 1000.0)
                 view.rows([rig.event(1, a, reset=True)], 0.0)
-                self.assertEqual(sorted((row.ident, row.state) for row in view.rows(events, 0.0)), changes)
-                self.assertEqual(view.addresses(), addresses)
+                change = view.rows(events, 0.0)
+                self.assertEqual(sorted((row.ident, row.state) for row in change.listings), changes)
+                self.assertEqual({at: view.address(at) for at in view.listed}, addresses)
+                moved = {at for at in {"a", *addresses} if {"a": "h:1"}.get(at) != addresses.get(at)}
+                self.assertEqual(change.addresses, {at: addresses.get(at) for at in moved})
 
     def test_a_start_time_read_twice_is_the_same_start(self):
         view = roster.Roster(("hall",), ("std",), 1000.5)
         late = rig.instance("a", "h:1", startedAtMs=5000)
-        self.assertEqual(view.rows([rig.event(1, late)], 0.0)[0].born, 3999.5)
-        self.assertEqual(view.rows([rig.event(2, late)], 99.0), [])
+        self.assertEqual(view.rows([rig.event(1, late)], 0.0).listings[0].born, 3999.5)
+        self.assertEqual(view.rows([rig.event(2, late)], 99.0), ListChange([], {}))
 
 
 class Turned(unittest.TestCase):
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -121,7 +121,7 @@
                     now = float(now)
                     match what:
                         case "rows":
-                            changes = roster.rows(more[0], now)
+                            changes = roster.rows(more[0], now).listings
                         case "hello":
                             changes = roster.hello("w", more[0], now)
                         case "unheard":
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -28,6 +28,7 @@
 ROUND = 512  # events told to the module before its decisions are pulled, at most
 
 
+LINES = 32  # changes of the list that are logged one by one; more are counted in one line
 WENT_DOWN = 1000.0  # ms after a connection ended by which it is back, or its worker went down
 
 
@@ -292,32 +293,38 @@
             self._left(ask)
 
     def _rows(self, rows: list) -> None:
-        before = self.roster.addresses()
-        changes = self.roster.rows(rows, clock())
-        listed = self.roster.addresses()
-        for name, address in listed.items():
-            if before.get(name) != address:
-                if name in self.links:
-                    self.links[name].retire()
-                self.links[name] = self.speech.link(name, address, self.tell)
-        for name in [name for name in self.links if name not in listed]:
-            self.links.pop(name).retire()
-        self._listed(changes)
+        change = self.roster.rows(rows, clock())
+        for name, address in change.addresses.items():
+            if name in self.links:
+                self.links.pop(name).retire()
+            if address is not None and self.speech.eager:
+                self._link(name)
+        self._listed(change.listings)
+
+    def _link(self, name: str) -> Link | None:
+        """The way to a listed worker, made when it is first needed: most of a large fleet never is."""
+        if name not in self.links and (address := self.roster.address(name)) is not None:
+            self.links[name] = self.speech.link(name, address, self.tell)
+        return self.links.get(name)
 
     def _listed(self, changes: list) -> None:
-        if changes:
-            for listing in changes:
-                # Danger: what waits for a connection that is being made would go out after the time for a drain.
-                # Also what waits for a worker to read. Could hurt nowhere: it never ran, and goes elsewhere.
-                if listing.state != "ready" and listing.ident in self.links:
-                    self.links[listing.ident].recall()
-                self.log.info(
-                    "worker listed",
-                    worker=listing.ident,
-                    state=listing.state,
-                    up_ms=None if listing.born is None else round(clock() - listing.born),
-                )
-            self._inform("listed", changes, False)
+        if not changes:
+            return
+        for listing in changes:
+            # Danger: what waits for a connection that is being made would go out after the time for a drain.
+            # Also what waits for a worker to read. Could hurt nowhere: it never ran, and goes elsewhere.
+            if listing.state != "ready" and listing.ident in self.links:
+                self.links[listing.ident].recall()
+        if len(changes) > LINES:
+            self.log.info("workers listed", **Counter(listing.state for listing in changes))
+        for listing in changes if len(changes) <= LINES else ():
+            self.log.info(
+                "worker listed",
+                worker=listing.ident,
+                state=listing.state,
+                up_ms=None if listing.born is None else round(clock() - listing.born),
+            )
+        self._inform("listed", changes, False)
 
     def _hello(self, link: Link, standing) -> None:
         if self.links.get(link.name) is link:
@@ -445,7 +452,7 @@
         name = worker.listing.ident
         left = max(0.0, min(rpc.ends - clock(), rpc.ends if patience is None else patience))
         order = ask.orders[call_out] = self.speech.run(call_out, ask, left)
-        link = order.link = self.links.get(name)
+        link = order.link = self._link(name)
         if link is None:
             self.events.put(("back", None, order, "unsent"))
             return
@@ -507,7 +514,7 @@
 
     def _hold(self, worker: Worker, program: Program, copies: int) -> None:
         name = worker.listing.ident
-        link = self.links.get(name)
+        link = self._link(name)
         order = self.speech.hold((name, program.name, clock()), program, copies)
         self.counts["holds"] += 1
         if link is None:
@@ -518,7 +525,7 @@
 
     def _probe(self, worker: Worker) -> None:
         name = worker.listing.ident
-        link, order = self.links.get(name), self.speech.probe(name)
+        link, order = self._link(name), self.speech.probe(name)
         self.counts["probes"] += 1
         if link is None:
             self.events.put(("back", None, order, "unsent"))
--- a/wickdyke/gateway/parts.py
+++ b/wickdyke/gateway/parts.py
@@ -91,7 +91,9 @@
 
 
 class Speech(Protocol):
-    """How workers are spoken to."""
+    """How workers are spoken to; `eager` where a link is to be made as soon as its worker is listed."""
+
+    eager: bool
 
     def link(self, name: str, address: str, tell: Any) -> Link:
         """The way to one worker."""
@@ -109,11 +111,22 @@
         """What a link told of an order's end."""
 
 
+@dataclass(slots=True, frozen=True)
+class ListChange:
+    """What an input changed of the list: listings, and where workers are (None: listed no more)."""
+
+    listings: list[Listing]
+    addresses: dict[str, str | None]
+
+
 class Roster(Protocol):
     """The view of the list."""
 
-    def rows(self, rows: list, now: float) -> list[Listing]:
+    def rows(self, rows: list, now: float) -> ListChange:
         """What came from the list, and what it changed."""
 
-    def addresses(self) -> dict[str, str]:
-        """Where the listed workers are."""
+    def address(self, name: str) -> str | None:
+        """Where a listed worker is."""
+
+    def __len__(self) -> int:
+        """How many workers are listed."""
--- a/wickdyke/gateway/roster.py
+++ b/wickdyke/gateway/roster.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from wickdyke.gateway.parts import ListChange
 from wickdyke.interface import Listing
 from wickdyke.protocol.back import Standing
 from wickdyke.settings.roll import Row
@@ -31,8 +32,17 @@
         self.seen: dict[str, Seen] = {}
         self.passed: dict[str, Listing] = {}
 
-    def rows(self, rows: list[Row], now: float) -> list[Listing]:
+    def __len__(self) -> int:
+        return len(self.seen)
+
+    def rows(self, rows: list[Row], now: float) -> ListChange:
         """A whole list came. Who is not on it is gone."""
+        before = {name: seen.row.address for name, seen in self.seen.items()}
+        listings = self._rows(rows, now)
+        addresses = {name: self.address(name) for name in {**before, **self.seen}}
+        return ListChange(listings, {name: at for name, at in addresses.items() if before.get(name) != at})
+
+    def _rows(self, rows: list[Row], now: float) -> list[Listing]:
         changes = []
         named = {row.name: row for row in rows}
         for name, seen in list(self.seen.items()):
@@ -54,9 +64,9 @@
             changes += self._changed(row.name)
         return changes
 
-    def addresses(self) -> dict[str, str]:
-        """Where the listed workers are."""
-        return {name: seen.row.address for name, seen in self.seen.items()}
+    def address(self, name: str) -> str | None:
+        """Where a listed worker is."""
+        return self.seen[name].row.address if name in self.seen else None
 
     def hello(self, name: str, standing: Standing, now: float) -> list[Listing]:
         """A worker was connected to and said who it is."""
--- a/wickdyke/gateway/speech.py
+++ b/wickdyke/gateway/speech.py
@@ -12,6 +12,8 @@
 class JsonRpc:
     """The speech of one gateway."""
 
+    eager = True  # a worker's hello tells since when it is up
+
     def __init__(self, station: Station) -> None:
         self.station, self.names = station, station.seat.report
 
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -4,8 +4,15 @@
 """
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from heapq import heappop
+from typing import Any
+
+from wickdyke.chance import mark
+from wickdyke.samples import Recent, trim
+
+NEVER_RAN = frozenset({"full", "unreached", "unsent", "miss"})  # outcomes that prove it
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -55,6 +62,10 @@
     tells_standing: bool
     tells_company: bool
 
+    def memory_on(self, listing: "Listing") -> float:
+        """MB that a worker of that kind has for copies; 0 where the settings do not tell."""
+        return (self.memory[listing.kind :] or self.memory or (0.0,))[0]
+
 
 @dataclass(slots=True, frozen=True)
 class Allowance:
@@ -152,18 +163,22 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class Worker:
-    """A worker as this front end knows it."""
+    """A worker as this front end knows it.
+
+    The first four and `sends` are records of dealings with it: empty tuples until it is first sent something,
+    so that a worker that is only listed costs little.
+    """
 
     listing: Listing
-    ratios: deque
-    results: deque
-    reports: deque
-    spent: deque
+    ratios: Sequence
+    results: Sequence
+    reports: Sequence
+    spent: Sequence
     budget: float
     limit: float
     cold_from: float | None
     mark: int
-    sends: deque = field(default_factory=deque)
+    sends: Sequence = field(default_factory=deque)
     out: list["CallOut"] = field(default_factory=list)
     lates: list[tuple] = field(default_factory=list)
     at_work: int = 0
@@ -179,10 +194,35 @@
     took: float = 0.0
     work: float = 0.0
 
+    @classmethod
+    def listed(cls, listing: Listing, budget: float, limit: float) -> "Worker":
+        """A worker that is only listed: cold since it was born, with no records yet."""
+        return cls(listing, (), (), (), (), budget, limit, listing.born, mark(listing.ident), ())
+
+    def weigh(self, since: float) -> None:
+        """Sums up the answers told after that time (ms): how long they took, and the work in them."""
+        trim(self.ratios, since)
+        self.took = sum(ms for _, ms, _ in self.ratios)
+        self.work = sum(cost for _, _, cost in self.ratios)
+
+    def pinned(self) -> float:
+        """The part of its memory that its last report says is in use; 0 where it does not tell."""
+        return self.reports and self.reports[-1][1].get("pinned") or 0.0
+
+    def open_books(self, lengths: tuple[int, int, int, int]) -> None:
+        """Begins the records, of so many samples at most, if it has none yet."""
+        if self.sends == ():
+            self.ratios, self.results, self.reports, self.spent = (Recent(most) for most in lengths)
+            self.sends = Recent()
+
 
 @dataclass(slots=True, eq=False, repr=False)
 class Program:
-    """What an RPC runs and a worker loads."""
+    """What an RPC runs and a worker loads.
+
+    `cell` is its home, with `first` its nearest worker there, both as of the fleet's version `listed`; `ring`
+    ranks the candidates `ringed`.
+    """
 
     name: str
     method: Method
@@ -197,10 +237,12 @@
     places: list["Place"] = field(default_factory=list)
     called: float = 0.0
     settled: float = float("-inf")
-    lots: dict[Worker, float] = field(default_factory=dict)
     ring: list[Worker] = field(default_factory=list)
-    ringed: list[Worker] | None = None
+    ringed: Any = None
     proven: bool = False
+    cell: Any = None
+    first: Worker | None = None
+    listed: int = -1
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -219,6 +261,10 @@
     full_until: float = 0.0
     out: int = 0
 
+    def lanes(self) -> int:
+        """Requests that may run there at once."""
+        return max(1, self.standing) * self.program.lanes
+
 
 @dataclass(slots=True, eq=False, repr=False)
 class RPC:
@@ -239,6 +285,10 @@
     closed: bool = False
     queued: bool = False
 
+    def may_have_run(self) -> list["CallOut"]:
+        """Its attempts that are not known never to have run."""
+        return [call_out for call_out in self.call_outs if call_out.outcome not in NEVER_RAN]
+
 
 @dataclass(slots=True, eq=False, repr=False)
 class CallOut:
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -1,34 +1,25 @@
 """Every decision of a wickdyke front end, with its tables and tuned values.
 
 A host makes a FrontEnd, tells it the time (woke) and what happens (listed, took, ended, held, probed, left):
-these only update the books. Then it calls decide() until that returns None: plain tuples of a verb (call,
-cancel, deny, abort, hold, probe, follow_list, note) and objects of wickdyke/interface.py, where the shared
-types stand. wake_at is when to call woke next. Times are float ms of the host; ids stay at this door."""
+that only updates the books. Then it calls decide() until that returns None: tuples of a verb and objects of
+wickdyke/interface.py. wake_at is when to call woke next. Times are float ms of the host; ids stay here."""
 
+from bisect import insort
 from collections import Counter, deque
-from dataclasses import replace
-from heapq import heappush, merge
-from itertools import accumulate, islice
+from heapq import heappush
+from itertools import accumulate, islice, product
 from math import ceil, inf, log, sqrt
 
 from wickdyke.chance import Chance, draw, mark
+from wickdyke.fleet import Candidates, Cell, Fleet, lot
 from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place
 from wickdyke.interface import Program, Purse, Ration, Seat, Shares, Stock, Tariff, Timing, Warmup, Worker
-from wickdyke.interface import begin, empty, end, forget, place_of, rest, working
-from wickdyke.samples import mean, trim
+from wickdyke.interface import begin, empty, end, place_of, rest, working
+from wickdyke.samples import Recent, added, mean, pooled, trim
 
-KEPT, KEPT_CALLS, KEPT_RATIOS = 16, 64, 40  # samples kept of most things; calls; latencies of a worker
-NEVER_RAN = frozenset({"full", "unreached", "unsent", "miss"})  # outcomes that prove it
-
-
-def lot(program: Program, worker: Worker) -> float:  # hangs on the names alone: all front ends draw alike
-    if worker not in program.lots:  # larger workers win more often
-        program.lots[worker] = -log(draw(program.mark, worker.mark)) / max(worker.listing.size, 1e-6)
-    return program.lots[worker]
-
-
-def lanes(place: Place) -> int:
-    return max(1, place.standing) * place.program.lanes
+KEPT, KEPT_CALLS, KEPT_RATIOS, BOOKS = 16, 64, 40, 16384  # samples of most; calls; latencies; functions
+ONE_CELL, CELL = 128, 48  # workers of a fleet that is one cell, in a cell of a larger one
+POINTS, SPILLS, SEEN = 16, 2, 32  # of a function on the ring; further cells it may use; cells seen for a fill
 
 
 SAMPLE_AGE, PRIOR, FRESH = 15000.0, 6.0, 4000.0  # ms samples count; its kind's in a pace; ms reports fade
@@ -56,11 +47,6 @@
         usual = mean(program.method.times, program.method.soft * COST_GUESS)
         return (sum(program.times) + usual) / (len(program.times) + 1)
 
-    def weigh(self, worker: Worker, now: float) -> None:
-        trim(worker.ratios, now - SAMPLE_AGE)
-        worker.took = sum(ms for _, ms, _ in worker.ratios)
-        worker.work = sum(cost for _, _, cost in worker.ratios)
-
     def pace(self, worker: Worker) -> float:
         prior = PRIOR * worker.work / (len(worker.ratios) or 1) or 1.0  # an unheard worker counts as average
         return (worker.took + prior * self.usual_pace(worker)) / (worker.work + prior)
@@ -71,12 +57,13 @@
     def width(self, worker: Worker) -> float:
         return max(1.0, self.width_each * worker.listing.size)
 
-    def survey(self, workers: list[Worker], each: float, now: float) -> None:  # each: ms of the usual RPC
-        kinds = {worker.listing.kind: [0.0, 0.0] for worker in workers}
+    def survey(self, cell: Cell, cells: list[Cell], each: float, now: float) -> None:  # each: ms, usual RPC
+        workers, cell.pool = cell.ready, {worker.listing.kind: (0.0, 0.0) for worker in cell.ready}
         for worker in (worker for worker in workers if worker.ratios):
-            self.weigh(worker, now)
-            pool = kinds[worker.listing.kind]
-            pool[:] = pool[0] + worker.took, pool[1] + worker.work
+            worker.weigh(now - SAMPLE_AGE)
+            ms, work = cell.pool[worker.listing.kind]
+            cell.pool[worker.listing.kind] = ms + worker.took, work + worker.work
+        kinds = added(each.pool for each in cells)  # of all cells, each as of its last survey
         if cost := sum(pool[1] for pool in kinds.values()):
             self.average = sum(pool[0] for pool in kinds.values()) / cost
             part = cost / KEPT  # a kind little heard of counts as average too
@@ -85,7 +72,7 @@
         widths = sorted(self.widths)  # waiting for lanes and loads holds RPCs but no core: low samples tell
         # Danger: reports of busy or of held alone tell nothing of cores. What tenants are promised does. Also
         # catches the first seconds. Hurts where far less or more is promised than the fleet can do.
-        promised = self.promised / 1000 * each / PROMISED / max(1, len(workers))
+        promised = self.promised / 1000 * each / PROMISED / max(1, sum(len(each.ready) for each in cells))
         self.width_each = (widths[int(len(widths) * WIDTH_LOW)] if len(widths) > KEPT
                            else (promised or WIDTH_GUESS) / size)
 
@@ -98,6 +85,7 @@
         elif "busy" in report:
             report["held"] = report["busy"] * self.width(worker) + report.get("queue", 0.0)
         if report:
+            worker.open_books(BOOK)
             worker.reports.append((now, report, own))
             worker.busy = mean([r["busy"] for _, r, _ in worker.reports if "busy" in r], 0.0)
 
@@ -130,7 +118,7 @@
         if outcome == "ok" or outcome in ("timeout", "cancelled") and took > call_out.expected:
             least = took if outcome == "ok" else min(took, OVERDUE * call_out.expected)  # given up: at least
             worker.ratios.append((now, least, self.cost(rpc)))
-            self.weigh(worker, now)
+            worker.weigh(now - SAMPLE_AGE)
         for times in (rpc.program.times, rpc.method.times) if outcome == "ok" and rpc.work is None else ():
             times.append(took / self.pace(worker))
 
@@ -146,18 +134,17 @@
 CAP, GRADE = 2, 1.3  # holds a worker, period; latency steps
 
 
-class Fill:  # places each program on the fewest lowest-latency workers its demand needs, within budgets
-    def __init__(self, latency: Latency, stock: Stock, seat: Seat, tariff: Tariff, now: float) -> None:
-        self.asks = not stock.loads_on_call  # a call-out where no copy stands costs a round trip only
-        self.zone, self.since = seat.zone if tariff.crossing > 0 and self.asks else None, now
+class Fill:  # places the functions of a cell on the fewest lowest-latency workers needed, within budgets
+    def __init__(self, cell: Cell, latency: Latency, stock: Stock, seat: Seat, tariff: Tariff,
+                 since: float) -> None:
+        self.cell, self.asks = cell, not stock.loads_on_call  # a call-out that misses costs a round trip only
+        self.zone, self.since = seat.zone if tariff.crossing > 0 and self.asks else None, since
         self.reach = self.drawn = 0.0  # how much workers of other zones count beside ours
-        self.latency, self.idle_life, self.memory = latency, stock.idle_life, stock.memory
+        self.latency, self.idle_life, self.stock = latency, stock.idle_life, stock
         self.opened, self.known, self.carries, self.unit, self.hot, self.part = {}, [], {}, 1.0, inf, 1.0
+        self.candidates = Candidates([])
         self.front_ends, self.count, self.tells = seat.of, 10**6, stock.tells_company
 
-    def whole(self, listing: Listing) -> float:
-        return (self.memory[listing.kind:] or self.memory or (0.0,))[0]
-
     def demand(self, program: Program, now: float) -> float:  # lanes busy on average
         recent = [at for at in program.calls if now - at < self.idle_life]
         # Danger: just started, few calls look like little demand, and all go to one home. Hurts nowhere.
@@ -195,9 +182,10 @@
         part = min(1.0, own / max(mean(held, 0.0) * len(workers), own, 1e-9))  # few reports: an even part
         return (part * len(held) + KEPT * even) / (len(held) + KEPT)
 
-    def know(self, workers: list[Worker], now: float) -> list[Worker]:  # those that it places on
+    def know(self, now: float) -> list[Worker]:  # those that it places on
         # Danger: where crossing costs, homes all over make call-outs cross: so each zone is a fleet.
         # Others count in part while ours is more crowded. Hurts where copies in each zone crowd memory.
+        workers = self.cell.ready
         own = [w for w in workers if self.zone in (None, w.listing.zone)]
         heard = [w for w in workers if w.reports and now - w.reports[-1][0] < SAMPLE_AGE]
         mine = mean([w.busy for w in heard if w.listing.zone == self.zone], 0.0)
@@ -208,22 +196,21 @@
             self.reach *= 0.5 * (self.reach > NEXT)
         reach = self.reach if sum(not w.shuns for w in own) > LOCAL * len(own) else 1.0
         if (near := list(workers) if reach else own) != self.known or reach != self.drawn:
-            self.known, self.drawn = near, reach
+            self.known, self.drawn, self.candidates = near, reach, Candidates(near, self.zone, reach)
         return self.known
 
     def ring(self, program: Program) -> list[Worker]:
-        if program.ringed is not self.known:
-            program.ring, program.ringed = sorted(self.known, key=lambda w: lot(program, w) / (
-                1.0 if self.zone in (None, w.listing.zone) else self.drawn)), self.known
+        if program.ringed is not self.candidates:
+            program.ring, program.ringed = self.candidates.ranked(program), self.candidates
         return program.ring
 
-    def run(self, programs: list[Program], workers: list[Worker], now: float) -> None:
-        used = [p for p in programs if now - p.called < self.idle_life and (p.proven or self.asks)]
+    def run(self, cells: list[Cell], now: float) -> None:
+        used = [p for p in self.cell.called_since(now - self.idle_life) if p.proven or self.asks]
         many = sum(len(p.calls) for p in used)
         work = sum(len(p.calls) * self.latency.usual(p) for p in used)
-        self.latency.survey(workers, work / max(1, many), now)
+        self.latency.survey(self.cell, cells, work / max(1, many), now)
         taken = {p: self.demand(p, now) for p in used}
-        everyone, workers = len(workers), self.know(workers, now)
+        everyone, workers = len(self.cell.ready), self.know(now)
         even = min(1.0, everyone / len(workers) / self.front_ends)
         latency, share = self.latency, self.share(workers, sum(taken.values()), even)
         busy = mean([w.busy for w in workers if w.reports], 0.0) * sum(map(latency.width, workers)) * share
@@ -266,8 +253,9 @@
         need = max(need, len(placed) * (load > (len(placed) - 1) * self.unit * CLOSE))
         chosen = [w for w in placed if room[w] + (STAY - 1) * part[w] >= load / need][:need]
         leeway = STAY - 1 if load / need < SMALL * self.unit else 0.0  # what is little used fills no cores
-        ring, spare = [w for w in self.ring(program) if w in self.opened], []  # spare: not within budget
-        for w in ring if len(chosen) < need else ():
+        ring = [] if len(chosen) == need else [w for w in self.ring(program) if w in self.opened]
+        spare = []  # not within budget
+        for w in ring:
             if w not in chosen and w.busy <= self.hot and room[w] + leeway * part[w] >= load / need:
                 (spare if budget[w] < memory else chosen).append(w)
                 if len(chosen) == need:
@@ -275,9 +263,9 @@
         chosen += spare[:need - len(chosen)]
         return chosen or placed[:need] or [max(ring[:LOOKS], key=lambda w: room[w])]
 
-    def holds(self, programs: list[Program], now: float) -> list[tuple[Place, int, bool]]:
+    def holds(self, now: float) -> list[tuple[Place, int, bool]]:
         orders, new, latency = [], {}, self.latency
-        for program in sorted(programs, key=lambda p: (-len(p.calls), p.name)):
+        for program in sorted(self.cell.functions.values(), key=lambda p: (-len(p.calls), p.name)):
             for place in program.places if now - program.called < self.idle_life else ():
                 if place.placed and place.ordered is None and place.full_until <= now:
                     renewal = (stands := latency.stands(place, now)) and place.standing >= place.wanted
@@ -297,21 +285,22 @@
 def has_room(worker: Worker, program: Program, fill: Fill, now: float) -> bool:
     # Danger: with memory short each load pushes out another and RPCs ask in vain. Should also catch too many
     # loads waiting. Could hurt where full answers have another cause; copies that stand are used anyway.
-    memory, pinned = fill.whole(worker.listing), worker.reports and worker.reports[-1][1].get("pinned") or 0.0
+    memory, pinned = fill.stock.memory_on(worker.listing), worker.pinned()
     return worker.crammed <= now and (not memory or pinned * memory + program.memory <= memory)
 
 
-def choose(rpc: RPC, able, health: "Health", fill: Fill, chance: Chance, now: float) -> Place | None:
-    program, latency = rpc.program, fill.latency  # one that only missed, where that asks, may get a hold now
+def choose(rpc: RPC, able, health: "Health", fleet: Fleet, chance: Chance, now: float) -> Place | None:
+    program, fill = rpc.program, fleet.home_of(rpc.program).fill  # one that only missed may get a hold now
     tried = {co.place.worker for co in rpc.call_outs if co.outcome != "miss" or not fill.asks}
     fled = {call_out.place.worker for call_out in rpc.call_outs if call_out.fled}
     first = not rpc.call_outs and rpc.method.effect == "idempotent"
-    if trial := [w for w in health.shunned if first and able(w)]:  # homes return after an answer
+    trial = [w for w in health.shunned if first and w.listing.ident in fill.cell.members and able(w)]
+    if trial:  # homes return after an answer
         return place_of(program, min(trial, key=lambda w: lot(program, w)))
     usable = [p for p in program.places if p.worker not in fled and able(p.worker)]
     known = [p for p in usable if p.full_until <= now and working(p.worker, now) < p.worker.limit
-             and p.out < lanes(p)]
-    standing = [p for p in known if latency.stands(p, now)]
+             and p.out < p.lanes()]
+    standing = [p for p in known if fill.latency.stands(p, now)]
     for places in ([p for p in standing if p.placed and p.worker not in tried],
                    [p for p in standing if p.worker not in tried], standing,
                    [p for p in known if p.loading is not None
@@ -321,22 +310,23 @@
         if places:
             new = fill.asks and not standing and all(p.loading is None for p in places)
             return min(places, key=lambda p: lot(program, p.worker) if new else (
-                latency.expect(p, rpc, now) * (1 + TIE * chance.below(99) / 99)))
-    stuck = [p for p in usable if latency.stands(p, now) and p.full_until <= now + FULL_WAIT]
+                fill.latency.expect(p, rpc, now) * (1 + TIE * chance.below(99) / 99)))
+    stuck = [p for p in usable if fill.latency.stands(p, now) and p.full_until <= now + FULL_WAIT]
     if stuck and (fill.asks or any(working(p.worker, now) < p.worker.limit for p in stuck)):
         return None  # copies stand, all full: a load elsewhere would come too late and crowd the store
     # Danger: its only home is slow and at its limit, and a program is denied while others idle. Also a
     # crowded neighbour. Hurts where that is over sooner than a load.
-    ring = fill.ring(program)
-    for pool in ((w for w in ring if w in fill.opened), ring):
-        free = [w for w in islice(pool, LOOKS) if w not in fled and able(w) and working(w, now) < w.limit
-                and has_room(w, program, fill, now) and not (stuck and w.busy > TARGET)]
-        if free:
-            # Danger: until its first fill each of hundreds of front ends goes to the same agreed home. Also a
-            # start of all at once. Hurts what few call: it may stand at several.
-            new, free = not (rpc.call_outs or program.places), [w for w in free if w not in tried] or free
-            at = chance.below(min(HEADS, len(free))) if fill.asks and new else 0
-            return place_of(program, free[at])
+    for cell in fleet.near(program, 1 + SPILLS):  # its home, then those that are next for all front ends
+        ring, opened = cell.fill.ring(program), cell.fill.opened
+        for pool in ((w for w in ring if w in opened), ring):
+            free = [w for w in islice(pool, LOOKS) if w not in fled and able(w) and working(w, now) < w.limit
+                    and has_room(w, program, fill, now) and not (stuck and w.busy > TARGET)]
+            if free:
+                # Danger: until its first fill each of hundreds of front ends goes to the same agreed home.
+                # Also a start of all at once. Hurts what few call: it may stand at several.
+                new, free = not (rpc.call_outs or program.places), [w for w in free if w not in tried] or free
+                at = chance.below(min(HEADS, len(free))) if fill.asks and new else 0
+                return place_of(program, free[at])
     return None
 
 
@@ -346,6 +336,7 @@
 SHUN, SHUN_MOST = 1500.0, 4000.0  # ms for which a worker is left alone: at first, doubled each time up to
 BAD_LEAST, BAD_SHARE, BAD_AGE = 3, 0.5, 5000.0  # results that shun a worker: how many, what part, how recent
 WALL = 0.25  # of the workers met of late, unreached and none cut: it is the connections
+BOOK = KEPT_RATIOS, KEPT // 2, KEPT // 2, JUDGED  # samples kept of a worker
 SILENT, SILENT_ONE, MUTE, SILENT_LEAST = 26.0, 6.0, 9.0, 80.0  # dues: in all, one RPC, one probe; ms of one
 
 
@@ -384,6 +375,7 @@
         return walled
 
     def saw(self, worker: Worker, outcome: str, now: float) -> None:
+        worker.open_books(BOOK)
         if outcome in ("unreached", "cut", "ok", "error", "full", "miss"):
             self.met[worker] = now, outcome
         if (outcome == "unreached" or self.walled) and self.wall(now) and outcome == "unreached":
@@ -421,12 +413,8 @@
         self.note(f"worker {worker.listing.ident} shunned for {worker.shun_until - now:.0f} ms: {why}")
 
 
-def may_have_run(rpc: RPC) -> list[CallOut]:
-    return [call_out for call_out in rpc.call_outs if call_out.outcome not in NEVER_RAN]
-
-
 def may_repeat(rpc: RPC, worker: Worker, most: int, now: float) -> bool:
-    ran, method = may_have_run(rpc), rpc.method
+    ran, method = rpc.may_have_run(), rpc.method
     live = not rpc.closed and len(rpc.call_outs) < most and now < rpc.ends
     same = all(method.scope == "all" or getattr(co.place.worker.listing, method.scope)
                == getattr(worker.listing, method.scope) for co in ran)
@@ -435,7 +423,7 @@
 
 
 def may_wait(rpc: RPC) -> bool:
-    return rpc.method.effect == "idempotent" or not may_have_run(rpc)
+    return rpc.method.effect == "idempotent" or not rpc.may_have_run()
 
 
 def may_deny(rpc: RPC) -> bool:
@@ -478,11 +466,11 @@
     def cold(self, worker: Worker, now: float) -> bool:
         return worker.cold_from is not None and now - worker.cold_from < self.warmup.ramp
 
-    def survey(self, workers: list[Worker], now: float) -> None:
+    def survey(self, cells: list[Cell], now: float) -> None:
         trim(self.carried, now - CARRIED)
         trim(self.taken, now - self.ration.window)  # also where holds are rare
-        use = mean([w.busy for w in workers if w.reports], 1.0)
-        self.size = max(sum(w.listing.size for w in workers), self.size * FADE, 1e-6)  # of all that carried
+        use, size = pooled([cell.busy for cell in cells], 1.0), sum(cell.size for cell in cells)
+        self.size = max(size, self.size * FADE, 1e-6)  # of all that carried
         self.rate = sum(c for _, c in self.carried) / self.size / CARRIED / min(1.0, max(BUSY_LEAST, use))
 
     def may_call(self, worker: Worker, rpc: RPC, now: float) -> bool:
@@ -523,44 +511,43 @@
         self.now, self.methods, self.seat, self.stock = now, methods, seat, stock
         for method in methods:
             method.times = deque(maxlen=KEPT)
-        self.workers, self.programs, self.rpcs = {}, {}, {}
         self.notes, self.todo, self.waiting, self.stuck = deque(), deque(), [], set()
-        self.orders, self.acts, self.chance, self.purses = deque(), deque(), Chance(seed), {}
+        self.rpcs, self.orders, self.acts, self.chance, self.purses = {}, deque(), deque(), Chance(seed), {}
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
         self.latency, self.guards = Latency(stock, seat, shares), Guards(warmup, ration, seat)
-        self.ready, self.rota, self.muted, self.probes, self.fresh = [], deque(), [], PROBES, FEW
-        self.fill = Fill(self.latency, stock, seat, tariff, now)
+        self.rota, self.muted, self.probes, self.asks = deque(), [], PROBES, not stock.loads_on_call
         self.health = Health(self.notes.append, self.latency)
+        self.fleet = Fleet(ONE_CELL, CELL, POINTS,
+                           lambda row: Worker.listed(row, stock.memory_on(row) / seat.of, LIMIT_START),
+                           lambda cell: Fill(cell, self.latency, stock, seat, tariff, now))
+        self.programs, self.workers = self.fleet.functions, self.fleet.workers
         few = (deque(maxlen=JUDGED) for _ in range(4))  # all workers as one: the limit on all our call-outs
         self.whole = Worker(Listing("", 0, 0, 0, "ready", 1.0, None), *few, 0.0, inf, None, 0)
-        self.next_fill = self.wake_at = now
+        self.next_fill = self.wake_at = self.surveyed = now
 
     def listed(self, rows: list[Listing], whole: bool | None) -> None:
         self.followed = self.directory.pushed if whole is None else self.followed
-        named = {row.ident: row for row in rows}
-        for ident, worker in list(self.workers.items()):
-            row = named.get(ident) or (None if whole else worker.listing)
-            if row is None or row.state == "gone" or row.born != worker.listing.born:  # or the same id, empty
-                worker.listing, worker.mute = replace(worker.listing, state="gone"), 0
-                forget(list(worker.places.values()))
-                for kept in (self.health.shunned, self.health.met, *[p.lots for p in self.programs.values()]):
-                    kept.pop(worker, None)
-                del self.workers[ident]
-        for row in (row for row in rows if row.state != "gone"):
-            few = (deque(maxlen=many) for many in (KEPT_RATIOS, KEPT // 2, KEPT // 2, JUDGED))
-            w = Worker(row, *few, self.fill.whole(row) / self.seat.of, LIMIT_START, row.born, mark(row.ident))
-            self.workers.setdefault(row.ident, w).listing = row
-        if (ready := [w for w in self.workers.values() if w.listing.state == "ready"]) != self.ready:
-            self.rota, self.ready = deque(ready), ready
-            self.fill.know(ready, self.now)
+        changes = self.fleet.update(rows, bool(whole))
+        for kept, worker in product((self.health.shunned, self.health.met), changes.gone):
+            kept.pop(worker, None)
+        for cell in changes.cells:
+            self.rota = deque(cell.ready)
+            cell.fill.known = []  # sizes may have changed
+            cell.fill.know(self.now)
+
+    def meet(self, name: str, method: Method, memory: float, lanes: int, load: float) -> Program:
+        few = map(Recent, (KEPT_CALLS, KEPT, KEPT, KEPT))
+        program = Program(name, method, memory, lanes, load, *few, mark(name), called=self.now)
+        self.fleet.enter(program)
+        self.fleet.shrink(BOOKS)
+        return program
 
     def took(self, ident: int, left: float, method: Method, name: str, memory: float, lanes: int,
              load: float | None, work: float | None, repeat: bool, timing: Timing | None = None) -> None:
-        now, few = self.now, (deque(maxlen=many) for many in (KEPT_CALLS, KEPT, KEPT, KEPT))
-        program = self.programs.get(name) or Program(name, method, memory, lanes, load or 0, *few, mark(name))
-        self.programs[name], program.called, self.probes = program, now, min(PROBES, self.probes + PROBE_PART)
+        now, program = self.now, self.programs.get(name) or self.meet(name, method, memory, lanes, load or 0)
+        program.called, self.probes = now, min(PROBES, self.probes + PROBE_PART)
         program.calls.append(now)
-        self.fresh += 1
+        self.fleet.home_of(program).fresh += 1
         wanted = timing.soft if timing else method.soft
         soft = now + min(left, wanted + method.soft_stretch * (work or 0.0))
         rpc = self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat, timing)
@@ -612,7 +599,8 @@
         elif outcome == "full":
             # Danger: the full answer at once and draw more. Also lack of memory. Hurts if full briefly.
             gap = (now - rpc.program.calls[0]) / len(rpc.program.calls)
-            place.full_until = now + min(max(FULL_WAIT, gap * (1 - self.fill.part)), self.stock.idle_life / 2)
+            pause = max(FULL_WAIT, gap * (1 - rpc.program.cell.fill.part))
+            place.full_until = now + min(pause, self.stock.idle_life / 2)
             if not company and self.stock.tells_company and not place.out:  # no copy, no memory for one
                 worker.budget *= SHRINK if worker.crammed <= now else 1.0
                 worker.crammed, place.standing, place.used = now + CRAMMED, 0, 0.0
@@ -647,7 +635,7 @@
             self.latency.loaded(program, 0.0 if place.standing else took)
             worker.heard, place.standing, place.used = now, copies, now
             self.prove(program)
-            worker.budget = min(worker.budget * GROWTH, self.fill.whole(worker.listing))
+            worker.budget = min(worker.budget * GROWTH, self.stock.memory_on(worker.listing))
         elif outcome in ("full", "error"):
             place.standing, place.full_until = copies, now + self.stock.idle_life / 8
             worker.budget = max(worker.budget * SHRINK, program.memory)
@@ -659,8 +647,8 @@
         # where nothing may be ordered before something was earned, and no copy stands anywhere.
         if not program.proven:
             program.proven, since = True, self.now - self.guards.ration.window
-            earned = ((at,) for at in program.calls if at > since)
-            self.guards.taken = deque(merge(self.guards.taken, earned))
+            for at in (at for at in program.calls if at > since):
+                insort(self.guards.taken, (at,))
 
     def probed(self, ident: str, outcome: str, report: tuple[float, ...] | None) -> None:
         if worker := self.workers.get(ident):
@@ -703,20 +691,34 @@
         for rpc in dict.fromkeys(co.rpc for co in self.whole.out if co.rpc.timing) if self.purses else ():
             self.hedge(rpc, now)
         self.todo, self.waiting = deque([*self.todo, *self.waiting]), []
-        if now >= self.next_fill:  # by chance, so that front ends fall out of step; later where little is new
-            wait = PERIOD * min(LAZY, max(1.0, FEW / (1 + self.fresh)))
-            self.next_fill, self.fresh = now + wait * (0.9 + 0.2 * self.chance.part()), 0
-            self.forget_old(now)
-            self.guards.survey(self.ready, now)
-            told = [r["busy"] for w in self.ready for t, r, _ in w.reports if t > now - FRESH and "busy" in r]
-            self.whole.reports.append((now, {"busy": mean(told, 0.0)}, 0))  # older ones: queues long gone
-            if self.ready:
-                self.fill.run(programs := list(self.programs.values()), self.ready, now)
-                self.orders = deque(self.fill.holds(programs, now) if self.stock.may_hold else ())
-                homes = {p.worker: None for program in programs for p in program.places if p.placed}
-                self.rota = deque(homes or self.ready)  # reports of others would decide nothing
+        if now >= self.next_fill:
+            self.refill(now)
         self.wake_at = min(self.next_fill, now + TICK if self.rpcs or self.muted else self.next_fill)
 
+    def refill(self, now: float) -> None:  # one cell at a time, so that no look takes long
+        cells = list(self.fleet.cells.values())
+        used = self.fleet.in_turn(SEEN) or cells[:1]
+        fill = (cell := max(used, key=lambda each: each.lateness(now))).fill
+        if len(cells) > SEEN and cell.lateness(now) < 1:  # none is due
+            self.next_fill = now + (TICK if self.programs else PERIOD)
+            return
+        # By chance, so that front ends fall out of step; later where little is new.
+        wait = PERIOD * min(LAZY, max(1.0, FEW / (1 + cell.fresh))) * (0.9 + 0.2 * self.chance.part())
+        cell.filled, cell.period, cell.fresh = now, wait, 0
+        due = min(each.filled + each.period for each in used) if len(cells) <= SEEN else now
+        self.next_fill = max(now + TICK, due)
+        self.fleet.settle(cell, now - self.stock.idle_life * (FORGET if len(cells) == 1 else 1))
+        cell.hear(now - FRESH)
+        if len(cells) == 1 or now - self.surveyed >= PERIOD:  # what all cells share
+            self.surveyed = now
+            self.guards.survey(cells, now)
+            self.whole.reports.append((now, {"busy": pooled([each.told for each in cells], 0.0)}, 0))
+        if cell.ready:
+            fill.run(cells, now)
+            self.orders.extend(fill.holds(now) if self.stock.may_hold else ())
+            homes = {p.worker: None for each in cell.functions.values() for p in each.places if p.placed}
+            self.rota = deque(homes or cell.ready)  # reports of others would decide nothing
+
     def probe(self, worker: Worker, every: float, now: float) -> None:
         # Danger: probes and holds of many front ends cost more than the RPCs: they go by our traffic.
         said = worker.reports[-1][0] if worker.reports else 0.0
@@ -733,16 +735,10 @@
             left = {co.place.worker for co in rpc.call_outs if co.fled} | {worker}  # it goes back to none
             if (not rpc.closed and not call_out.fled and rpc.method.effect == "idempotent"
                     and len(rpc.call_outs) < most and may_pay(rpc, "cancelled", now) and worker.heard
-                    <= call_out.sent and any(w not in left and w.shun_until <= now for w in self.ready)):
+                    <= call_out.sent and any(w.shun_until <= now for w in self.fleet.ready(left))):
                 call_out.fled = True
                 self.acts.append(("cancel", call_out))
 
-    def forget_old(self, now: float) -> None:  # programs wanted once must not stay in the books for ever
-        gone = [p for p in self.programs.values() if now - p.called > FORGET * self.stock.idle_life]
-        for program in (p for p in gone if not any(place.out for place in p.places)):
-            forget(list(program.places))
-            del self.programs[program.name]
-
     def hedge(self, rpc: RPC, now: float) -> None:
         # Danger: a worker is slow or loses answers, and an RPC sits there. Hurts under load, as work is
         # doubled: only what a route states and has saved up. The first answer counts, the rest is cancelled.
@@ -757,7 +753,7 @@
 
     def place_for(self, rpc: RPC, besides: set[Worker], now: float) -> Place | None:
         most = most_of(rpc, self.allowance)
-        if not now < rpc.ends - 2 * TICK or self.fill.asks and working(self.whole, now) >= self.whole.limit:
+        if not now < rpc.ends - 2 * TICK or self.asks and working(self.whole, now) >= self.whole.limit:
             return None
         missed = {co.place.worker for co in rpc.call_outs if co.outcome == "miss"
                   and co.place.ordered is None and not self.latency.stands(co.place, now)}
@@ -774,7 +770,7 @@
         if like not in self.stuck:
             keeps = self.allowance.idle_close  # while new connections fail, one that stands comes first
             fits = (lambda w: w.heard and now - w.heard < keeps and able(w), able)[not self.health.walled:]
-            tries = (choose(rpc, fit, self.health, self.fill, self.chance, now) for fit in fits)
+            tries = (choose(rpc, fit, self.health, self.fleet, self.chance, now) for fit in fits)
             place = next(filter(None, tries), None)
             self.stuck.update({like} if place is None and not rpc.call_outs else ())
         return place
@@ -787,7 +783,7 @@
         more = not timing or (len(rpc.call_outs) < most
                               and may_pay(rpc, rpc.call_outs[-1].outcome if rpc.call_outs else None, now))
         place = self.place_for(rpc, set(), now) if more and now >= rpc.not_before else None
-        more = more and not (place and not rpc.call_outs and self.fill.asks and self.doomed(place, rpc, now))
+        more = more and not (place and not rpc.call_outs and self.asks and self.doomed(place, rpc, now))
         if place and more:
             # Danger: each of many front ends spends its ration on copies that others' orders brought.
             # Asked by a call-out, a miss proves that none stands. Hurts where misses are slow.
@@ -808,7 +804,7 @@
                         and now - rpc.taken >= timing.queue)
             if not late and len(rpc.call_outs) < most and may_wait(rpc):
                 rpc.queued = True
-                if rpc.call_outs and not place and self.fill.asks:  # the ration is spent: looks cost CPU
+                if rpc.call_outs and not place and self.asks:  # the ration is spent: looks cost CPU
                     rpc.not_before = max(rpc.not_before, now + 3 * TICK)
                 return self.waiting.append(rpc)
         back = min(self.allowance.retry_after, self.latency.cost(rpc) * self.latency.average) or None
@@ -824,6 +820,7 @@
 
     def call(self, rpc: RPC, place: Place, now: float) -> None:
         worker, warm = place.worker, self.latency.stands(place, now)
+        worker.open_books(BOOK)
         near, far, due = working(worker, now), working(self.whole, now), self.latency.expect(place, rpc, now)
         late = now + max(OVERDUE_LEAST, OVERDUE * due)
         begin(call_out := CallOut(rpc, len(rpc.call_outs), place, now, due, warm, near, far, late))
--- a/wickdyke/platform/back.py
+++ b/wickdyke/platform/back.py
@@ -90,7 +90,7 @@
 
     def __init__(self, most: int) -> None:
         self.most, self.used = most, 0
-        self.links: set[Link] = set()
+        self.links: set[Link] = set()  # those with a connection
         self.counts: Counter[str] = Counter()
 
     def room(self) -> bool:
@@ -110,6 +110,8 @@
 class Speech:
     """How workers of the platform are spoken to."""
 
+    eager = False
+
     def __init__(self, loop: Loop, station, log, most: int) -> None:
         self.loop, self.station, self.log = loop, station, log
         self.pool, self.names = Pool(most), station.seat.report
@@ -175,6 +177,7 @@
             link.pool.counts[f"connect_{errno.errorcode.get(code, code)}"] += 1
             return
         link.pool.used += 1
+        link.pool.links.add(link)
         link.pool.counts["dialled"] += 1
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.outbox = Outbox(self.sock, UNREAD, link.name, self._waits)
@@ -353,7 +356,6 @@
         self.check: Connection | None = None
         self.retired = self.closed = False
         self.misses, self.missed_at = 0, float("-inf")  # in a row; the last
-        pool.links.add(self)
 
     def all(self) -> list[Connection]:
         """Its connections."""
@@ -489,6 +491,8 @@
             self.beside = None
         elif conn in self.connections:
             self.connections.remove(conn)
+        if not self.all():
+            self.pool.links.discard(self)
 
     def cancel(self, order: Order, done: Callable[[], None]) -> str | None:
         """Withdraws a call-out: as wickdyke/gateway/link.py has it."""
--- a/wickdyke/platform/roster.py
+++ b/wickdyke/platform/roster.py
@@ -6,7 +6,9 @@
 
 import json
 from collections.abc import Iterable
+from dataclasses import replace
 
+from wickdyke.gateway.parts import ListChange
 from wickdyke.interface import Listing
 
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
@@ -28,7 +30,7 @@
 
 
 class Roster:
-    """The merged view; `rows` returns the listings that changed, for the module's `listed(rows, False)`."""
+    """The merged view; `rows` returns what changed, at a cost that follows the events and not the list."""
 
     def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...], ahead: float) -> None:
         self.zones, self.kinds = zones, kinds
@@ -36,26 +38,32 @@
         self.offset, self.unusable = 0, 0
         self.listed: dict[str, tuple[Listing, str]] = {}  # with where it is
 
-    def addresses(self) -> dict[str, str]:
-        """Where the listed workers are."""
-        return {name: address for name, (_, address) in self.listed.items()}
+    def __len__(self) -> int:
+        return len(self.listed)
 
-    def rows(self, events: Iterable[dict], now: float) -> list[Listing]:
+    def address(self, name: str) -> str | None:
+        """Where a listed worker is."""
+        return self.listed[name][1] if name in self.listed else None
+
+    def rows(self, events: Iterable[dict], now: float) -> ListChange:
         """Events came, in their order; those that came before change nothing."""
-        before = {name: listing for name, (listing, _) in self.listed.items()}
+        before: dict[str, tuple[Listing, str] | None] = {}  # of those that an event names
         for event in events:
             if event["offset"] > self.offset:
                 self.offset = event["offset"]
-                self._take(event.get("topology"))
-        after = {name: listing for name, (listing, _) in self.listed.items()}
-        gone = [
-            Listing(was.ident, was.zone, was.kind, was.cell, "gone", was.size, was.born)
-            for name, was in before.items()
-            if name not in after
-        ]
-        return gone + [listing for name, listing in after.items() if before.get(name) != listing]
-
-    def _take(self, topology: object) -> None:
+                self._take(event.get("topology"), before)
+        gone, changed, addresses = [], [], {}
+        for name, was in before.items():
+            listing, address = self.listed.get(name) or (None, None)
+            if listing is None and was is not None:
+                gone.append(replace(was[0], state="gone"))
+            elif listing is not None and (was is None or was[0] != listing):
+                changed.append(listing)
+            if address != (was and was[1]):
+                addresses[name] = address
+        return ListChange(gone + changed, addresses)
+
+    def _take(self, topology: object, before: dict[str, tuple[Listing, str] | None]) -> None:
         instances = topology.get("instances") if isinstance(topology, dict) else None
         if not isinstance(instances, list):
             self.unusable += topology is not None
@@ -67,8 +75,11 @@
             except (KeyError, TypeError, ValueError, AttributeError):
                 self.unusable += 1
         if topology.get("reset"):
+            for name, was in self.listed.items():
+                before.setdefault(name, was)
             self.listed.clear()
         for listing, address in read:
+            before.setdefault(listing.ident, self.listed.get(listing.ident))
             if listing.state == "gone":
                 self.listed.pop(listing.ident, None)
             else:
--- a/wickdyke/platform/serve.py
+++ b/wickdyke/platform/serve.py
@@ -100,7 +100,7 @@
         self.log.info(
             "serving",
             listen=":".join(map(str, self.station.listen)),
-            workers=len(self.roster.listed),
+            workers=len(self.roster),
             sockets=self.station.sockets,
         )
         self._count()
@@ -115,7 +115,7 @@
             clients=len(self.front.clients),
             open=len(self.desk.asks),
             connections=self.speech.pool.used,
-            workers=len(self.desk.links),
+            workers=len(self.roster),
             **self.desk.counts,
             **self.front.counts,
             **self.speech.pool.counts,
--- a/wickdyke/platform/sse.py
+++ b/wickdyke/platform/sse.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-EVENT = 1 << 20  # bytes of one event at most
+EVENT = 1 << 22  # bytes of one event at most: a whole list of 20,000 workers, some 200 bytes each
 
 
 class TooMuch(Exception):
