A request may outlive the forgetting of its function; circuit breaker and retry budget by their names

Seen by reading: in a fleet of cells a function is forgotten one idle life after its last call, or earlier where too many are known, and a request of it may still wait; a change of the list then looked its home up and took it from books it no longer stood in. To blame: Fleet.home_of, `del function.cell.functions[function.name]` for functions that are not known any more. Changed: only a function that is known is moved between cells. Ward is CircuitBreaker, Purse RetryBudget, as the field has it; Bus.reads, which nothing read, is gone.

--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -438,10 +438,10 @@
                     for ident in range(3):
                         client.ask(ident, "side", input={"n": "bad"})
                         self.assertEqual(client.answer()["error"]["data"]["answer"], "aborted")
-                        self.assertTrue(until(lambda running=running: not running.desk.ward.cuts))
-                        if "p" in running.desk.ward.calls.barred:
+                        self.assertTrue(until(lambda running=running: not running.desk.breaker.cuts))
+                        if "p" in running.desk.breaker.calls.barred:
                             break
-                    self.assertEqual("p" in running.desk.ward.calls.barred, barred)
+                    self.assertEqual("p" in running.desk.breaker.calls.barred, barred)
                     client.close()
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -300,6 +300,28 @@
             fleet.run(fleet.now + 10000.0)
         self.assertEqual((fleet.broken, front.costs.answers["ok"]), ([], 500))
 
+    def test_a_request_outlives_the_forgetting_of_its_function(self):
+        """Requests wait, their functions are forgotten and met again, the list changes: all get their answers."""
+        with patch.object(logic, "BOOKS", 40):
+            fleet = hollow(300)
+            front = fleet.fronts[0]
+            front_end = front.front_end
+            for worker in front_end.workers.values():
+                worker.limit = 0.0
+            asked = [(name, fleet.ask(front, name)) for name in names(60)]
+            waiting = [front_end.rpcs[ident].program for _, ident in asked]
+            forgotten = [each for each in waiting if front_end.programs.get(each.name) is not each]
+            self.assertTrue(forgotten)
+            for each in forgotten[:10]:
+                fleet.ask(front, each.name)
+            fleet.announce([listing(number) for number in range(1000, 1100)])
+            for worker in front_end.workers.values():
+                worker.limit = 8.0
+            fleet.run(fleet.now + 6000.0)
+            held = {name: cell for cell in front_end.fleet.cells.values() for name in cell.functions}
+            self.assertEqual((fleet.broken, set(held)), ([], set(front_end.programs)))
+            self.assertEqual((front.costs.answers.total(), front.costs.answers["ok"]), (70, 70))
+
     def test_a_look_fills_one_cell(self):
         fleet, runs = hollow(5000), Counter()
         inner = logic.Fill.run
--- a/wickdyke/fleet.py
+++ b/wickdyke/fleet.py
@@ -109,6 +109,10 @@
         self.size = sum(worker.listing.size for worker in self.ready)
         return (self.ready, self.size) != before
 
+    def due(self) -> float:
+        """When it is to be filled again (ms)."""
+        return self.filled + self.period
+
     def lateness(self, now: float) -> float:
         """How long ago (ms) it was filled, in its own periods."""
         return (now - self.filled) / max(self.period, LEAST_PERIOD)
@@ -325,13 +329,16 @@
         return (worker for worker in everyone if worker not in besides)
 
     def home_of(self, function: Program) -> Cell:
-        """The cell of a known function, looked up again only where the list has changed since."""
+        """The cell of a function, looked up again only where the list has changed since."""
         if function.listed != self.version:
             home = self.home(function.name) or Home(function.cell or next(iter(self.cells.values())))
             if home.cell is not function.cell or home.first is not function.first:
-                if function.cell is not None:
-                    del function.cell.functions[function.name]
-                home.cell.functions[function.name] = function
+                # Danger: a request may wait that is older than its function's forgetting, and another of the same name
+                # may be known since.
+                if self.functions.get(function.name) is function:
+                    if function.cell is not None:
+                        del function.cell.functions[function.name]
+                    home.cell.functions[function.name] = function
                 function.cell, function.first, function.ringed = home.cell, home.first, None
             function.listed = self.version
         return function.cell
--- a/wickdyke/gateway/ward.py
+++ b/wickdyke/gateway/circuit_breaker.py
@@ -20,7 +20,7 @@
     return hashlib.blake2b(content, digest_size=16).digest()
 
 
-class Ward:
+class CircuitBreaker:
     """Programs that do not load and calls that end copies, for one gateway."""
 
     digest = staticmethod(digest)
--- a/wickdyke/gateway/desk.py
+++ b/wickdyke/gateway/desk.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:  # only one of the two ways in is loaded
     from wickdyke.gateway.tape import Tape
-    from wickdyke.gateway.ward import Ward
+    from wickdyke.gateway.circuit_breaker import CircuitBreaker
 
 ROUND = 512  # events told to the module before its decisions are pulled, at most
 
@@ -48,9 +48,9 @@
         speech: Speech,
         roster: Roster,
         tape: "Tape | None" = None,
-        ward: "Ward | None" = None,
+        breaker: "CircuitBreaker | None" = None,
     ) -> None:
-        self.station, self.log, self.tape, self.ward = station, log, tape, ward
+        self.station, self.log, self.tape, self.breaker = station, log, tape, breaker
         self.speech, self.roster = speech, roster
         self.events: queue.SimpleQueue = queue.SimpleQueue()
         self.timers: list[tuple[float, int, Callable, tuple]] = []
@@ -229,7 +229,7 @@
         if left <= 0:
             ask.denied("no-time")
             return
-        away = self.ward and self.ward.turned_away(ask.call.program, ask.call.input, clock())
+        away = self.breaker and self.breaker.turned_away(ask.call.program, ask.call.input, clock())
         if away is not None:
             why, wait = away
             self.counts[f"turned_away_{why}"] += 1
@@ -348,10 +348,10 @@
             self._run_back(order, ending)
         elif order.kind == "hold":
             worker, program, at = order.key
-            if self.ward and ending.outcome == "error":
-                self.ward.load_failed(program, worker, clock())
-            elif self.ward and ending.outcome == "ok" and ending.copies:
-                self.ward.stood(program)
+            if self.breaker and ending.outcome == "error":
+                self.breaker.load_failed(program, worker, clock())
+            elif self.breaker and ending.outcome == "ok" and ending.copies:
+                self.breaker.stood(program)
             self._inform("held", worker, program, ending.outcome, ending.copies, clock() - at)
         elif order.kind == "probe":
             self._inform("probed", order.key, ending.outcome, ending.report)
@@ -363,42 +363,42 @@
             self.counts["late"] += 1
             return
         if ending.outcome == "ok":
-            if self.ward:
-                self.ward.stood(call_out.rpc.program.name)
+            if self.breaker:
+                self.breaker.stood(call_out.rpc.program.name)
             if not ask.done:
-                if self.ward:
-                    self.ward.ran(call_out.rpc.program.name, ask.call.input)
+                if self.breaker:
+                    self.breaker.ran(call_out.rpc.program.name, ask.call.input)
                 self._final(ask, "ok", ending.output, len(call_out.rpc.call_outs))
             self._ended(ask, call_out, ending)
             return
         self._ended(ask, call_out, ending)
-        if self.ward:
+        if self.breaker:
             self._harmed(ask, call_out, ending)
 
     def _harmed(self, ask: Ask, call_out: CallOut, ending: Ending) -> None:
         """A call-out did not come to its answer: what that says of its program, or of the call."""
         program, worker = call_out.rpc.program.name, call_out.place.worker.listing.ident
         if ending.outcome == "miss" and self.station.stock.loads_on_call:
-            self.ward.load_failed(program, worker, clock())
+            self.breaker.load_failed(program, worker, clock())
         if ask.done or not (ending.inside or ending.outcome == "cut"):
             return
-        mark = self.ward.digest(ask.call.input)
+        mark = self.breaker.digest(ask.call.input)
         if ending.inside:
-            self.ward.copy_ended(program, mark, ending.inside, clock())
+            self.breaker.copy_ended(program, mark, ending.inside, clock())
         else:
             seen = self.roster.seen.get(worker)
-            if self.ward.cut(worker, seen.start if seen else 0, program, mark):
+            if self.breaker.cut(worker, seen.start if seen else 0, program, mark):
                 self._at(clock() + WENT_DOWN, self._settle, worker)
         # Danger: taken before the bar, it goes on from copy to copy by its attempts. Idempotent: denied is as good.
         rpc = call_out.rpc
-        if rpc.method.effect == "idempotent" and not rpc.closed and self.ward.is_barred(program, mark):
-            self._final(ask, "denied", "poison", self.ward.calls.pauses.first)
+        if rpc.method.effect == "idempotent" and not rpc.closed and self.breaker.is_barred(program, mark):
+            self._final(ask, "denied", "poison", self.breaker.calls.pauses.first)
             self._inform("left", ask.told)
             self._forget(ask)
 
     def _settle(self, worker: str) -> None:
         seen, link = self.roster.seen.get(worker), self.links.get(worker)
-        self.ward.settle(worker, seen.start if seen and link and link.up else None, clock())
+        self.breaker.settle(worker, seen.start if seen and link and link.up else None, clock())
 
     def _ended(self, ask: Ask, call_out: CallOut, ending: Ending) -> None:
         outcome = ending.outcome
--- a/wickdyke/gateway/serve.py
+++ b/wickdyke/gateway/serve.py
@@ -13,7 +13,7 @@
 from wickdyke.gateway.roster import Roster
 from wickdyke.gateway.speech import JsonRpc
 from wickdyke.gateway.tape import Tape
-from wickdyke.gateway.ward import Ward
+from wickdyke.gateway.circuit_breaker import CircuitBreaker
 from wickdyke.logic import TICK
 from wickdyke.settings import roll, routes
 from wickdyke.settings.sexp import NotYet, Unusable
@@ -100,7 +100,7 @@
             JsonRpc(station),
             Roster(station.zones, station.kinds),
             self.tape,
-            Ward(station.isolation, station.seat.of, log),
+            CircuitBreaker(station.isolation, station.seat.of, log),
         )
         self.door = Door(station, self.desk.take, self.desk.busy, log.warning)
         self.watchers = [
--- a/wickdyke/interface.py
+++ b/wickdyke/interface.py
@@ -140,7 +140,7 @@
 
 
 @dataclass(slots=True, eq=False, repr=False)
-class Purse:
+class RetryBudget:
     """What a route's RPCs may still spend: its RPCs and further attempts of late, second copies saved up."""
 
     taken: deque = field(default_factory=deque)
@@ -279,7 +279,7 @@
     work: float | None
     repeat: bool
     timing: Timing | None = None
-    purse: Purse | None = None
+    retry_budget: RetryBudget | None = None
     not_before: float = 0.0
     call_outs: list["CallOut"] = field(default_factory=list)
     closed: bool = False
--- a/wickdyke/logic.py
+++ b/wickdyke/logic.py
@@ -12,8 +12,8 @@
 
 from wickdyke.chance import Chance, draw, mark
 from wickdyke.fleet import Candidates, Cell, Fleet, lot
-from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place
-from wickdyke.interface import Program, Purse, Ration, Seat, Shares, Stock, Tariff, Timing, Warmup, Worker
+from wickdyke.interface import RPC, Allowance, CallOut, Decision, Directory, Listing, Method, Place, Program
+from wickdyke.interface import Ration, RetryBudget, Seat, Shares, Stock, Tariff, Timing, Warmup, Worker
 from wickdyke.interface import begin, empty, end, place_of, rest, working
 from wickdyke.samples import Recent, added, mean, pooled, trim
 
@@ -444,10 +444,10 @@
         return False
     if timing.budget is None:
         return True
-    (window, share, floor), purse = timing.budget, rpc.purse
-    trim(purse.taken, now - window)
-    trim(purse.paid, now - window)
-    return len(purse.paid) + 1 <= floor + share * len(purse.taken)
+    (window, share, floor), budget = timing.budget, rpc.retry_budget
+    trim(budget.taken, now - window)
+    trim(budget.paid, now - window)
+    return len(budget.paid) + 1 <= floor + share * len(budget.taken)
 
 
 def most_of(rpc: RPC, allowance: Allowance) -> int:  # call-outs that it may have in all
@@ -512,7 +512,7 @@
         for method in methods:
             method.times = deque(maxlen=KEPT)
         self.notes, self.todo, self.waiting, self.stuck = deque(), deque(), [], set()
-        self.rpcs, self.orders, self.acts, self.chance, self.purses = {}, deque(), deque(), Chance(seed), {}
+        self.rpcs, self.orders, self.acts, self.chance, self.budgets = {}, deque(), deque(), Chance(seed), {}
         self.allowance, self.directory, self.followed = allowance, directory, directory.pushed
         self.latency, self.guards = Latency(stock, seat, shares), Guards(warmup, ration, seat)
         self.rota, self.muted, self.probes, self.asks = deque(), [], PROBES, not stock.loads_on_call
@@ -552,9 +552,9 @@
         soft = now + min(left, wanted + method.soft_stretch * (work or 0.0))
         rpc = self.rpcs[ident] = RPC(ident, program, method, now, now + left, soft, work, repeat, timing)
         if timing:
-            rpc.purse = purse = self.purses.setdefault(timing.account, Purse())
-            purse.taken.extend([(now,)] if timing.budget else ())
-            purse.seconds = min(SAVED, purse.seconds + (timing.second[2] if timing.second else 0.0))
+            rpc.retry_budget = budget = self.budgets.setdefault(timing.account, RetryBudget())
+            budget.taken.extend([(now,)] if timing.budget else ())
+            budget.seconds = min(SAVED, budget.seconds + (timing.second[2] if timing.second else 0.0))
         self.guards.taken.extend([(now,)] if program.proven else ())
         for times in (program.times, method.times) if work is not None else ():
             times.append(work)
@@ -688,7 +688,7 @@
             self.probe(self.rota[0], PROBE_EVERY, now)
         self.waiting.sort(key=lambda r: (-(r.timing.priority if r.timing else 0), -r.method.gain / (
             1 if self.seat.by_work else self.latency.cost(r))))
-        for rpc in dict.fromkeys(co.rpc for co in self.whole.out if co.rpc.timing) if self.purses else ():
+        for rpc in dict.fromkeys(co.rpc for co in self.whole.out if co.rpc.timing) if self.budgets else ():
             self.hedge(rpc, now)
         self.todo, self.waiting = deque([*self.todo, *self.waiting]), []
         if now >= self.next_fill:
@@ -705,8 +705,7 @@
         # By chance, so that front ends fall out of step; later where little is new.
         wait = PERIOD * min(LAZY, max(1.0, FEW / (1 + cell.fresh))) * (0.9 + 0.2 * self.chance.part())
         cell.filled, cell.period, cell.fresh = now, wait, 0
-        due = min(each.filled + each.period for each in used) if len(cells) <= SEEN else now
-        self.next_fill = max(now + TICK, due)
+        self.next_fill = max(now + TICK, min(each.due() for each in used) if len(cells) <= SEEN else now)
         self.fleet.settle(cell, now - self.stock.idle_life * (FORGET if len(cells) == 1 else 1))
         cell.hear(now - FRESH)
         if len(cells) == 1 or now - self.surveyed >= PERIOD:  # what all cells share
@@ -742,13 +741,14 @@
     def hedge(self, rpc: RPC, now: float) -> None:
         # Danger: a worker is slow or loses answers, and an RPC sits there. Hurts under load, as work is
         # doubled: only what a route states and has saved up. The first answer counts, the rest is cancelled.
-        if (second := rpc.timing.second) is None or not self.allowance.overlap or rpc.purse.seconds < 1:
+        second, budget = rpc.timing.second, rpc.retry_budget
+        if second is None or not self.allowance.overlap or budget.seconds < 1:
             return
         out = [co for co in rpc.call_outs if co.outcome is None]
         if rpc.closed or not 0 < len(out) < second[1] or now - out[-1].sent < second[0]:
             return
         if place := self.place_for(rpc, {co.place.worker for co in out}, now):
-            rpc.purse.seconds -= 1
+            budget.seconds -= 1
             self.call(rpc, place, now)
 
     def place_for(self, rpc: RPC, besides: set[Worker], now: float) -> Place | None:
@@ -793,7 +793,7 @@
             if (self.stock.loads_on_call or self.latency.stands(place, now) or asks
                     or place.ordered is not None and place.ordered < now):
                 if timing and timing.budget and rpc.call_outs:
-                    rpc.purse.paid.append((now,))
+                    rpc.retry_budget.paid.append((now,))
                 return self.call(rpc, place, now)
             if place.ordered is None:  # a call-out would miss, and might overtake the hold
                 self.order(place, 1, False, now)
--- a/wickdyke/platform/bus.py
+++ b/wickdyke/platform/bus.py
@@ -41,7 +41,7 @@
         self.chance = random.Random(seed)
         self.counts: Counter[str] = Counter()
         self.sock: socket.socket | None = None
-        self.number, self.failed, self.reads = 0, 0, 0  # of the try under way; tries since the last answer; pieces read
+        self.number, self.failed = 0, 0  # of the try under way; tries since the last answer
         self.connected = self.up = self.closed = False
         self.said, self.heard, self.since = "", 0.0, 0.0
 
@@ -137,7 +137,6 @@
         if (data := received(self.sock, CHUNK)) is None:
             return
         over = not data
-        self.reads += 1
         try:
             self.http.receive_data(data)
             while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
