The gateway that repeats all is made wrong again

Seen: test_found, "repeats all": the judge found no rule broken. Checked: alone it failed as well, so it is not the load of other tests. To blame: tests/wrong.py put its mistake into logic.may_have_run, which has become RPC.may_have_run; it hit nothing any more. Changed: the mistake is put where the module reads it. The test is as strict as it was. Measured: the test passes; it failed before.

--- a/tests/wrong.py
+++ b/tests/wrong.py
@@ -8,6 +8,7 @@
 from wickdyke.gateway.desk import Desk
 from wickdyke.gateway.door import Ask
 from wickdyke.gateway.roster import Roster
+from wickdyke.interface import RPC
 from wickdyke.settings import routes
 from wickdyke.settings.roll import Row
 
@@ -55,7 +56,7 @@
         case "never answers":
             Ask.answer = _never
         case "repeats all":
-            logic.may_have_run = lambda rpc: []
+            RPC.may_have_run = lambda rpc: []
         case "cancels in silence":
             Desk._withdraw = _unsaid
         case "deaf to drains":
