--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 READY := .venv/.ready-for-wickdyke
 
-.PHONY: demo test lint unit prove bench
+.PHONY: demo test lint unit prove bench scale
 
 demo: $(READY)
 	$(BIN)/wickdyke prove scripts/bad-day.sexp
@@ -34,3 +34,10 @@
 # The gateway beside a bare relay: about five minutes on a quiet machine.
 bench: $(READY)
 	$(BIN)/python -m bench.compare
+
+# What a front end costs as the fleet grows, and one real front end beside a hollow fleet: about half an hour, two cores.
+scale: $(READY)
+	mkdir -p build
+	$(BIN)/python -m bench.scale run build/scale.json
+	$(BIN)/python -m bench.scale show build/scale.json
+	$(BIN)/python -m bench.real
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -1,16 +1,18 @@
 """What a front end costs as the fleet grows: slopes along one axis at a time, in hollow fleets, as one JSON file.
 
-    python -m bench.scale run OUT.json [--axis NAME ...] [--jobs N]     every point of the axes, each in its own process
+    python -m bench.scale run OUT.json [--axis NAME ...]                every point of the axes, each in its own process
     python -m bench.scale point '{"workers": 5000}'                     one point, printed
     python -m bench.scale show OUT.json                                 the tables of docs/CAPACITY.md
 
 All but the decision module is simulated by hollow parts (bench/hollow.py). Processor time, bytes and resident memory
-are the machine's; times of requests are made. A point is played twice: once for time, once with `tracemalloc`.
+are the machine's; times of requests are made. A point is played several times for processor time, of which the median
+stands, and once with `tracemalloc` for bytes.
 """
 
 import gc
 import json
 import platform
+import statistics
 import subprocess
 import sys
 import time
@@ -29,6 +31,8 @@
     index = None
 
 START = 2000.0  # ms after which what is measured begins
+TRACED_SECONDS = 4.0  # made time of a play in which bytes are counted, which takes ten times as long
+LONG_SECONDS = 600.0  # made time from which a point is long
 CHANGES = 200  # rows told one by one, to measure a change
 
 
@@ -48,18 +52,33 @@
 
 
 BASE = Point()
-AXES: dict[str, list[Point]] = {
-    "workers": [replace(BASE, workers=many) for many in (200, 1000, 5000, 10000)],
-    "functions": [replace(BASE, functions=many) for many in (100, 1000, 10000, 160000)],
-    "calls": [replace(BASE, rate=rate) for rate in (16.0, 64.0, 127.0, 254.0)],
-    "front ends": [replace(BASE, front_ends=many) for many in (100, 800, 3300, 6600)],
-    "changes": [replace(BASE, changes=rate) for rate in (0.0, 1.0, 10.0, 100.0)],
-    "methods": [replace(BASE, methods=many) for many in (3, 30, 100, 300)],
-    "idle life": [replace(BASE, idle_life=life) for life in (6.0, 12.0, 30.0, 60.0)],
-    "mix": [replace(BASE, workers=5000, exponent=exponent) for exponent in (0.0, 0.8, 1.2, 1.5)],
+LARGE = replace(BASE, workers=5000)
+
+
+@dataclass(slots=True, frozen=True)
+class Axis:
+    """One figure of a point that moves while the others stand."""
+
+    field: str
+    values: tuple[float, ...]
+    base: Point = BASE
+
+    def points(self) -> list[Point]:
+        """Its points."""
+        return [replace(self.base, **{self.field: value}) for value in self.values]
+
+
+AXES = {
+    "workers": Axis("workers", (200, 1000, 5000, 10000)),
+    "functions": Axis("functions", (100, 1000, 10000, 160000)),
+    "calls": Axis("rate", (16.0, 64.0, 127.0, 254.0)),
+    "front ends": Axis("front_ends", (100, 800, 3300, 6600)),
+    "changes": Axis("changes", (0.0, 1.0, 10.0, 100.0)),
+    "methods": Axis("methods", (3, 30, 100, 300)),
+    "idle life": Axis("idle_life", (6.0, 12.0, 30.0, 60.0)),
+    "mix": Axis("exponent", (0.0, 0.8, 1.2, 1.5), LARGE),
 }
-OF = {"workers": "workers", "functions": "functions", "calls": "rate", "front ends": "front_ends",
-      "changes": "changes", "methods": "methods", "idle life": "idle_life", "mix": "exponent"}  # fmt: skip
+LONG = {"hour": Axis("seconds", (3600.0,), LARGE)}  # played only where it is asked for
 
 
 def resident() -> float:
@@ -130,7 +149,14 @@
     found["own_ms_a_call"] = 10 * (found["core_percent"] - found["control_percent"]) / point.rate
     if traced:
         held = product_bytes()
-        return {"bytes_a_function": (held - listed) / max(1, known), "bytes_a_worker": (listed - bare) / point.workers}
+        counted = {
+            "bytes_a_function": (held - listed) / max(1, known),
+            "bytes_a_worker": (listed - bare) / point.workers,
+        }
+        if index:  # what goes with the functions, while the records of their workers stay
+            front.front_end.fleet.drop(list(front.front_end.programs.values()))
+            counted["bytes_of_it_alone"] = (held - product_bytes()) / max(1, known - len(front.front_end.programs))
+        return counted
     found["rss_mb"] = {"empty": empty, "listed": start, "end": resident()}
     found["change_ms"] = _change_cost(fleet, point)
     return found
@@ -149,15 +175,25 @@
     return 1000 * spent / CHANGES
 
 
-def measure(point: Point) -> dict:
-    """Both plays of a point, in processes of their own."""
+def median(runs: list[dict], key: str) -> float:
+    """The middle one of what the runs found under that key."""
+    return statistics.median(run[key] for run in runs)
+
+
+def measure(point: Point, repeat: int) -> dict:
+    """All plays of a point, in processes of their own. A long one is played once, and its bytes are not counted; nor
+    are those of a text before the index, of which a snapshot takes minutes."""
+    long = point.seconds > LONG_SECONDS or index is None
 
     def run(traced: bool) -> dict:
-        given = json.dumps(asdict(point))
+        given = json.dumps(asdict(replace(point, seconds=min(point.seconds, TRACED_SECONDS)) if traced else point))
         words = [sys.executable, "-m", "bench.scale", "point", given, *(["--traced"] if traced else [])]
         return json.loads(subprocess.run(words, capture_output=True, text=True, check=True).stdout)
 
-    return {**asdict(point), **run(False), **run(True)}
+    runs = [run(False) for _ in range(1 if long else repeat)]
+    spread = {key: [min(each[key] for each in runs), max(each[key] for each in runs)] for key in TIMED}
+    middle = {key: median(runs, key) for key in TIMED}
+    return {**asdict(point), **runs[0], **middle, **({} if long else run(True)), "spread": spread}
 
 
 def fit(pairs: list[tuple[float, float]]) -> dict:
@@ -170,7 +206,32 @@
     return {"slope": slope, "at_nought": at_nought, "error": worst / (max(abs(y) for _, y in pairs) or 1.0)}
 
 
-FITTED = ("core_percent", "control_percent", "own_ms_a_call", "longest_ms", "change_ms", "bytes_a_function")
+TIMED = ("core_percent", "control_percent", "own_ms_a_call", "longest_ms", "change_ms")
+FITTED = (*TIMED, "bytes_a_function")
+
+
+def tables(written: dict) -> list[str]:
+    """The lines of the page's tables: the points of each axis, then the slope for one of what moves and its error."""
+    lines = []
+    for name, axis in written["axes"].items():
+        lines += [
+            "",
+            f"| {name} | core | control | own a call | longest turn | a change | a function | of it alone | RSS |",
+        ]
+        lines.append("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+        for row in axis["points"]:
+            kept = (row.get(key, 0.0) / 1024 for key in ("bytes_a_function", "bytes_of_it_alone"))
+            each = " | ".join(f"{size:.1f} KB" if size else "not counted" for size in kept)
+            lines.append(
+                f"| {row[axis['of']]:g} | {row['core_percent']:.2f}% | {row['control_percent']:.2f}% "
+                f"| {row['own_ms_a_call']:.3f} ms | {row['longest_ms']:.2f} ms | {row['change_ms']:.3f} ms "
+                f"| {each} | {row['rss_mb']['end']:.0f} MB |"
+            )
+        if len(axis["points"]) > 1:
+            fits = (axis["fits"].get(key) for key in FITTED)
+            slopes = " | ".join(f"{each['slope']:.1e} ({each['error']:.0%})" if each else "" for each in fits)
+            lines.append(f"| slope for one (error) | {slopes} | | |")
+    return lines
 
 
 @click.group()
@@ -188,21 +249,31 @@
 
 @main.command()
 @click.argument("out", type=click.Path())
-@click.option("--axis", "names", multiple=True, type=click.Choice(list(AXES)), help="Only these.")
+@click.option("--axis", "names", multiple=True, type=click.Choice([*AXES, *LONG]), help="Only these.")
 @click.option("--jobs", default=2, show_default=True, help="Points played at once.")
+@click.option("--repeat", default=3, show_default=True, help="Plays of each point for time.")
 @click.option("--seconds", default=BASE.seconds, show_default=True, help="Made seconds of each point.")
-def run(out: str, names: tuple[str, ...], jobs: int, seconds: float) -> None:
+def run(out: str, names: tuple[str, ...], jobs: int, repeat: int, seconds: float) -> None:
     """Plays every point of the axes and writes OUT."""
-    chosen = {name: [replace(each, seconds=seconds) for each in AXES[name]] for name in names or AXES}
-    points = list({each: None for axis in chosen.values() for each in axis})
+    known = {name: replace(axis, base=replace(axis.base, seconds=seconds)) for name, axis in AXES.items()} | LONG
+    chosen = {name: known[name] for name in names or AXES}
+    points = list({each: None for axis in chosen.values() for each in axis.points()})
     with ThreadPoolExecutor(jobs) as pool:
-        found = dict(zip(points, pool.map(measure, points), strict=True))
+        found = dict(zip(points, pool.map(lambda each: measure(each, repeat), points), strict=True))
     commit = subprocess.run(["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True).stdout.strip()
     written = {"python": platform.python_version(), "commit": commit, "axes": {}}
     for name, axis in chosen.items():
-        rows = [found[each] for each in axis]
-        fits = {key: fit([(row[OF[name]], row[key]) for row in rows]) for key in FITTED}
-        written["axes"][name] = {"of": OF[name], "points": rows, "fits": fits}
+        rows = [found[each] for each in axis.points()]
+        fits = (
+            {
+                key: fit([(row[axis.field], row[key]) for row in rows])
+                for key in FITTED
+                if all(key in row for row in rows)
+            }
+            if len(rows) > 1
+            else {}
+        )
+        written["axes"][name] = {"of": axis.field, "points": rows, "fits": fits}
     with open(out, "w", encoding="utf-8") as sink:
         json.dump(written, sink, indent=1)
         sink.write("\n")
@@ -213,16 +284,7 @@
 def show(out: str) -> None:
     """Prints the tables."""
     with open(out, encoding="utf-8") as source:
-        written = json.load(source)
-    for name, axis in written["axes"].items():
-        print(f"\n| {name} | core | control | own a call | longest turn | a change | a function | RSS at the end |")
-        print("| --- | --- | --- | --- | --- | --- | --- | --- |")
-        for row in axis["points"]:
-            print(
-                f"| {row[axis['of']]:g} | {row['core_percent']:.2f}% | {row['control_percent']:.2f}% "
-                f"| {row['own_ms_a_call']:.3f} ms | {row['longest_ms']:.2f} ms | {row['change_ms']:.3f} ms "
-                f"| {row['bytes_a_function'] / 1024:.1f} KB | {row['rss_mb']['end']:.0f} MB |"
-            )
+        print("\n".join(tables(json.load(source))))
 
 
 if __name__ == "__main__":
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,6 +1,7 @@
 """What must not grow with the fleet, counted in draws, lines, bytes and messages, never in seconds."""
 
 import gzip
+import json
 import os
 import random
 import sys
@@ -10,6 +11,7 @@
 from dataclasses import replace
 from unittest.mock import patch
 
+from bench import scale
 from bench.hollow import Draw, HollowFleet, Settings, listing
 from wickdyke import fleet as index
 from wickdyke import logic
@@ -398,6 +400,19 @@
                 self.assertEqual((alike > 2000, differs), (True, None))
 
 
+class Page(unittest.TestCase):
+    def test_the_tables_of_the_page_are_those_of_the_files(self):
+        """Every line of the measured tables stands on docs/CAPACITY.md as bench.scale prints it."""
+        root = os.path.dirname(os.path.dirname(__file__))
+        with open(os.path.join(root, "docs", "CAPACITY.md"), encoding="utf-8") as source:
+            page = source.read().splitlines()
+        for name in ("scale.json", "scale-before.json"):
+            with self.subTest(name), open(os.path.join(root, "bench", name), encoding="utf-8") as source:
+                lines = scale.tables(json.load(source))
+                self.assertGreater(len(lines), 5)
+                self.assertEqual([line for line in lines if line not in page], [])
+
+
 class Slice(unittest.TestCase):
     """A slice of the fleet: 300 front ends, the workers of one zone of three, its functions; all rules judged."""
 
