Log since when discovery was last heard, and the outcomes of prewarms and health checks

Now: offset and heard_ms on 'endpoint list disconnected' and in the counts, outage_ms on 'endpoint list connected', counts of prewarms and health checks by outcome; AILING has an outcome of its own ('not ready'), which decides nothing yet. 'Heard' is a comment or an event after the missed ones, as of the poll before, so that what waited while the process did not run is not taken for fresh. 'endpoint list connected' is logged once the list is complete, no longer at the head of the response.

--- a/wickdyke/gateway/coordinator.py
+++ b/wickdyke/gateway/coordinator.py
@@ -230,9 +230,11 @@
             case PrewarmKey() as key:
                 self._prewarm_finished(key, result)
             case worker:
+                self.counts[f"health_checks_{result.outcome}"] += 1
                 self.context.inform("health_checked", worker, result.outcome, result.report)
 
     def _prewarm_finished(self, key: PrewarmKey, result: CommandResult) -> None:
+        self.counts[f"prewarms_{result.outcome}"] += 1
         self.isolation.prewarmed(key.worker, key.function, result)
         elapsed = self.context.now() - key.sent_at
         self.context.inform("prewarm_finished", key.worker, key.function, result.outcome, result.replicas, elapsed)
--- a/wickdyke/platform/discovery.py
+++ b/wickdyke/platform/discovery.py
@@ -22,6 +22,7 @@
 MAX_CONNECT_TIMEOUT = 400.0  # ms
 MIN_CONNECT_TIMEOUT = 200.0  # ms
 RESPONSE_TIMEOUT = 1500.0  # ms from the connect to the head of the response
+CATCH_UP_TIME = 250.0  # ms from the head of the response: a comment before that may precede events that were missed
 BACKOFF_FIRST = 50.0  # ms after the first failure, before jitter
 BACKOFF_GROWTH = 1.5  # factor for each further failure
 MAX_BACKOFF_EXPONENT = 20  # keeps the power finite
@@ -80,6 +81,8 @@
         self.logged_failure = ""  # the reason logged last, until events are received again
         self.last_activity = 0.0  # ms; when data was received last, or the last step of connecting was done
         self.up_since = 0.0  # ms; when the last response began
+        self.caught_up = False  # whether the events that were missed before this connection have been received
+        self.heard_at: float | None = None  # ms; all events up to then have been received; None before the first time
 
     def open(self) -> None:
         """Starts to follow."""
@@ -107,6 +110,7 @@
         self.attempt_number += 1
         self.connected = False
         self.up = False
+        self.caught_up = False
         self.unsent = b""
         self.last_activity = clock()
         self.http = h11.Connection(h11.CLIENT)
@@ -135,7 +139,17 @@
         self.loop.call_at(clock() + backoff * jitter, self._retry, self.retry_number)
         if reason != self.logged_failure:
             self.logged_failure = reason
-            self.log.warning("endpoint list disconnected", reason=reason, bus=":".join(map(str, self.address)))
+            self.log.warning(
+                "endpoint list disconnected",
+                reason=reason,
+                bus=":".join(map(str, self.address)),
+                offset=self.last_offset(),
+                heard_ms=self.heard_ms(),
+            )
+
+    def heard_ms(self) -> int | None:
+        """Returns how long ago (ms) all events were known; None where they never were."""
+        return None if self.heard_at is None else round(clock() - self.heard_at)
 
     def _retry(self, number: int) -> None:
         if number != self.retry_number:
@@ -246,6 +260,8 @@
         # list out of date. So only data after which no event is incomplete counts as a sign of life.
         if data and not self.events.begun:
             self.last_activity = clock()
+            if self.caught_up and len(data) < READ_SIZE:
+                self._heard()
         if ended or not data:
             was_up = self.up
             self._end()
@@ -269,12 +285,20 @@
         self.up = True
         self.last_activity = clock()
         self.up_since = clock()
+
+    def _heard(self) -> None:
+        """Nothing that discovery reported so far is missing."""
+        # The data may have waited in the kernel while this process did not run: it is as old as the poll before, when
+        # there was none.
+        outage = self.heard_ms()
+        self.heard_at = max(self.loop.arrived_after, self.heard_at or self.loop.arrived_after)
         if self.logged_failure:
             self.logged_failure = ""
-            self.log.info("endpoint list connected")
+            self.log.info("endpoint list connected", outage_ms=outage, offset=self.last_offset())
 
     def _parse_events(self, data: bytes) -> None:
         events = []
+        comments = self.events.comments
         for event in self.events.feed(data):
             try:
                 events.append(parse_event(event.data))
@@ -283,3 +307,6 @@
         if events:
             self.silence_timeout = SILENCE_TIMEOUT
             self.notify(events)
+        # Events that were missed come first on a new connection, then a comment each second.
+        if self.events.comments > comments and clock() - self.up_since >= CATCH_UP_TIME:
+            self.caught_up = True
--- a/wickdyke/platform/service.py
+++ b/wickdyke/platform/service.py
@@ -152,6 +152,8 @@
             open=len(self.coordinator.requests.by_id),
             connections=self.protocol.pool.used,
             workers=len(self.endpoints),
+            offset=self.endpoints.offset,
+            heard_ms=self.discovery.heard_ms(),
             **self.coordinator.counts,
             **self.client_server.counts,
             **self.protocol.pool.counts,
--- a/wickdyke/platform/sse.py
+++ b/wickdyke/platform/sse.py
@@ -26,6 +26,7 @@
         self.data: list[str] = []
         self.event_size = 0  # bytes of the lines of the incomplete event
         self.within_event = False  # whether a line of an event was received and its end was not
+        self.comments = 0  # received so far
 
     @property
     def begun(self) -> bool:
@@ -49,6 +50,7 @@
                 self.within_event = False
                 continue
             name, _, value = line.partition(":")
+            self.comments += not name
             self.within_event = self.within_event or bool(name)
             value = value.removeprefix(" ")
             if name == "data":
--- a/wickdyke/platform/worker_results.py
+++ b/wickdyke/platform/worker_results.py
@@ -13,7 +13,7 @@
     b"EIO": Outcome.ERROR,
     b"STALE": Outcome.UNSENT,
     b"READY": Outcome.OK,
-    b"AILING": Outcome.ERROR,
+    b"AILING": Outcome.NOT_READY,
 }
 NOTES = {"w": LoadNote.STOOD, "c": LoadNote.BEGAN, "j": LoadNote.AWAITED, "f": LoadNote.FAILED}
 ANSWER_PARTS = 4  # id, word, fields, body
--- a/wickdyke/routing/model.py
+++ b/wickdyke/routing/model.py
@@ -30,6 +30,7 @@
     CONNECTION_LOST = "cut"  # the connection ended under it: it may have run
     CANCELLED = "cancelled"  # withdrawn: it may have run
     UNSENT = "unsent"  # no byte of it was sent: it never ran
+    NOT_READY = "not ready"  # of a health check: the worker answered that it accepts no work, as one that drains does
 
 
 class Effect(StrEnum):
--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -133,6 +133,8 @@
         self.unmodified: dict[int, int] = {}  # descriptor -> events that epoll_ctl had no memory for yet
         self.last_served: dict[int, int] = {}  # descriptor -> serial number, of those of normal priority
         self.serial_numbers = itertools.count(1)
+        self.polled_at = clock()  # ms; when the last poll returned
+        self.arrived_after = self.polled_at  # ms; data of a socket that is ready now, and was not before, is no older
 
     def add(self, sock: socket.socket, handler: Handler, write: bool = False) -> None:
         """Serves that socket from now on. Raises OSError where it can't be watched, and then keeps nothing of it."""
@@ -215,9 +217,13 @@
         # Rounded up: a wait that ends too early would poll for nothing until its time.
         timeout = max(0.0, wait + 0.5) / 1000 if wait > 0 else 0
         try:
-            return self.epoll.poll(timeout, EVENTS_PER_POLL)
+            events = self.epoll.poll(timeout, EVENTS_PER_POLL)
         except InterruptedError:
             return []  # the kernel reports the events again in the next iteration; the timers run in this one
+        self.arrived_after = self.polled_at
+        if len(events) < EVENTS_PER_POLL:  # else a socket may have been ready and not reported
+            self.polled_at = clock()
+        return events
 
     def _serve_high_priority(self, events_by_socket: list[tuple[int, int]]) -> list[ReadySocket]:
         """Serves the handlers of high priority, and those whose peer has closed; returns the others."""
