Failing test: work is sent to draining workers while discovery is out of reach

Real front ends over loopback, with workers and discovery as peers that record when the kernel received each command. In each of five outages (refused, silent, an event that never completes, errors, short connections that bring nothing) a draining worker that stays up goes on getting prewarms and attempts; with discovery up, the sixth case, it gets none.

--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -134,6 +134,21 @@
     return framed(message("alive", number, b"\x02\x00\x01\x01\x00"))
 
 
+def parse_answer(data):
+    """The number, the word and the body of an answer, from its frame without the length."""
+    kind, length = data[3], struct.unpack_from(">i", data, 4)[0]
+    verb, (number,) = data[8 : 8 + length], struct.unpack_from(">i", data, 8 + length)
+    rest = data[12 + length :]
+    if kind == 3:
+        return number, "exception", rest
+    place = struct.unpack_from(">h", rest, 1)[0]
+    if place:
+        return number, {1: "shed", 2: "fault"}[place], rest
+    size = struct.unpack_from(">i", rest, 6)[0]
+    good = rest[10 + size + 3 + 6 + 3]
+    return number, ("good" if good else "bad") if verb == b"alive" else "answer", rest[10 : 10 + size]
+
+
 class Client:
     """One connection: `answer()` gives (number, word, body), the word "closed" at its end."""
 
@@ -158,17 +173,7 @@
             data = self._take(struct.unpack(">i", self._take(4))[0])
         except OSError:
             return None, "closed", b""
-        kind, length = data[3], struct.unpack_from(">i", data, 4)[0]
-        verb, (number,) = data[8 : 8 + length], struct.unpack_from(">i", data, 8 + length)
-        rest = data[12 + length :]
-        if kind == 3:
-            return number, "exception", rest
-        place = struct.unpack_from(">h", rest, 1)[0]
-        if place:
-            return number, {1: "shed", 2: "fault"}[place], rest
-        size = struct.unpack_from(">i", rest, 6)[0]
-        good = rest[10 + size + 3 + 6 + 3]
-        return number, ("good" if good else "bad") if verb == b"alive" else "answer", rest[10 : 10 + size]
+        return parse_answer(data)
 
     def waits(self):
         """Whether an answer, or the connection's end, is there to be read."""
--- /dev/null
+++ b/tests/soak/bus.py
@@ -0,0 +1,198 @@
+"""Discovery as a stand-in: a log of events that is served over HTTP, and the ways in which it can be out of reach."""
+
+import json
+import socket
+import threading
+import time
+from contextlib import suppress
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from tests import platform_rig as rig
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+UNAVAILABLE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+HEARTBEAT_SECONDS = 1.0
+FLAP_SECONDS = 0.1  # for which a connection lasts while discovery is flapping
+DRIP_SECONDS = 0.3  # between two bytes of an event that never completes
+
+
+class BusMode(Enum):
+    """How discovery behaves."""
+
+    UP = auto()
+    REFUSED = auto()  # connections are reset, new ones refused
+    SILENT = auto()  # open connections bring nothing, new ones are accepted and get no answer
+    ERRORS = auto()  # connections are closed, new ones get an error
+    HALF_EVENT = auto()  # new connections bring an event that never completes
+    FLAPPING = auto()  # new connections end soon and bring nothing
+
+
+@dataclass
+class Outage:
+    """When discovery was out of reach (Unix s); `ended_at` is None while it lasts."""
+
+    began_at: float
+    ended_at: float | None = None
+
+
+@dataclass
+class Reader:
+    """One connection of a front end."""
+
+    sock: socket.socket
+    generation: int  # of the mode under which it was accepted
+    offset: int = 0
+    response_begun: bool = False
+
+
+@dataclass
+class EventLog:
+    """The events so far, and the instances as they result from them."""
+
+    condition: threading.Condition = field(default_factory=threading.Condition)
+    events: list[dict] = field(default_factory=list)
+    instances: dict[str, dict] = field(default_factory=dict)
+
+    def append(self, *instances: dict) -> int:
+        """Adds an event that changes these instances; returns its number."""
+        with self.condition:
+            offset = len(self.events) + 1
+            self.events.append(rig.event(offset, *instances, reset=not self.events))
+            for instance in instances:
+                self.instances[instance["instanceId"]] = instance
+                if instance["lifecycle"] == "DELETED":
+                    del self.instances[instance["instanceId"]]
+            self.condition.notify_all()
+            return offset
+
+    def known(self) -> dict:
+        """What a configuration written now holds."""
+        with self.condition:
+            offset = len(self.events)
+            return {"offset": offset, "batch": [rig.event(offset, *self.instances.values(), reset=True)]}
+
+
+class SoakBus:
+    """Serves an event log at one address."""
+
+    def __init__(self, log: EventLog) -> None:
+        self.log = log
+        self.mode = BusMode.UP
+        self.generation = 0  # counts changes of the mode
+        self.outages: list[Outage] = []
+        self.readers: list[Reader] = []
+        self.address = rig.free_address()
+        self._listen()
+
+    def set_mode(self, mode: BusMode) -> None:
+        """Behaves that way from now on."""
+        now = time.time()
+        with self.log.condition:
+            was_up = self.mode is BusMode.UP
+            self.mode = mode
+            self.generation += 1
+            if was_up and mode is not BusMode.UP:
+                self.outages.append(Outage(now))
+            if not was_up and mode is BusMode.UP:
+                self.outages[-1].ended_at = now
+            readers = self.readers
+            self.readers = []
+            self.log.condition.notify_all()
+        if mode is not BusMode.SILENT:
+            for reader in readers:
+                self._end(reader)
+        if mode is BusMode.REFUSED:
+            self._stop_listening()
+        elif self.listener is None:
+            self._listen()
+
+    def close(self) -> None:
+        """Ends for good."""
+        self.set_mode(BusMode.REFUSED)
+
+    def _listen(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self.listener: socket.socket | None = socket.create_server((host, int(port)), backlog=64)
+        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
+
+    def _stop_listening(self) -> None:
+        listener = self.listener
+        self.listener = None
+        if listener is not None:
+            with suppress(OSError):
+                listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+
+    def _end(self, reader: Reader) -> None:
+        with suppress(OSError):
+            reader.sock.shutdown(socket.SHUT_RDWR)
+        reader.sock.close()
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            with self.log.condition:
+                reader = Reader(sock, self.generation)
+                self.readers.append(reader)
+            threading.Thread(target=self._serve, args=(reader,), daemon=True).start()
+
+    def _serve(self, reader: Reader) -> None:
+        with suppress(OSError, ValueError):
+            self._read_request(reader)
+            while self._serve_once(reader):
+                pass
+            return
+        self._end(reader)
+
+    def _read_request(self, reader: Reader) -> None:
+        head = b""
+        while not head.endswith(b"\r\n\r\n"):
+            received = reader.sock.recv(1)
+            if not received:
+                raise OSError("closed")
+            head += received
+        lines = head.lower().split(b"\r\n")
+        reader.offset = next(int(line.split(b":")[1]) for line in lines if line.startswith(b"last-event-id"))
+
+    def _serve_once(self, reader: Reader) -> bool:
+        """Does one step of serving a connection; returns whether it goes on."""
+        with self.log.condition:
+            mode = self.mode
+            if reader.generation != self.generation:
+                return False  # it was ended with the mode, or left silent
+            new = [event for event in self.log.events if event["offset"] > reader.offset]
+            if mode is BusMode.UP:
+                self._write_events(reader, new)
+                self.log.condition.wait(HEARTBEAT_SECONDS)
+                if reader.generation == self.generation and len(self.log.events) == reader.offset:
+                    reader.sock.sendall(b": heartbeat\n\n")
+                return True
+        return self._misbehave(reader, mode)
+
+    def _write_events(self, reader: Reader, events: list[dict]) -> None:
+        if not reader.response_begun:
+            reader.response_begun = True
+            reader.sock.sendall(HEAD)
+        for event in events:
+            reader.sock.sendall(f"id: {event['offset']}\ndata: {json.dumps(event)}\n\n".encode())
+            reader.offset = event["offset"]
+
+    def _misbehave(self, reader: Reader, mode: BusMode) -> bool:
+        """One step where discovery is out of reach; returns whether the connection goes on."""
+        if mode is BusMode.ERRORS:
+            reader.sock.sendall(UNAVAILABLE)
+            self._end(reader)
+        elif mode is BusMode.FLAPPING:
+            reader.sock.sendall(HEAD)
+            time.sleep(FLAP_SECONDS)
+            self._end(reader)
+        elif mode is BusMode.HALF_EVENT:
+            reader.sock.sendall(b"." if reader.response_begun else HEAD + b"id: 99\ndata: ")
+            reader.response_begun = True
+            time.sleep(DRIP_SECONDS)
+            return True
+        return False
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,153 @@
+"""The rules, checked on what the peers of the front ends recorded."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from tests import platform_rig as rig
+from tests.soak.bus import Outage
+from tests.soak.scene import DRAIN_GRACE_SECONDS, ListChange, Scene
+from tests.soak.worker import Arrival
+
+OUTAGE_CLOCK_SECONDS = 4.0  # after it broke off, what discovery would have reported counts as reported
+SLACK_SECONDS = 0.05  # that every limit of the protocol grows by
+ANSWER_SLACK_SECONDS = 0.5  # after its time within which a late answer is not lost
+CLIENT_GONE_SECONDS = 0.1  # after a client has left, no attempt begins for it
+DEADLINE_SLACK_MS = 150  # by which the time passed on may exceed what is left
+KILL_AFTER_SECONDS = 0.7  # after SIGTERM: requests from then on have to be answered before SIGKILL
+PREWARM_WINDOW_SECONDS = rig.SETTINGS["family-info"]["load-window"] / 1e6
+PREWARM_GROWTH = 1.15  # by which the quota of prewarms grows, and one more
+
+
+def notified_at(change: ListChange, outages: list[Outage]) -> float:
+    """When a change of the list counts as known to the front ends (Unix s)."""
+    for outage in outages:
+        if outage.began_at <= change.at and (outage.ended_at is None or change.at < outage.ended_at):
+            clock_ends = outage.began_at + OUTAGE_CLOCK_SECONDS
+            return max(change.at, min(clock_ends, outage.ended_at or clock_ends))
+    return change.at
+
+
+def sent_while_draining(scene: Scene) -> list[tuple[ListChange, Arrival]]:
+    """New work that reached a worker later than the drain rule allows."""
+    found = []
+    for change in scene.changes:
+        if change.lifecycle != "DRAINING":
+            continue
+        allowed_until = notified_at(change, scene.buses[0].outages) + DRAIN_GRACE_SECONDS + SLACK_SECONDS
+        back_at = next(
+            (
+                later.at
+                for later in scene.changes
+                if later.worker is change.worker and later.at > change.at and later.lifecycle == "SERVING"
+            ),
+            float("inf"),
+        )
+        found += [
+            (change, arrival) for arrival in change.worker.new_work() if allowed_until < arrival.at < back_at - 1.0
+        ]
+    return found
+
+
+def _drain_violations(scene: Scene) -> Iterator[str]:
+    for change, arrival in sent_while_draining(scene):
+        since = arrival.at - change.at
+        yield f"drain: {arrival.verb.decode()} at {change.worker.name} {since:.3f} s after its drain"
+
+
+def _answer_violations(scene: Scene) -> Iterator[str]:
+    for client in scene.clients:
+        front_end = next(each for each in scene.front_ends if each.address == client.address)
+        for request in client.requests:
+            if request.word == "spoilt" or request.answers > 1 + request.sent_again:
+                yield f"answers: {request}"
+            if request.gone_at is not None or request.answered_at is not None:
+                answered_at = request.answered_at
+                if answered_at is not None and answered_at > request.due_at + ANSWER_SLACK_SECONDS:
+                    yield f"late: {request}"
+                continue
+            life = next(
+                (each for each in front_end.lives if each.ended_at is None or each.ended_at >= request.sent_at), None
+            )
+            killed = life is not None and life.killed_at is not None and life.killed_at >= request.sent_at
+            began_late = life is None or life.terminated_at is None
+            began_late = began_late or request.sent_at <= life.terminated_at + KILL_AFTER_SECONDS
+            if killed and began_late and life is not None and life.killed_at < request.due_at + ANSWER_SLACK_SECONDS:
+                continue  # its process was killed while it might still have been answered
+            yield f"lost: {request}, process {life and (life.terminated_at, life.killed_at, life.ended_at, life.code)}"
+
+
+def _effect_violations(scene: Scene) -> Iterator[str]:
+    executed = Counter(ident.decode() for worker in scene.workers for _, ident in worker.executed)
+    for request in scene.requests():
+        if request.request_class != "pay" or request.sent_again:
+            continue
+        if executed[request.ident] > 1:
+            yield f"effect: {request.ident} was executed {executed[request.ident]} times"
+        if executed[request.ident] and request.word == "shed":
+            yield f"effect: {request.ident} was executed and rejected"
+
+
+def _attempt_violations(scene: Scene) -> Iterator[str]:
+    sent = {request.ident: request for request in scene.requests()}
+    for worker in scene.workers:
+        for arrival in worker.new_work():
+            request = sent.get(arrival.parts[1].decode()) if arrival.verb == b"invoke" else None
+            if request is None:
+                continue
+            left_ms = (request.due_at - arrival.at) * 1000
+            if int(arrival.fields["ttl"]) > left_ms + DEADLINE_SLACK_MS:
+                yield f"deadline: {arrival.fields['ttl']} ms passed on, {left_ms:.0f} ms left"
+            if request.gone_at is not None and arrival.at > request.gone_at + CLIENT_GONE_SECONDS:
+                yield f"gone: an attempt {arrival.at - request.gone_at:.3f} s after its client had left"
+
+
+def _prewarm_violations(scene: Scene) -> Iterator[str]:
+    """The quota over all front ends together."""
+    settings = rig.SETTINGS["family-info"]
+    prewarms = sorted(
+        arrival.at for worker in scene.workers for arrival in worker.new_work() if arrival.verb == b"prewarm"
+    )
+    requests = sorted(request.sent_at for request in scene.requests())
+    lives = sum(len(front_end.lives) for front_end in scene.front_ends)
+    for at in prewarms:
+        since = at - PREWARM_WINDOW_SECONDS
+        count = sum(since < each <= at for each in prewarms)
+        received = sum(since < each <= at for each in requests)
+        allowed = (lives * settings["free-loads"] + settings["load-part"] * received) * PREWARM_GROWTH + lives
+        if count > allowed:
+            yield f"prewarms: {count} within {PREWARM_WINDOW_SECONDS:.0f} s, {allowed:.1f} allowed"
+            return
+
+
+def _process_violations(scene: Scene) -> Iterator[str]:
+    for front_end in scene.front_ends:
+        for life in front_end.lives:
+            if life.code not in (None, 0) and life.killed_at is None:
+                yield f"crash: {front_end.name} ended with {life.code}: {life.lines[-2:]}"
+            faults = [line for line in life.lines if "unhandled exception" in line or "Traceback" in line]
+            if faults:
+                yield f"fault: {front_end.name}: {faults[0].strip()}"
+
+
+def violations(scene: Scene) -> list[str]:
+    """All broken rules, a line each."""
+    checks = (
+        _drain_violations,
+        _answer_violations,
+        _effect_violations,
+        _attempt_violations,
+        _prewarm_violations,
+        _process_violations,
+    )
+    return [line for check in checks for line in check(scene)]
+
+
+def served_share(scene: Scene, since: float, until: float) -> float:
+    """The part of the requests sent between these times (Unix s) that a worker's answer reached in time."""
+    sent = [request for request in scene.requests() if since <= request.sent_at < until and request.gone_at is None]
+    served = [
+        request
+        for request in sent
+        if request.word == "answer" and request.answered_at is not None and request.answered_at <= request.due_at
+    ]
+    return len(served) / max(1, len(sent))
--- /dev/null
+++ b/tests/soak/load_client.py
@@ -0,0 +1,185 @@
+"""A client that sends requests on a connection that it keeps open, and records what became of each."""
+
+import random
+import select
+import socket
+import struct
+import threading
+import time
+from dataclasses import dataclass
+
+from tests import platform_rig as rig
+
+MAX_OPEN = 32  # requests on a connection
+RECONNECT_SECONDS = 0.05
+CROSSING_SECONDS = 0.05  # a request sent this shortly before a close is sent again, once
+LENGTH = struct.Struct(">i")
+
+
+@dataclass
+class SentRequest:
+    """One request: its times are Unix s."""
+
+    ident: str
+    request_class: str
+    sent_at: float
+    deadline_ms: int
+    answered_at: float | None = None
+    word: str = ""  # of the answer
+    answers: int = 0
+    gone_at: float | None = None  # when the client cancelled it
+    closed_at: float | None = None  # when its connection ended without an answer
+    sent_again: bool = False
+
+    @property
+    def due_at(self) -> float:
+        """When the client's time is up."""
+        return self.sent_at + self.deadline_ms / 1000
+
+
+class LoadClient:
+    """One connection at a time to a front end, made again whenever it ends."""
+
+    def __init__(self, address: str, rate: float, functions: list[str], seed: int) -> None:
+        self.address = address
+        self.interval = 1 / rate
+        self.functions = functions
+        self.random = random.Random(seed)
+        self.requests: list[SentRequest] = []
+        self.open: dict[int, SentRequest] = {}  # by their number on the connection
+        self.sock: socket.socket | None = None
+        self.buffer = b""
+        self.number = 0
+        self.stopping = False
+        self.paused = False
+        self.cancel_wanted = False
+        self.thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begins to send."""
+        self.thread.start()
+
+    def stop(self, wait: float) -> None:
+        """Sends no more, and waits for open requests that long (s)."""
+        ends = time.time() + wait
+        self.stopping = True
+        while self.open and time.time() < ends:
+            time.sleep(0.02)
+        self.paused = True
+        self.thread.join()
+        if self.sock is not None:
+            self.sock.close()
+
+    def _run(self) -> None:
+        next_at = time.time()
+        while not self.paused:
+            now = time.time()
+            if self.sock is None and not self._connect():
+                time.sleep(RECONNECT_SECONDS)
+                continue
+            if now >= next_at and not self.stopping:
+                next_at = max(next_at + self.interval, now - 1.0)
+                if len(self.open) < MAX_OPEN:
+                    self._send_new()
+                continue
+            if self.cancel_wanted:
+                self._cancel_oldest()
+            if self.sock is not None:
+                self._read(max(0.0, min(0.02, next_at - now)))
+
+    def _cancel_oldest(self) -> None:
+        assert self.sock is not None
+        self.cancel_wanted = False
+        if self.open:
+            about, request = next(iter(self.open.items()))
+            self.number += 1
+            del self.open[about]
+            request.gone_at = time.time()
+            try:
+                self.sock.sendall(rig.cancel(self.number, about))
+            except OSError:
+                self._ended()
+
+    def _connect(self) -> bool:
+        host, _, port = self.address.rpartition(":")
+        try:
+            self.sock = socket.create_connection((host, int(port)), 1.0)
+        except OSError:
+            return False
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.buffer = b""
+        self.number = 0
+        return True
+
+    def _send_new(self) -> None:
+        request_class = "pay" if self.random.random() < 0.2 else "look"
+        ident = f"{self.random.getrandbits(64):016x}"
+        deadline_ms = self.random.choice((300, 1500, 1500, 3000))
+        self._send(SentRequest(ident, request_class, time.time(), deadline_ms))
+
+    def _send(self, request: SentRequest) -> None:
+        assert self.sock is not None
+        self.number += 1
+        fields = rig.fields(
+            request.ident,
+            request.request_class,
+            d=str(request.deadline_ms),
+            o=self.random.choice(self.functions),
+        )
+        self.open[self.number] = request
+        if not request.sent_again:
+            self.requests.append(request)
+        try:
+            self.sock.sendall(rig.dispatch(self.number, fields, request.ident.encode()))
+        except OSError:
+            self._ended()
+
+    def _read(self, wait: float) -> None:
+        assert self.sock is not None
+        if not select.select([self.sock], [], [], wait)[0]:
+            return
+        try:
+            data = self.sock.recv(1 << 16)
+        except OSError:
+            data = b""
+        if not data:
+            self._ended()
+            return
+        self.buffer += data
+        while len(self.buffer) >= LENGTH.size:
+            end = LENGTH.size + LENGTH.unpack_from(self.buffer)[0]
+            if len(self.buffer) < end:
+                return
+            self._answered(self.buffer[LENGTH.size : end])
+            self.buffer = self.buffer[end:]
+
+    def _answered(self, frame: bytes) -> None:
+        number, word, body = rig.parse_answer(frame)
+        request = self.open.pop(number, None)
+        if request is None:
+            return
+        request.answers += 1
+        request.answered_at = time.time()
+        request.word = word if word != "answer" or body == request.ident.encode() else "spoilt"
+
+    def _ended(self) -> None:
+        """The connection has ended, with what is open on it."""
+        now = time.time()
+        assert self.sock is not None
+        self.sock.close()
+        self.sock = None
+        unanswered = list(self.open.values())
+        self.open = {}
+        again = []
+        for request in unanswered:
+            if now - request.sent_at <= CROSSING_SECONDS and not request.sent_again:
+                again.append(request)
+            else:
+                request.closed_at = now
+        if again and self._connect():
+            for request in again:
+                request.sent_again = True
+                self._send(request)
+        else:
+            for request in again:
+                request.closed_at = now
--- /dev/null
+++ b/tests/soak/worker.py
@@ -0,0 +1,212 @@
+"""A worker that records when each command reached this machine, and that drains, ends and restarts when told to."""
+
+import socket
+import struct
+import threading
+import time
+from contextlib import suppress
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from tests import platform_rig as rig
+from tests.soak.delayed_calls import DelayedCalls
+
+READ_SIZE = 1 << 16  # bytes read at a time
+SO_TIMESTAMPNS = 35  # socket(7): the kernel gives the time at which data arrived, however late it is read
+TIMESTAMP = struct.Struct("qq")  # s and ns of Unix time
+ANCILLARY_SIZE = 64  # bytes, enough for one timestamp
+WORK_SECONDS = 0.05
+LOAD_SECONDS = 0.15
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close resets the connection
+
+
+class WorkerState(Enum):
+    """What a worker does with commands."""
+
+    READY = auto()
+    DRAINING = auto()  # rejects new work
+    DOWN = auto()  # refuses connections
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A command, and when its first byte reached this machine (Unix s)."""
+
+    at: float
+    parts: list[bytes]
+    state: WorkerState
+
+    @property
+    def verb(self) -> bytes:
+        """The command's word."""
+        return self.parts[0]
+
+    @property
+    def fields(self) -> dict[str, str]:
+        """The fields of an attempt or a prewarm."""
+        return dict(pair.split("=", 1) for pair in self.parts[2].decode().split(","))
+
+    @property
+    def is_new_work(self) -> bool:
+        """Whether a draining worker must not be sent it."""
+        return self.verb == b"invoke" or (self.verb == b"prewarm" and self.fields["units"] != "0")
+
+
+class CommandReader:
+    """Splits a stream into commands, each with the time at which its first byte arrived."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+        self.begun_at: float | None = None  # of the command whose first byte is at the start of the buffer
+
+    def feed(self, data: bytes, at: float) -> list[tuple[float, list[bytes]]]:
+        """Takes bytes that arrived at that time; returns the commands that are complete."""
+        complete = []
+        self.buffer += data
+        if self.begun_at is None:
+            self.begun_at = at
+        while (parsed := self._parse()) is not None:
+            parts, size = parsed
+            complete.append((self.begun_at, parts))
+            del self.buffer[:size]
+            self.begun_at = at
+        if not self.buffer:
+            self.begun_at = None
+        return complete
+
+    def _parse(self) -> tuple[list[bytes], int] | None:
+        """The parts of the first command and its size; None where it is incomplete."""
+        position = 0
+        lengths: list[int] = []
+        parts = []
+        while not lengths or len(parts) < lengths[0]:
+            end = self.buffer.find(b"\r\n", position)
+            if end < 0:
+                return None
+            lengths.append(int(self.buffer[position + 1 : end]))
+            position = end + 2
+            if len(lengths) > 1:
+                if len(self.buffer) < position + lengths[-1] + 2:
+                    return None
+                parts.append(bytes(self.buffer[position : position + lengths[-1]]))
+                position += lengths[-1] + 2
+        return parts, position
+
+
+class SoakWorker:
+    """A worker on a loopback address of its own, which it keeps over restarts."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.lock = threading.Lock()
+        self.arrivals: list[Arrival] = []
+        self.executed: list[tuple[float, bytes]] = []  # when an attempt was accepted, and its id
+        self.loaded: set[str] = set()  # functions
+        self.state = WorkerState.DOWN
+        self.socks: list[socket.socket] = []
+        self.delayed = DelayedCalls()
+        self.started_at_ms = 0
+        self.address = rig.free_address()
+        self.start()
+
+    def start(self) -> None:
+        """Listens, with nothing loaded."""
+        host, _, port = self.address.rpartition(":")
+        with self.lock:
+            self.loaded = set()
+            self.state = WorkerState.READY
+            self.listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
+
+    def drain(self) -> None:
+        """Rejects new work from now on."""
+        with self.lock:
+            self.state = WorkerState.DRAINING
+
+    def stop(self) -> None:
+        """Ends as a process does: resets its connections and refuses new ones."""
+        with self.lock:
+            self.state = WorkerState.DOWN
+            socks = self.socks
+            self.socks = []
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in socks:
+            with suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                sock.shutdown(socket.SHUT_RD)
+            sock.close()
+
+    def close(self) -> None:
+        """Ends for good."""
+        self.delayed.close()
+        self.stop()
+
+    def new_work(self) -> list[Arrival]:
+        """The attempts and prewarms that came so far."""
+        with self.lock:
+            return [arrival for arrival in self.arrivals if arrival.is_new_work]
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+                sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+            except OSError:
+                return
+            with self.lock:
+                self.socks.append(sock)
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        reader = CommandReader()
+        with suppress(OSError, ValueError):
+            while True:
+                data, ancillary, _, _ = sock.recvmsg(READ_SIZE, ANCILLARY_SIZE)
+                if not data:
+                    return
+                stamps = [TIMESTAMP.unpack(value[: TIMESTAMP.size]) for _, _, value in ancillary]
+                at = stamps[0][0] + stamps[0][1] / 1e9 if stamps else time.time()
+                for begun_at, parts in reader.feed(data, at):
+                    self._handle(sock, begun_at, parts)
+
+    def _handle(self, sock: socket.socket, at: float, parts: list[bytes]) -> None:
+        with self.lock:
+            state = self.state
+            arrival = Arrival(at, parts, state)
+            self.arrivals.append(arrival)
+            if state is WorkerState.READY and parts[0] == b"invoke":
+                self.executed.append((at, parts[1]))
+            delay, answer = self._answer(arrival)
+        if answer is not None:
+            self.delayed.after(delay, lambda: self._send(sock, answer))
+
+    def _answer(self, arrival: Arrival) -> tuple[float, tuple[bytes, ...] | None]:
+        """After how many seconds what is answered."""
+        ready = arrival.state is WorkerState.READY
+        tag = arrival.parts[1]
+        match arrival.verb:
+            case b"alive" | b"gauges":
+                return 0.0, (tag, b"READY" if ready else b"AILING", b"rep=inflight:2;util:0.25", b"")
+            case b"prewarm" if arrival.fields["units"] == "0":
+                return 0.0, (tag, b"ACK", b"units=1", b"")
+            case b"invoke" | b"prewarm" if not ready:
+                return 0.0, (tag, b"AGAIN", b"-", b"")
+            case b"prewarm":
+                return self._load(arrival), (tag, b"ACK", b"units=1", b"")
+            case b"invoke":
+                note = b"w" if arrival.fields["name"] in self.loaded else b"c"
+                return self._load(arrival) + WORK_SECONDS, (tag, b"ACK", b"why=%b,ahead=0" % note, arrival.parts[3])
+        return 0.0, None
+
+    def _load(self, arrival: Arrival) -> float:
+        name = arrival.fields["name"]
+        if name in self.loaded:
+            return 0.0
+        self.loaded.add(name)
+        return LOAD_SECONDS
+
+    def _send(self, sock: socket.socket, answer: tuple[bytes, ...]) -> None:
+        with suppress(OSError):
+            sock.sendall(rig.bulk(*answer))
