Readiness is a lease: work goes only to workers known to be ready, however old the list

Checked: with discovery up the same drain stops all work; refused, silent, erring and flapping discovery give the same breaks. To blame: SlowStartGuard.admits and PrewarmLimiter.may_send took endpoint.state as true for ever; AILING and AGAIN of a draining worker decided nothing. Class of fault: a cached view with no bound on its age. The endpoint list is a lease on all workers, renewed when discovery is heard; once it has expired a worker needs its own, renewed by READY and by accepted work as of when they were sent. It is checked where an attempt or prewarm is decided and again as its first byte goes out. Workers in use are asked once as the list expires, others when work waits for them, a proved one with the function loaded comes first; prewarms wait for the answer. A worker that says AILING is left out while it says so; one whose process ended while news may be missing is left out until discovery is heard, as another may answer at its address. A front end starts in doubt: its configuration is as old as its writing. Where nothing proves ready, requests are rejected with discovery-lost. Test changes: two cases of test_client_leaving need a listed worker that no connection reaches; they now say that discovery was heard. Recordings replay to the same decisions.

--- a/tests/front_end_rig.py
+++ b/tests/front_end_rig.py
@@ -13,6 +13,7 @@
 from unittest.mock import Mock, patch
 
 from tests import platform_rig as rig
+from wickdyke.gateway.events import DiscoveryHeard
 from wickdyke.platform import configuration, service
 from wickdyke.transport import event_loop
 from wickdyke.transport.event_loop import EventLoop
@@ -121,6 +122,10 @@
         self.serving.open()
         return self.serving
 
+    def discovery_heard(self):
+        """The endpoint list is complete as of now: workers need not prove ready."""
+        self.serving.coordinator.post(DiscoveryHeard(event_loop.clock()))
+
     def end(self):
         for client in list(self.serving.client_server.clients.values()):
             client.close()
--- a/tests/test_client_leaving.py
+++ b/tests/test_client_leaving.py
@@ -72,6 +72,7 @@
                     serving = self.front_end(
                         full.address, settings=self.settings(cancelling=cancelling, **{"dial-timeout": 60000000})
                     )
+                    self.discovery_heard()
                     client = self.client()
                     client.send(rig.dispatch(1, rig.fields(A, "pay"), b"x"))
                     upstream = serving.coordinator.workers.clients["w0"]
@@ -100,6 +101,7 @@
             with self.subTest(state):
                 full, other = FullListener(self), self.worker()
                 serving = self.front_end(full.address, settings=self.settings(**{"dial-timeout": 60000000}))
+                self.discovery_heard()
                 client = self.client()
                 client.send(rig.dispatch(1, rig.fields(A, "pay"), b"x"))
                 upstream = serving.coordinator.workers.clients["w0"]
--- a/wickdyke/gateway/attempts.py
+++ b/wickdyke/gateway/attempts.py
@@ -1,5 +1,7 @@
 """The attempts of pending requests: sent to workers, withdrawn, timed out, and ended."""
 
+from functools import partial
+
 from wickdyke.gateway.answers import Success
 from wickdyke.gateway.context import Context
 from wickdyke.gateway.events import AttemptWithdrawn, CommandFinished
@@ -47,6 +49,7 @@
         now = self.context.now()
         time_left = max(0.0, min(request.deadline - now, request.deadline if timeout is None else timeout))
         command = self.protocol.attempt_command(attempt, pending, time_left)
+        command.may_begin = partial(self.context.driver.router.may_send, decision.worker)
         pending.commands[attempt] = command
         # The client may have left since it was decided: nothing begins for it.
         wanted = not pending.closed and pending.still_wanted()
--- a/wickdyke/gateway/coordinator.py
+++ b/wickdyke/gateway/coordinator.py
@@ -9,6 +9,7 @@
 import threading
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from wickdyke.gateway import events
@@ -95,6 +96,7 @@
             events.RequestCancelled: lambda event: self.requests.client_gone(event.pending),
             events.ClientClosed: self._client_closed,
             events.EndpointsReceived: lambda event: self.workers.apply(event.entries, self.context.now()),
+            events.DiscoveryHeard: lambda event: self.context.inform("discovery_heard", event.at),
             events.CommandFinished: self._command_finished,
             events.AttemptWithdrawn: self.attempts.withdrawn,
         }
@@ -205,16 +207,23 @@
 
     def _reject(self, decision: decisions.Reject) -> None:
         pending = self.requests.by_id[decision.request.ident]
-        reason = _reason(decision.request)
+        reason = self._reason(decision.request)
         self.counts[f"rejected_{reason}"] += 1
         self.requests.answer(pending, Rejection(reason, decision.retry_after))
         self.requests.forget(pending)
 
     def _fail(self, decision: decisions.Fail) -> None:
         pending = self.requests.by_id[decision.request.ident]
-        self.requests.answer(pending, Failure(_reason(decision.request)))
+        self.requests.answer(pending, Failure(self._reason(decision.request)))
         self.requests.forget(pending)
 
+    def _reason(self, request: Request) -> AnswerReason:
+        """Why a request gets no answer from a worker: how its last attempt ended, if there was one."""
+        outcomes = [attempt.outcome for attempt in request.attempts if attempt.outcome]
+        if outcomes:
+            return Outcome(outcomes[-1])
+        return RejectionReason.DISCOVERY_LOST if self.router.readiness.in_doubt else RejectionReason.NO_PLACE
+
     # ---- workers ----
 
     def _endpoints_changed(self, endpoints: list[Endpoint]) -> None:
@@ -231,7 +240,7 @@
                 self._prewarm_finished(key, result)
             case worker:
                 self.counts[f"health_checks_{result.outcome}"] += 1
-                self.context.inform("health_checked", worker, result.outcome, result.report)
+                self.context.inform("health_checked", worker, result.outcome, result.report, result.same_process_since)
 
     def _prewarm_finished(self, key: PrewarmKey, result: CommandResult) -> None:
         self.counts[f"prewarms_{result.outcome}"] += 1
@@ -244,6 +253,7 @@
         function = decision.function
         key = PrewarmKey(name, function.name, self.context.now())
         command = self.protocol.prewarm_command(key, function, decision.replicas)
+        command.may_begin = partial(self.router.may_send, decision.worker)
         self.counts["prewarms"] += 1
         self._send_to(name, command, self.config.function_cache.prewarm_timeout)
 
@@ -270,9 +280,3 @@
     def _log_note(self, decision: decisions.LogNote) -> None:
         note = logs.parse_note(decision.text)
         self.log.info(note.event, **note.fields)
-
-
-def _reason(request: Request) -> AnswerReason:
-    """Why a request gets no answer from a worker: how its last attempt ended."""
-    outcomes = [attempt.outcome for attempt in request.attempts if attempt.outcome]
-    return Outcome(outcomes[-1]) if outcomes else RejectionReason.NO_PLACE
--- a/wickdyke/gateway/events.py
+++ b/wickdyke/gateway/events.py
@@ -35,6 +35,13 @@
     entries: Sequence[object]
 
 
+@dataclass(slots=True, frozen=True, eq=False)
+class DiscoveryHeard:
+    """Discovery has reported all there was at that time (monotonic ms); -inf where the list is of unknown age."""
+
+    at: float
+
+
 @dataclass(slots=True, frozen=True, eq=False)
 class WorkerConnected:
     """A worker was connected to, and sent its hello."""
@@ -95,6 +102,7 @@
     | RequestCancelled
     | ClientClosed
     | EndpointsReceived
+    | DiscoveryHeard
     | WorkerConnected
     | WorkerUnreachable
     | WorkerConnectionLost
--- a/wickdyke/gateway/interfaces.py
+++ b/wickdyke/gateway/interfaces.py
@@ -26,6 +26,7 @@
     OVERRUN = "overrun"  # too many events wait for the coordinator
     NO_TIME = "no-time"  # its deadline has passed
     NO_PLACE = "no-place"  # no worker could be chosen
+    DISCOVERY_LOST = "discovery-lost"  # the endpoint list is too old, and no worker proved ready in time
     LOAD_FAILED = "load-failed"  # the circuit breaker of its function is open
     POISON = "poison"  # the circuit breaker of its input is open
     FAULT = "fault"  # handling it raised an exception
@@ -177,14 +178,23 @@
 CommandKey = Attempt | PrewarmKey | str  # of an attempt, a prewarm, a health check (the worker's name)
 
 
+def _always(now: float) -> bool:
+    return True
+
+
 class Command:
-    """One message to a worker that expects an answer. `key` is the coordinator's."""
+    """One message to a worker that expects an answer. `key` is the coordinator's.
+
+    `may_begin` is called with the time (monotonic ms) just before the first byte is sent: where it returns False, the
+    command is not sent any more, and ends as unsent. A client that sends at once need not call it.
+    """
 
-    __slots__ = ("key", "kind", "worker_client")
+    __slots__ = ("key", "kind", "may_begin", "worker_client")
 
     def __init__(self, kind: CommandKind, key: CommandKey) -> None:
         self.kind = kind
         self.key = key
+        self.may_begin: Callable[[float], bool] = _always
         self.worker_client: AnyWorkerClient | None = None
 
 
@@ -196,7 +206,8 @@
     """How a command ended, and what the worker reported with it.
 
     `concurrent`: requests of the function in flight at the worker when the attempt arrived; `requests_in_replica`: how
-    many were in a replica that ended.
+    many were in a replica that ended; `same_process_since`: as far as the worker's connections show, the process that
+    answered a health check has run since then (monotonic ms; None where the protocol does not keep it).
     """
 
     outcome: Outcome
@@ -206,6 +217,7 @@
     report: WorkerLoad | None = None
     replicas: int = 0
     requests_in_replica: int = 0
+    same_process_since: float | None = None
 
 
 class Withdrawal(StrEnum):
--- a/wickdyke/gateway/recording.py
+++ b/wickdyke/gateway/recording.py
@@ -232,8 +232,8 @@
                 note = cast(LoadNote | None, load_note)  # a worker's word that is none was passed on as it was
                 load = self._worker_load(report)
                 return [AttemptFinished(ident, number, Outcome(outcome), final, note, concurrent, load)]
-            case "health_checked", [ident, outcome, report]:
-                return [ident, Outcome(outcome), self._worker_load(report)]
+            case "health_checked", [ident, outcome, report, *same_process_since]:
+                return [ident, Outcome(outcome), self._worker_load(report), *same_process_since]
         return args
 
     def _worker_load(self, values: list[float] | None) -> WorkerLoad | None:
--- a/wickdyke/platform/discovery.py
+++ b/wickdyke/platform/discovery.py
@@ -44,6 +44,8 @@
 class DiscoveryClient:
     """Follows the events from one address and passes them to `notify`.
 
+    `notify_heard` is called with each time (ms) as of which no event is missing, after the events up to then.
+
     `last_offset` returns the number of the last event applied, after which events are requested.
     """
 
@@ -56,11 +58,13 @@
         last_offset: Callable[[], int],
         notify: Callable[[list[Event]], None],
         log: Log,
+        notify_heard: Callable[[float], None] = lambda at: None,
     ) -> None:
         self.loop = loop
         self.address = settings.address
         self.last_offset = last_offset
         self.notify = notify
+        self.notify_heard = notify_heard
         self.log = log
         # Where the grace for drains leaves next to no time, a server that is slow to accept has to be reached still.
         self.connect_timeout = min(MAX_CONNECT_TIMEOUT, max(MIN_CONNECT_TIMEOUT, settings.backoff_limit))
@@ -82,6 +86,7 @@
         self.last_activity = 0.0  # ms; when data was received last, or the last step of connecting was done
         self.up_since = 0.0  # ms; when the last response began
         self.caught_up = False  # whether the events that were missed before this connection have been received
+        self.unread_since: float | None = None  # ms; no byte that was left unread is older; None where none was left
         self.heard_at: float | None = None  # ms; all events up to then have been received; None before the first time
 
     def open(self) -> None:
@@ -111,6 +116,7 @@
         self.connected = False
         self.up = False
         self.caught_up = False
+        self.unread_since = None
         self.unsent = b""
         self.last_activity = clock()
         self.http = h11.Connection(h11.CLIENT)
@@ -246,6 +252,10 @@
         assert self.sock is not None
         if (data := receive(self.sock, READ_SIZE)) is None:
             return
+        # The data may have waited in the kernel while this process did not run: it is as old as the poll before the
+        # first that found the socket ready.
+        arrived_after = self.loop.arrived_after if self.unread_since is None else self.unread_since
+        self.unread_since = arrived_after if len(data) == READ_SIZE else None
         try:
             ended = self._parse_http(data)
         except (h11.ProtocolError, InvalidResponseError, sse.EventTooLargeError) as error:
@@ -260,8 +270,8 @@
         # list out of date. So only data after which no event is incomplete counts as a sign of life.
         if data and not self.events.begun:
             self.last_activity = clock()
-            if self.caught_up and len(data) < READ_SIZE:
-                self._heard()
+            if self.caught_up and self.unread_since is None:
+                self._heard(arrived_after)
         if ended or not data:
             was_up = self.up
             self._end()
@@ -286,15 +296,14 @@
         self.last_activity = clock()
         self.up_since = clock()
 
-    def _heard(self) -> None:
-        """Nothing that discovery reported so far is missing."""
-        # The data may have waited in the kernel while this process did not run: it is as old as the poll before, when
-        # there was none.
+    def _heard(self, at: float) -> None:
+        """Nothing that discovery reported up to that time (ms) is missing."""
         outage = self.heard_ms()
-        self.heard_at = max(self.loop.arrived_after, self.heard_at or self.loop.arrived_after)
+        self.heard_at = at if self.heard_at is None else max(at, self.heard_at)
         if self.logged_failure:
             self.logged_failure = ""
             self.log.info("endpoint list connected", outage_ms=outage, offset=self.last_offset())
+        self.notify_heard(self.heard_at)
 
     def _parse_events(self, data: bytes) -> None:
         events = []
--- a/wickdyke/platform/service.py
+++ b/wickdyke/platform/service.py
@@ -1,6 +1,7 @@
 """A front end of the platform: one thread, one event loop that steps the coordinator; signals and graceful shutdown."""
 
 import gc
+import math
 import os
 import signal
 import sys
@@ -12,7 +13,7 @@
 from wickdyke.gateway import log as logs
 from wickdyke.gateway.context import clock
 from wickdyke.gateway.coordinator import Coordinator
-from wickdyke.gateway.events import EndpointsReceived
+from wickdyke.gateway.events import DiscoveryHeard, EndpointsReceived
 from wickdyke.gateway.interfaces import Log, RejectionReason
 from wickdyke.platform import configuration as configurations
 from wickdyke.platform.client_server import ClientServer, ClientServerSettings
@@ -93,6 +94,7 @@
             lambda: self.endpoints.offset,
             self._post_events,
             log,
+            lambda at: self.coordinator.post(DiscoveryHeard(at)),
         )
         self.shutdown_requested_at: float | None = None  # ms
         self.reload_requested = False  # by a signal
@@ -129,6 +131,8 @@
     def open(self) -> None:
         """Starts to serve. Raises OSError where it can't listen."""
         self.coordinator.post(EndpointsReceived(self.configuration.initial_events))
+        # The configuration is as old as its writing, and discovery may be out of reach: so that is no news.
+        self.coordinator.post(DiscoveryHeard(-math.inf))
         self.coordinator.run_once()
         self.discovery.open()
         self.client_server.listen()
--- a/wickdyke/platform/worker_client.py
+++ b/wickdyke/platform/worker_client.py
@@ -4,6 +4,7 @@
 attempt. Prewarms and health checks share one beside them.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -65,6 +66,8 @@
         self.shared: WorkerConnection | None = None  # for prewarms and health checks
         self.reachability = Reachability()
         self.probe = LivenessProbe(self._connect_probe, self._end_lost)
+        self.process_may_be_new = False  # a connection has shown that the process ended, and none was made since
+        self.same_process_since = -math.inf  # ms; as far as connections have shown
         self.draining = False
         self.closed = False
 
@@ -75,12 +78,11 @@
     def send(self, command: Command) -> None:
         """Sends a command on a connection that accepts it; its end is reported by `notify`."""
         command.worker_client = self
-        if self.closed or self.draining or command.deadline <= clock():
+        now = clock()
+        if self.closed or self.draining or command.deadline <= now or not command.may_begin(now):
             self.finish(command, Outcome.UNSENT)
             return
-        connection = (
-            self._for_attempt(command.ident) if command.kind == CommandKind.ATTEMPT else self._for_others(command.ident)
-        )
+        connection = self._connection_for(command)
         if connection is None:
             self.finish(command, Outcome.UNSENT)
         elif connection.failed is not None:
@@ -88,13 +90,19 @@
         else:
             connection.send(command)
 
+    def _connection_for(self, command: Command) -> WorkerConnection | None:
+        """A connection that accepts the command, or failed as it was begun; None where none may be made now."""
+        if command.kind == CommandKind.ATTEMPT:
+            return self._for_attempt(command.ident)
+        return self._for_others(command.ident, command.kind)
+
     def _for_attempt(self, ident: bytes) -> WorkerConnection | None:
         self.sweep()
         for connection in reversed(self.connections):
             if not connection.commands_in_flight and connection.accepts(ident):
                 if connection.alive():
                     return connection
-                connection.end("ended while idle")
+                connection.end_by_worker("ended while idle")
         if self.pool.make_room():
             connection = WorkerConnection(self)
             if not connection.failed:
@@ -108,14 +116,15 @@
             default=None,
         )
 
-    def _for_others(self, ident: bytes) -> WorkerConnection | None:
+    def _for_others(self, ident: bytes, kind: CommandKind) -> WorkerConnection | None:
         connection = self.shared
-        if (
-            connection is not None
-            and connection.commands_in_flight == 0
-            and not (clock() - connection.last_used_at < self.idle_timeout and connection.alive())
-        ):
-            connection.end("idle")
+        if connection is not None and connection.commands_in_flight == 0:
+            if not connection.alive():
+                connection.end_by_worker("ended while idle")
+            elif clock() - connection.last_used_at >= self.idle_timeout:
+                connection.end("idle")
+        if self.shared is None and kind == CommandKind.HEALTH_CHECK:
+            self.shared = self._idle_connection(ident)
         if self.shared is None or not self.shared.accepts(ident):
             if not self.pool.make_room():
                 return None
@@ -128,6 +137,14 @@
             self.shared = connection
         return self.shared
 
+    def _idle_connection(self, ident: bytes) -> WorkerConnection | None:
+        """Takes an idle connection of the attempts: an answer on it costs no handshake."""
+        for connection in reversed(self.connections):
+            if connection.up and not connection.commands_in_flight and connection.accepts(ident) and connection.alive():
+                self.connections.remove(connection)
+                return connection
+        return None
+
     def sweep(self) -> None:
         """Ends idle connections before the worker does."""
         now = clock()
@@ -183,9 +200,19 @@
 
     def connected(self) -> None:
         """A connection was established."""
+        if self.process_may_be_new:
+            self.process_may_be_new = False
+            self.same_process_since = clock()
         self.reachability.connected()
         self.settle_unresolved(Liveness.ALIVE)
 
+    def process_ended(self) -> None:
+        """A connection was reset, or refused: where no other is established, the process may have ended."""
+        # A process that dies resets all its connections. One that is reset alone costs less when it is taken for that
+        # than a process that has started anew and is not known to be warming up.
+        if not any(connection.up for connection in self.all_connections()):
+            self.process_may_be_new = True
+
     def settle_unresolved(self, liveness: Liveness) -> None:
         """A connection was established or failed, which may settle commands whose answers were lost."""
         self.probe.settle(liveness)
--- a/wickdyke/platform/worker_command.py
+++ b/wickdyke/platform/worker_command.py
@@ -55,9 +55,11 @@
         return self.message is not None and self.message.begun
 
     def render(self) -> bytes | None:
-        """Returns the command as it may be sent now; None where its deadline has passed."""
-        left = self.deadline - clock()
-        if left <= 0:
+        """Returns the command as it may be sent now; None where its deadline has passed, or it may not begin."""
+        # What was decided while the worker was known to be ready may have waited for a connection since.
+        now = clock()
+        left = self.deadline - now
+        if left <= 0 or not self.may_begin(now):
             return None
         # Rounded down: a worker is promised no more time than is left.
         return self.content(max(1, math.floor(left))) if callable(self.content) else self.content
--- a/wickdyke/platform/worker_connection.py
+++ b/wickdyke/platform/worker_connection.py
@@ -4,9 +4,10 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
-from wickdyke.gateway.interfaces import CommandResult, Withdrawal
+from wickdyke.gateway.interfaces import CommandKind, CommandResult, Withdrawal
 from wickdyke.platform import resp
 from wickdyke.platform.connection_pool import ConnectionPool, PooledClient
 from wickdyke.platform.connection_state import LIVENESS, ConnectionState, EndCause
@@ -40,6 +41,7 @@
     connect_timeout: float  # ms
     report_fields: tuple[str, ...]
     reachability: Reachability
+    same_process_since: float  # ms; as far as connections have shown
 
     def connected(self) -> None:
         """The connection was established."""
@@ -59,6 +61,9 @@
     def answers_lost(self, commands: list[Command], worker_alive: bool) -> None:
         """The connection ended with these commands in flight: they may have run."""
 
+    def process_ended(self) -> None:
+        """A connection was refused, or the worker's side has ended one that was established."""
+
     def settle_unresolved(self, liveness: Liveness) -> None:
         """The connection ended before it was established, which shows that of the worker."""
 
@@ -87,6 +92,8 @@
             inconclusive = worker_client.reachability.is_inconclusive(code)
             self.failed = Outcome.UNSENT if inconclusive else Outcome.UNREACHED
             self._count(f"connect_{error_name(code)}")
+            if code == errno.ECONNREFUSED:
+                worker_client.process_ended()
         else:
             self.sock = sock
             self._register()
@@ -277,6 +284,8 @@
             self.end(f"getsockopt: {error_name(error.errno)}", EndCause.INCONCLUSIVE)
             return
         if code:
+            if code == errno.ECONNREFUSED:
+                self.worker_client.process_ended()
             self.end(f"connect: {error_name(code)}", self._cause_of(code))
             return
         self.state = ConnectionState.ESTABLISHED
@@ -306,10 +315,10 @@
             return
         except OSError as error:
             if error.errno not in SHORT_OF_MEMORY:  # recv(2): for a moment; the kernel reports the same bytes again
-                self.end(f"{type(error).__name__}: {error}")
+                self.end_by_worker(f"{type(error).__name__}: {error}")
             return
         if not data:
-            self.end("ended by the worker")
+            self.end_by_worker("ended by the worker")
             return
         self.last_read_at = clock()
         self.worker_client.reachability.reached()
@@ -348,8 +357,15 @@
         self.ended_ids.append(answer[0])
         del self.open[answer[0]]
         self.last_used_at = self.last_read_at
+        if command.kind == CommandKind.HEALTH_CHECK:
+            result = replace(result, same_process_since=self.worker_client.same_process_since)
         self.worker_client.finish(command, result.outcome, result)
 
+    def end_by_worker(self, reason: str) -> None:
+        """Ends the connection, whose other side has ended it."""
+        self.end(reason)
+        self.worker_client.process_ended()
+
     def end(self, reason: str, cause: EndCause = EndCause.PLAIN) -> None:
         """Ends the connection and all commands on it. `reason` is counted where it was not established."""
         if self.state is ConnectionState.CLOSED:
--- a/wickdyke/routing/dispatcher.py
+++ b/wickdyke/routing/dispatcher.py
@@ -29,6 +29,7 @@
 from wickdyke.routing.periods import TICK
 from wickdyke.routing.placement import FILL_UTILIZATION
 from wickdyke.routing.prewarming import Prewarmer, PrewarmLimiter, PrewarmPlan
+from wickdyke.routing.readiness import Readiness
 from wickdyke.routing.retries import attempts_allowed, may_attempt_at, may_reject, may_wait, within_retry_budget
 from wickdyke.routing.selection import ReplicaSelector
 from wickdyke.routing.settings import AttemptLimits, FunctionCache
@@ -58,6 +59,7 @@
     prewarm_limiter: PrewarmLimiter
     prewarmer: Prewarmer
     selector: ReplicaSelector
+    readiness: Readiness
     outliers: OutlierDetector
     fleet: Fleet
     global_concurrency: GlobalConcurrency
@@ -130,6 +132,8 @@
         if kind in self.unplaceable:
             return None
         replica = self._choose(request, excluded, now)
+        if replica is not None and not self.readiness.may_send(replica.worker, now):
+            replica = self._choose_proved(replica, request, excluded, now)
         if replica is None and not request.attempts:
             self.unplaceable.add(kind)
         return replica
@@ -150,6 +154,21 @@
                 return connected
         return self.selector.choose(request, can_serve, now)
 
+    def _choose_proved(self, preferred: Replica, request: Request, excluded: set[Worker], now: float) -> Replica | None:
+        """A loaded replica of a worker that is proved ready. Without one, the worker of the preferred one is asked.
+
+        To ask each worker that has the lowest latency would cost a health check for nearly each request.
+        """
+        can_serve = self._filter(request, excluded, now)
+
+        def is_proved(worker: Worker) -> bool:
+            return self.readiness.may_send(worker, now) and can_serve(worker)
+
+        proved = self.selector.choose_loaded(request, is_proved, now)
+        if proved is None:
+            self.readiness.require(preferred.worker, now)
+        return proved
+
     def _filter(self, request: Request, excluded: set[Worker], now: float) -> Callable[[Worker], bool]:
         allowed = attempts_allowed(request, self.limits)
         missed = {
@@ -160,10 +179,14 @@
             and not self.latency.is_loaded(attempt.replica, now)
         }
 
+        list_expired = self.readiness.list_expired(now)
+
         def can_serve(worker: Worker) -> bool:
             return (
                 worker not in excluded
                 and worker.ejected_until <= now
+                and worker.not_ready_since is None
+                and (not list_expired or self.readiness.may_choose(worker, now))
                 and not (worker in missed and not self.prewarm_limiter.may_send(worker, False, now))
                 and not (worker.ejections and (worker.in_flight or worker.failed_checks))
                 and self.slow_start.admits(worker, request, now)
@@ -264,7 +287,8 @@
 
     def _wait(self, request: Request, replica: Replica | None, now: float) -> None:
         request.queued = True
-        if request.attempts and not replica and not self.cache.loads_on_demand:  # the quota is used up
+        quota_used_up = request.attempts and not replica and not self.cache.loads_on_demand
+        if quota_used_up and not self.readiness.list_expired(now):
             request.not_before = max(request.not_before, now + RETRY_INTERVAL)
         self.waiting.append(request)
 
--- a/wickdyke/routing/health_checks.py
+++ b/wickdyke/routing/health_checks.py
@@ -32,9 +32,19 @@
             and worker.endpoint.state == EndpointState.READY
             and now - max(reported, worker.last_checked) >= every
         ):
-            worker.last_checked = now
             self.budget.spend()
-            self.decisions.append(HealthCheck(worker))
+            self._send(worker, now)
+
+    def ask(self, worker: Worker, now: float) -> None:
+        """Checks the worker at once, as work waits for its answer, unless a check of it is in flight."""
+        if self.enabled and worker.endpoint.state == EndpointState.READY and worker.asked_at is None:
+            self.budget.owe()
+            self._send(worker, now)
+
+    def _send(self, worker: Worker, now: float) -> None:
+        worker.last_checked = now
+        worker.asked_at = now
+        self.decisions.append(HealthCheck(worker))
 
     def check_in_turn(self, tick: float, now: float) -> None:
         """Continues through the rota, at a pace that checks each worker every CHECK_EVERY ms; `tick` ms have passed."""
--- a/wickdyke/routing/model.py
+++ b/wickdyke/routing/model.py
@@ -30,7 +30,7 @@
     CONNECTION_LOST = "cut"  # the connection ended under it: it may have run
     CANCELLED = "cancelled"  # withdrawn: it may have run
     UNSENT = "unsent"  # no byte of it was sent: it never ran
-    NOT_READY = "not ready"  # of a health check: the worker answered that it accepts no work, as one that drains does
+    NOT_READY = "not-ready"  # of a health check: the worker answered that it accepts no work, as one that drains does
 
 
 class Effect(StrEnum):
@@ -229,6 +229,10 @@
     memory_short_until: float = 0.0
     last_heard: float = 0.0
     last_checked: float = 0.0
+    asked_at: float | None = None  # when the health check in flight was sent
+    ready_at: float = float("-inf")  # when it was ready, as far as it has shown that itself
+    not_ready_since: float | None = None  # it said so, or its process had ended
+    same_process_since: float = float("-inf")  # as far as its connections have shown
     limit_lowered_at: float = 0.0
     utilization: float = 0.0
     sampled_latency: float = 0.0
--- a/wickdyke/routing/outliers.py
+++ b/wickdyke/routing/outliers.py
@@ -9,6 +9,7 @@
     ResultSample,
     Worker,
 )
+from wickdyke.routing.readiness import Readiness
 from wickdyke.routing.replicas import clear_replicas
 from wickdyke.routing.slow_start import SlowStartGuard
 
@@ -32,11 +33,18 @@
 class OutlierDetector:
     """Ejects workers, and readmits them once they answer."""
 
-    def __init__(self, log_note: Callable[[str], None], latency: LatencyEstimator, slow_start: SlowStartGuard) -> None:
+    def __init__(
+        self,
+        log_note: Callable[[str], None],
+        latency: LatencyEstimator,
+        slow_start: SlowStartGuard,
+        readiness: Readiness,
+    ) -> None:
         """A detector without ejected workers; `log_note` writes a line to the log."""
         self.log_note = log_note
         self.latency = latency
         self.slow_start = slow_start
+        self.readiness = readiness
         self.ejected: dict[Worker, None] = {}
         self.last_outcomes: dict[Worker, tuple[float, Outcome]] = {}  # of recent workers, with their time (ms)
         self.network_fault = False
@@ -60,6 +68,7 @@
             # this is wrong.
             clear_replicas(worker)
             self.slow_start.connection_lost(worker, now)
+            self.readiness.process_ended(worker, now)
         if outcome in ANSWERED:
             worker.last_heard = now
             worker.failed_checks = 0
--- a/wickdyke/routing/prewarming.py
+++ b/wickdyke/routing/prewarming.py
@@ -9,6 +9,7 @@
 from wickdyke.routing.decisions import Decision, Prewarm
 from wickdyke.routing.latency import LatencyEstimator
 from wickdyke.routing.model import EndpointState, Function, Replica, Worker
+from wickdyke.routing.readiness import Readiness
 from wickdyke.routing.samples import trim_times
 from wickdyke.routing.settings import FunctionCache, PrewarmQuota
 
@@ -17,6 +18,7 @@
 MAX_NEW_PER_WORKER = 2  # new replicas in each period
 MAX_REPLICAS = 16  # that one prewarm asks for
 RESERVED_FOR_NEW = 0.34  # part of the quota that renewals may not use
+MAX_HELD = 8  # prewarms that wait for their workers to prove ready
 WINDOW_EDGE = 1e-3  # ms by which a prewarm counts for longer, to the safe side at the very edge
 
 
@@ -82,6 +84,7 @@
         budget: ControlBudget,
         latency: LatencyEstimator,
         decisions: deque[Decision],
+        readiness: Readiness,
     ) -> None:
         """A prewarmer that appends what it sends to `decisions`."""
         self.cache = cache
@@ -89,6 +92,8 @@
         self.budget = budget
         self.latency = latency
         self.decisions = decisions
+        self.readiness = readiness
+        self.held: dict[Replica, PrewarmPlan] = {}  # until their workers have answered
 
     def plan(self, cell: Cell, now: float) -> list[PrewarmPlan]:
         """The prewarms wanted for the functions of a cell, those with most requests first."""
@@ -122,11 +127,18 @@
             plans.append(PrewarmPlan(replica, replica.wanted, renewal))
 
     def send(self, plan: PrewarmPlan, now: float) -> None:
-        """Sends a prewarm, if it is within the quota and covered by the control budget."""
+        """Sends a prewarm, if it is within the quota and covered by the control budget.
+
+        Where its worker has to prove ready first, it is held back until the worker has answered.
+        """
         replica = plan.replica
         covered = self.budget.covers_one() or not self.cache.loads_on_demand
         if not covered or not self.limiter.may_send(replica.worker, plan.renewal, now):
             return
+        if not self.readiness.require(replica.worker, now):
+            if len(self.held) < MAX_HELD and self.readiness.may_choose(replica.worker, now):
+                self.held[replica] = plan
+            return
         self.limiter.sent.append(now)
         self.budget.spend()
         replica.prewarm_sent_at = now
@@ -134,3 +146,10 @@
             replica.loading_since = now
         replicas = min(plan.replicas, MAX_REPLICAS)
         self.decisions.append(Prewarm(replica.worker, replica.function, replicas))
+
+    def release(self, worker: Worker) -> list[PrewarmPlan]:
+        """The prewarms that were held back for an answer of that worker."""
+        plans = [plan for replica, plan in self.held.items() if replica.worker is worker]
+        for plan in plans:
+            del self.held[plan.replica]
+        return plans
--- a/wickdyke/routing/router.py
+++ b/wickdyke/routing/router.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from heapq import nlargest
 
 from wickdyke.routing.cells import Cell
 from wickdyke.routing.concurrency import INITIAL_LIMIT
@@ -30,6 +31,7 @@
 from wickdyke.routing.placement import Placement
 from wickdyke.routing.placement_schedule import PlacementSchedule
 from wickdyke.routing.prewarming import Prewarmer, PrewarmLimiter, PrewarmPlan
+from wickdyke.routing.readiness import Readiness
 from wickdyke.routing.results import ResultRecorder
 from wickdyke.routing.retries import RetryBudgets, schedule_retry
 from wickdyke.routing.samples import Recent
@@ -42,6 +44,9 @@
 CELL_CAPACITY = 48  # workers of a cell in a larger fleet
 POINTS_PER_FUNCTION = 16  # on the hash ring
 MAX_FUNCTIONS = 16384
+MAX_WAITING_FOR_ANSWER = 64  # requests that are decided again at once when a worker has proved ready
+IN_USE = 2000.0  # ms since its last answer for which a worker counts as in use
+MAX_ASKED_AHEAD = 8  # workers in use that are asked when the endpoint list expires
 
 
 class Router:
@@ -73,8 +78,12 @@
         self.latency = LatencyEstimator(cache, instance, settings.tenant_quotas)
         self.slow_start = SlowStartGuard(settings.slow_start, instance)
         self.prewarm_limiter = PrewarmLimiter(settings.prewarm_quota)
-        self.outliers = OutlierDetector(self.notes.append, self.latency, self.slow_start)
         self.control_budget = ControlBudget()
+        self.health_checker = HealthChecker(settings.attempt_limits.health_checks, self.control_budget, self.decisions)
+        self.readiness = Readiness(
+            settings.discovery.drain_grace, self.slow_start, self.health_checker, self.notes.append
+        )
+        self.outliers = OutlierDetector(self.notes.append, self.latency, self.slow_start, self.readiness)
         self.retry_budgets = RetryBudgets()
         self.global_concurrency = GlobalConcurrency(
             load_reports=deque(maxlen=REPORTS_KEPT), objective_shares=deque(maxlen=OBJECTIVE_SHARES_KEPT)
@@ -98,8 +107,9 @@
         cache = self.cache
         latency = self.latency
         fleet = self.fleet
-        self.health_checker = HealthChecker(limits.health_checks, self.control_budget, self.decisions)
-        self.prewarmer = Prewarmer(cache, self.prewarm_limiter, self.control_budget, latency, self.decisions)
+        self.prewarmer = Prewarmer(
+            cache, self.prewarm_limiter, self.control_budget, latency, self.decisions, self.readiness
+        )
         self.results = ResultRecorder(
             cache, latency, self.slow_start, self.prewarm_limiter, self.outliers, self.global_concurrency
         )
@@ -112,6 +122,7 @@
             prewarm_limiter=self.prewarm_limiter,
             prewarmer=self.prewarmer,
             selector=ReplicaSelector(fleet, self.outliers, self.random),
+            readiness=self.readiness,
             outliers=self.outliers,
             fleet=fleet,
             global_concurrency=self.global_concurrency,
@@ -147,12 +158,24 @@
         changes = self.fleet.update(endpoints, bool(whole))
         for worker in changes.gone:
             self.outliers.forget(worker)
+            self.readiness.forget(worker)
+            self.prewarmer.release(worker)
             self.slow_start.carry_over(worker, self.workers.get(worker.endpoint.ident))
         for cell in changes.cells:
             self.health_checker.watch(cell.ready)
             cell.placement.scope.invalidate()  # sizes may have changed
             cell.placement.scope.update(self.now)
 
+    def discovery_heard(self, at: float) -> None:
+        """Discovery has reported all there was at that time (ms); -inf where the list is of unknown age.
+
+        A host that never passes this has a list that does not expire.
+        """
+        expired = self.readiness.list_expired(self.now)
+        self.readiness.discovery_heard(at)
+        if expired and not self.readiness.list_expired(self.now):
+            self.wake_at = self.now
+
     def request_received(self, received: RequestReceived) -> None:
         """Opens a request, and makes its function known if it is new."""
         ident, time_left, request_class, name, _, _, _, work, is_repeat, policy = received
@@ -205,7 +228,12 @@
         request = self.requests.get(finished.ident)
         if request is None or finished.number >= len(request.attempts):
             return
-        self.results.attempt_finished(request.attempts[finished.number], finished, now)
+        attempt = request.attempts[finished.number]
+        self.results.attempt_finished(attempt, finished, now)
+        if finished.outcome == Outcome.OK:
+            self.readiness.work_accepted(attempt.replica.worker, attempt.sent_at)
+        elif finished.outcome == Outcome.FULL:
+            self.readiness.work_rejected(attempt.replica.worker, now)
         request.closed = request.closed or finished.final
         if request.route_policy and finished.outcome != Outcome.OK:
             schedule_retry(request, request.route_policy, finished.outcome, self.random, now)
@@ -225,15 +253,39 @@
         replica = worker.replicas.get(function) if worker and function else None
         if replica is not None:
             self.results.prewarm_finished(replica, outcome, replicas, elapsed, self.now)
+            if outcome == Outcome.FULL:
+                self.readiness.work_rejected(replica.worker, self.now)
+
+    def health_checked(
+        self, ident: str, outcome: Outcome, load: WorkerLoad | None, same_process_since: float | None = None
+    ) -> None:
+        """Enters how a health check of the worker of that identifier ended, with the load that it reported.
 
-    def health_checked(self, ident: str, outcome: Outcome, load: WorkerLoad | None) -> None:
-        """Enters how a health check of the worker of that identifier ended, with the load that it reported."""
-        if worker := self.workers.get(ident):
-            self.latency.record_report(worker, load, self.now)
-            self.health_checker.finished(worker, outcome, self.now)
-            if outcome == Outcome.UNREACHED:
-                self.outliers.record(worker, outcome, self.now)
-            self.wake_at = min(self.wake_at, self.now + TICK)
+        `same_process_since`: as far as the worker's connections show, its process has run since then (ms).
+        """
+        worker = self.workers.get(ident)
+        if worker is None:
+            return
+        now = self.now
+        self.latency.record_report(worker, load, now)
+        self.health_checker.finished(worker, outcome, now)
+        if outcome == Outcome.UNREACHED:
+            self.outliers.record(worker, outcome, now)
+        elif outcome == Outcome.CONNECTION_LOST:
+            self.readiness.process_ended(worker, now)
+        self.readiness.checked(worker, outcome, same_process_since, now)
+        self.wake_at = min(self.wake_at, now + TICK)
+        if self.readiness.list_expired(now):
+            self._readiness_answered(worker, outcome)
+
+    def _readiness_answered(self, worker: Worker, outcome: Outcome) -> None:
+        """Decides again what may have waited for the worker's answer."""
+        held = self.prewarmer.release(worker)
+        if self.readiness.may_send(worker, self.now):
+            self.planned.extend(held)
+        answered = outcome in (Outcome.OK, Outcome.NOT_READY)
+        if answered and len(self.dispatcher.waiting) <= MAX_WAITING_FOR_ANSWER:  # else at the next tick
+            self.dispatcher.retry_waiting(self._rank)
 
     # ---- decisions ----
 
@@ -255,8 +307,10 @@
         if not self.following:
             self.following = True
             self.decisions.append(FollowEndpoints(True))
+        if self.readiness.update(now):
+            self._ask_workers_in_use(now)
         self._check_silent_workers(now)
-        for worker in self.outliers.ejected:
+        for worker in [*self.outliers.ejected, *self.readiness.not_ready]:
             self.health_checker.check(worker, CHECK_EVERY, now)
         self.health_checker.check_in_turn(TICK, now)
         hedgeable = [attempt.request for attempt in self.global_concurrency.in_flight if attempt.request.route_policy]
@@ -269,6 +323,16 @@
         busy = self.requests or self.health_checker.unanswered
         self.wake_at = min(self.schedule.next_at, now + TICK if busy else self.schedule.next_at)
 
+    def may_send(self, worker: Worker, now: float) -> bool:
+        """Whether new work may go out to the worker at that time (ms): what was decided earlier may be sent later."""
+        return self.readiness.may_send(worker, now)
+
+    def _ask_workers_in_use(self, now: float) -> None:
+        """The endpoint list has expired: the workers heard of last are asked before a request waits for that."""
+        in_use = [worker for worker in self.workers.values() if now - worker.last_heard < IN_USE]
+        for worker in nlargest(MAX_ASKED_AHEAD, in_use, key=lambda worker: worker.last_heard):
+            self.readiness.require(worker, now)
+
     def _check_silent_workers(self, now: float) -> None:
         # No other attempt can be overdue yet.
         suspects = [
--- a/wickdyke/routing/selection.py
+++ b/wickdyke/routing/selection.py
@@ -57,12 +57,8 @@
         placement = self.fleet.home_of(function).placement
         if trial := self._ejected_worker_to_try(request, placement, can_serve):
             return replica_of(function, trial)
-        withdrawn_from = {attempt.replica.worker for attempt in request.attempts if attempt.withdrawn}
-        usable = [
-            replica
-            for replica in function.replicas
-            if replica.worker not in withdrawn_from and can_serve(replica.worker)
-        ]
+        withdrawn_from = _withdrawn_from(request)
+        usable = _usable(request, withdrawn_from, can_serve)
         if replica := self._best_existing(request, usable, placement, now):
             return replica
         loaded_but_full = _loaded_but_full(usable, placement, now)
@@ -80,6 +76,13 @@
 
         return self._new_replica(request, placement, can_load)
 
+    def choose_loaded(self, request: Request, can_serve: CanServe, now: float) -> Replica | None:
+        """The best replica that is loaded and has capacity, of a worker that `can_serve`."""
+        placement = self.fleet.home_of(request.function).placement
+        usable = _usable(request, _withdrawn_from(request), can_serve)
+        loaded = [replica for replica in usable if placement.latency.is_loaded(replica, now)]
+        return self._best_existing(request, loaded, placement, now)
+
     def _ejected_worker_to_try(self, request: Request, placement: Placement, can_serve: CanServe) -> Worker | None:
         """An ejected worker of the function's home, whose ejection is over: one request tries it."""
         if request.attempts or request.request_class.effect != Effect.IDEMPOTENT:
@@ -144,6 +147,20 @@
         return untried[0]
 
 
+def _withdrawn_from(request: Request) -> set[Worker]:
+    """Workers that an attempt of the request was withdrawn from."""
+    return {attempt.replica.worker for attempt in request.attempts if attempt.withdrawn}
+
+
+def _usable(request: Request, withdrawn_from: set[Worker], can_serve: CanServe) -> list[Replica]:
+    """The function's replicas on workers that can serve the request."""
+    return [
+        replica
+        for replica in request.function.replicas
+        if replica.worker not in withdrawn_from and can_serve(replica.worker)
+    ]
+
+
 def _tried(request: Request, placement: Placement) -> set[Worker]:
     """Workers not to be tried again; one that only missed may have been prewarmed since."""
     return {
