Soak of outages, drains and restarts; requests that waited unread have that much less time left

To blame: ClientConnection._dispatch took the time of the read as that of the request. Ruled out: the deadline at the first byte, which counted from there. Change: the event loop keeps for how long data of a socket may have waited unread (time in which the process neither polled nor waited, and iterations in which others were served first); over 100 ms it counts.

--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,47 @@
+"""Plays seeds of the soak by hand: `python -m tests.soak --seeds 1-50 --jobs 4`. Exit code 1 where a rule broke."""
+
+import argparse
+import multiprocessing
+import statistics
+import sys
+
+from tests.soak.play import SoakResult, play
+
+
+def parse_seeds(text: str) -> list[int]:
+    """1-3 or 1,5,9."""
+    if "-" in text:
+        first, last = text.split("-")
+        return list(range(int(first), int(last) + 1))
+    return [int(part) for part in text.split(",")]
+
+
+def describe(result: SoakResult) -> str:
+    """One line, and one for each broken rule."""
+    lines = [f"seed {result.seed}: {result.requests} requests, served {result.served:.3f}, {len(result.broken)} broken"]
+    lines += [f"  {line}"[:400] for line in result.broken[:12]]
+    if result.broken:
+        lines += [f"    {step}" for step in result.steps if step.kind.name != "CANCEL"]
+    return "\n".join(lines)
+
+
+def main() -> int:
+    """Plays the seeds, several at a time; returns the exit code."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak")
+    parser.add_argument("--seeds", type=parse_seeds, default=parse_seeds("1-50"))
+    parser.add_argument("--jobs", type=int, default=4)
+    arguments = parser.parse_args()
+    with multiprocessing.get_context("spawn").Pool(arguments.jobs, maxtasksperchild=1) as pool:
+        results = []
+        for result in pool.imap_unordered(play, arguments.seeds):
+            print(describe(result), flush=True)
+            results.append(result)
+    broken = [result.seed for result in results if result.broken]
+    served = [result.served for result in results]
+    print(f"{len(results)} seeds, {len(broken)} with a broken rule: {sorted(broken)}")
+    print(f"served: least {min(served):.3f}, median {statistics.median(served):.3f}, greatest {max(served):.3f}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/soak/bus.py
+++ b/tests/soak/bus.py
@@ -9,6 +9,7 @@
 from enum import Enum, auto
 
 from tests import platform_rig as rig
+from tests.soak.addresses import reserve_address
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 UNAVAILABLE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -82,7 +83,7 @@
         self.generation = 0  # counts changes of the mode
         self.outages: list[Outage] = []
         self.readers: list[Reader] = []
-        self.address = rig.free_address()
+        self.address = reserve_address()
         self._listen()
 
     def set_mode(self, mode: BusMode) -> None:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,6 +5,8 @@
 
 from tests import platform_rig as rig
 from tests.soak.bus import Outage
+from tests.soak.front_end import ProcessLife
+from tests.soak.load_client import SentRequest
 from tests.soak.scene import DRAIN_GRACE_SECONDS, ListChange, Scene
 from tests.soak.worker import Arrival
 
@@ -14,6 +16,7 @@
 CLIENT_GONE_SECONDS = 0.1  # after a client has left, no attempt begins for it
 DEADLINE_SLACK_MS = 150  # by which the time passed on may exceed what is left
 KILL_AFTER_SECONDS = 0.7  # after SIGTERM: requests from then on have to be answered before SIGKILL
+WORKER_CAPACITY = 40.0  # requests a second: two at a time, of WORK_SECONDS each
 PREWARM_WINDOW_SECONDS = rig.SETTINGS["family-info"]["load-window"] / 1e6
 PREWARM_GROWTH = 1.15  # by which the quota of prewarms grows, and one more
 
@@ -54,6 +57,23 @@
         yield f"drain: {arrival.verb.decode()} at {change.worker.name} {since:.3f} s after its drain"
 
 
+def _paused_until(scene: Scene, address: str, request: SentRequest) -> float:
+    """When a front end ran again that was stopped while it had time for a request; else the request's time (Unix s)."""
+    front_end = next(each for each in scene.front_ends if each.address == address)
+    pauses = [pause for life in front_end.lives for pause in life.pauses]
+    ends = [end for begin, end in pauses if begin < request.due_at + ANSWER_SLACK_SECONDS and end > request.sent_at]
+    return max([request.due_at, *ends])
+
+
+def _killed_in_time(life: ProcessLife, request: SentRequest) -> bool:
+    """Whether its process was killed while the request might still have been answered."""
+    if life.killed_at is None:
+        return False
+    if life.terminated_at is not None and request.sent_at > life.terminated_at + KILL_AFTER_SECONDS:
+        return request.sent_at >= life.killed_at
+    return life.killed_at < request.due_at + ANSWER_SLACK_SECONDS
+
+
 def _answer_violations(scene: Scene) -> Iterator[str]:
     for client in scene.clients:
         front_end = next(each for each in scene.front_ends if each.address == client.address)
@@ -62,17 +82,15 @@
                 yield f"answers: {request}"
             if request.gone_at is not None or request.answered_at is not None:
                 answered_at = request.answered_at
-                if answered_at is not None and answered_at > request.due_at + ANSWER_SLACK_SECONDS:
+                due_at = _paused_until(scene, client.address, request)
+                if answered_at is not None and answered_at > due_at + ANSWER_SLACK_SECONDS:
                     yield f"late: {request}"
                 continue
             life = next(
                 (each for each in front_end.lives if each.ended_at is None or each.ended_at >= request.sent_at), None
             )
-            killed = life is not None and life.killed_at is not None and life.killed_at >= request.sent_at
-            began_late = life is None or life.terminated_at is None
-            began_late = began_late or request.sent_at <= life.terminated_at + KILL_AFTER_SECONDS
-            if killed and began_late and life is not None and life.killed_at < request.due_at + ANSWER_SLACK_SECONDS:
-                continue  # its process was killed while it might still have been answered
+            if life is not None and _killed_in_time(life, request):
+                continue
             yield f"lost: {request}, process {life and (life.terminated_at, life.killed_at, life.ended_at, life.code)}"
 
 
@@ -119,6 +137,30 @@
             return
 
 
+def _slow_start_violations(scene: Scene) -> Iterator[str]:
+    """What a worker that has started anew bears from all front ends, from when its start counts as known."""
+    rules = rig.SETTINGS["rules"]
+    window = rules["tip-after"] / 1e6
+    ramp = rules["ramp-time"] / 1e6
+    for change in scene.changes:
+        if change.lifecycle != "SERVING":
+            continue
+        known_at = notified_at(change, scene.buses[0].outages) + SLACK_SECONDS
+        sent = [
+            arrival.at
+            for arrival in change.worker.new_work()
+            if arrival.verb == b"invoke" and known_at <= arrival.at < change.at + ramp
+        ]
+        for at in sent:
+            share = rules["cold-from"] + (1 - rules["cold-from"]) * (at - change.at) / ramp
+            bears = rules["overload-factor"] * share * WORKER_CAPACITY * window
+            count = sum(at - window < each <= at for each in sent)
+            if count > bears + 2 * bears**0.5 + 2:
+                where = f"{change.worker.name}, {at - change.at:.1f} s old"
+                yield f"slow start: {count} in {window:.0f} s at {where}, {bears:.1f} borne"
+                break
+
+
 def _process_violations(scene: Scene) -> Iterator[str]:
     for front_end in scene.front_ends:
         for life in front_end.lives:
@@ -137,6 +179,7 @@
         _effect_violations,
         _attempt_violations,
         _prewarm_violations,
+        _slow_start_violations,
         _process_violations,
     )
     return [line for check in checks for line in check(scene)]
--- a/tests/soak/front_end.py
+++ b/tests/soak/front_end.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from tests import platform_rig as rig
+from tests.soak.addresses import reserve_address
 
 READY_SECONDS = 20.0
 
@@ -25,6 +26,7 @@
     killed_at: float | None = None  # SIGKILL
     ended_at: float | None = None
     code: int | None = None
+    pauses: list[tuple[float, float]] = field(default_factory=list)  # when it was stopped and continued
     lines: list[str] = field(default_factory=list)
 
 
@@ -34,7 +36,7 @@
     def __init__(self, name: str, folder: str, settings: dict, index: int, count: int) -> None:
         self.name = name
         self.path = os.path.join(folder, f"{name}.json")
-        self.address = rig.free_address()
+        self.address = reserve_address()
         self.settings = {**settings, "instances": count, "self-index": index}
         self.lives: list[ProcessLife] = []
 
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,120 @@
+"""What happens in one run of the soak, drawn from its seed."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from tests.soak.bus import BusMode
+
+OUTAGE_MODES = [mode for mode in BusMode if mode is not BusMode.UP]
+LONGEST_SECONDS = 18.0  # from the start of the load to its end
+CALM_SECONDS = 2.0  # before anything happens
+TERM_SERIES = 3  # signals of one kind that come in a row, at most
+HUP_SERIES = 4
+CROWD_RATE = 60.0  # requests a second of each client that joins
+WAYS_BACK = 0.5  # part of the drained workers that end and come back
+
+
+class StepKind(Enum):
+    """What is done."""
+
+    OUTAGE = auto()
+    RECOVERY = auto()
+    DRAIN = auto()
+    REMOVE = auto()
+    BRING_BACK = auto()
+    CRASH = auto()
+    RESTART = auto()
+    KILL = auto()
+    RELOAD = auto()
+    PAUSE = auto()
+    CROWD = auto()
+    CANCEL = auto()
+
+
+@dataclass(frozen=True, order=True)
+class Step:
+    """At that time (s after the start of the load), this is done to that front end or worker."""
+
+    at: float
+    kind: StepKind = field(compare=False)
+    number: int = field(default=0, compare=False)
+    count: int = field(default=1, compare=False)  # signals in a row
+    mode: BusMode = field(default=BusMode.UP, compare=False)
+    span: float = field(default=0.0, compare=False)  # s between signals, or of a pause
+
+
+def make_plan(seed: int, front_ends: int, workers: int) -> list[Step]:
+    """The steps of a run, in their order."""
+    draw = random.Random(seed)
+    steps: list[Step] = []
+    _add_outages(draw, steps)
+    _add_drains(draw, steps, workers)
+    parts: list[Callable[[random.Random, list[Step], int], None]] = [_add_restarts, _add_reloads, _add_pauses]
+    for part in parts:
+        if draw.random() < 0.6:
+            part(draw, steps, front_ends)
+    if draw.random() < 0.4:
+        steps.append(Step(draw.uniform(CALM_SECONDS, 12.0), StepKind.CROWD, span=draw.uniform(1.0, 3.0)))
+    steps += [Step(draw.uniform(1.0, LONGEST_SECONDS), StepKind.CANCEL) for _ in range(6)]
+    return sorted(steps)
+
+
+def _add_outages(draw: random.Random, steps: list[Step]) -> None:
+    at = CALM_SECONDS + draw.uniform(0.0, 2.0)
+    for _ in range(draw.choice((1, 1, 2))):
+        lasts = draw.choice((draw.uniform(0.3, 3.0), draw.uniform(5.0, 12.0)))
+        steps.append(Step(at, StepKind.OUTAGE, mode=draw.choice(OUTAGE_MODES)))
+        if draw.random() < 0.3:  # it changes how it is out of reach
+            steps.append(Step(at + lasts / 2, StepKind.OUTAGE, mode=draw.choice(OUTAGE_MODES)))
+        steps.append(Step(at + lasts, StepKind.RECOVERY))
+        at += lasts + draw.uniform(0.2, 2.0)
+
+
+def _add_drains(draw: random.Random, steps: list[Step], workers: int) -> None:
+    numbers = draw.sample(range(workers), draw.choice((1, 1, 2)))
+    outage = next(step for step in sorted(steps) if step.kind is StepKind.OUTAGE)
+    for number in numbers:
+        at = outage.at + draw.choice((0.15, draw.uniform(0.2, 10.0)))
+        if draw.random() < 0.2:
+            steps.append(Step(at, StepKind.CRASH, number, span=draw.uniform(0.5, 3.0)))
+            continue
+        steps.append(Step(at, StepKind.DRAIN, number))
+        if draw.random() < WAYS_BACK:
+            gone_at = at + draw.uniform(1.0, 6.0)
+            steps.append(Step(gone_at, StepKind.REMOVE, number))
+            steps.append(Step(gone_at + draw.uniform(0.5, 2.0), StepKind.BRING_BACK, number))
+
+
+def _add_restarts(draw: random.Random, steps: list[Step], front_ends: int) -> None:
+    for number in draw.sample(range(front_ends), draw.choice((1, 2))):
+        kind = draw.choice((StepKind.RESTART, StepKind.RESTART, StepKind.KILL))
+        steps.append(
+            Step(
+                draw.uniform(CALM_SECONDS, 10.0),
+                kind,
+                number,
+                count=draw.randint(1, TERM_SERIES),
+                span=draw.choice((0.0, 0.01, 0.3)),
+            )
+        )
+
+
+def _add_reloads(draw: random.Random, steps: list[Step], front_ends: int) -> None:
+    for _ in range(draw.randint(1, 3)):
+        steps.append(
+            Step(
+                draw.uniform(CALM_SECONDS, 14.0),
+                StepKind.RELOAD,
+                draw.randrange(front_ends),
+                count=draw.randint(1, HUP_SERIES),
+                span=draw.choice((0.0, 0.02, 0.2)),
+            )
+        )
+
+
+def _add_pauses(draw: random.Random, steps: list[Step], front_ends: int) -> None:
+    """The process does not run for a while, as in a long pause of the machine."""
+    number = draw.randrange(front_ends)
+    steps.append(Step(draw.uniform(CALM_SECONDS, 12.0), StepKind.PAUSE, number, span=draw.uniform(0.5, 4.0)))
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -9,6 +9,7 @@
 from enum import Enum, auto
 
 from tests import platform_rig as rig
+from tests.soak.addresses import reserve_address
 from tests.soak.delayed_calls import DelayedCalls
 
 READ_SIZE = 1 << 16  # bytes read at a time
@@ -106,7 +107,7 @@
         self.socks: list[socket.socket] = []
         self.delayed = DelayedCalls()
         self.started_at_ms = 0
-        self.address = rig.free_address()
+        self.address = reserve_address()
         self.start()
 
     def start(self) -> None:
--- /dev/null
+++ b/tests/test_work_held_back.py
@@ -0,0 +1,171 @@
+"""Work that was decided while its worker was known to be ready, and leaves the process later or not at all."""
+
+import socket
+import unittest
+from unittest.mock import patch
+
+from tests import platform_rig as rig
+from tests.acceptance_rig import SteppedClockCase, request
+from tests.front_end_rig import FullListener, LoopCase
+from tests.rig import plain
+from wickdyke.gateway.events import DiscoveryHeard, EndpointsReceived
+from wickdyke.gateway.interfaces import CommandKind
+from wickdyke.platform import connection_pool, worker_client, worker_command
+from wickdyke.routing.model import Outcome
+from wickdyke.routing.readiness import NOTIFIED_AFTER
+
+GRACE = rig.SETTINGS["rules"]["stop-sending-within"] / 1000  # ms
+
+
+class LeaseWhileConnecting(SteppedClockCase):
+    """The lease runs out while an attempt waits for its connection."""
+
+    def test_it_does_not_go_out_when_the_connection_is_made(self):
+        full = FullListener(self)
+        settings = {**rig.SETTINGS, "limits": {**rig.SETTINGS["limits"], "dial-timeout": 60000000}}
+        serving = self.front_end(full.address, settings=settings)
+        serving.coordinator.post(DiscoveryHeard(self.now))
+        client = self.client()
+        client.send(request(1, d="4000"))
+        upstream = serving.coordinator.workers.clients["w0"]
+        self.until(lambda: any(connection.pending for connection in upstream.connections))
+        self.now += NOTIFIED_AFTER + GRACE
+        for dialled in full.first:
+            dialled.close()
+        full.taken.append(full.sock.accept()[0])  # makes room for the connection that waits
+        self.until(lambda: any(connection.up for connection in upstream.all_connections()), "the connection")
+        in_flight = [command for connection in upstream.all_connections() for command in connection.open.values()]
+        self.assertEqual([command for command in in_flight if command.kind == CommandKind.ATTEMPT], [])
+        self.until(lambda: serving.coordinator.counts["attempts_unsent"], "the end of the attempt")
+
+
+class SilentDiscovery(SteppedClockCase):
+    """What the front end answers where no worker proves ready."""
+
+    def silent_worker(self):
+        """A worker that answers no health check."""
+        return self.made(rig.Worker(lambda worker, sock, parts: parts[0] == b"gauges"))
+
+    def test_requests_are_rejected_in_time_with_the_reason(self):
+        worker = self.silent_worker()
+        serving = self.front_end(worker.address)
+        client = self.client()
+        client.send(request(1))
+        number, word, _ = self.final(client, 1500, settle=False)
+        self.assertEqual((number, word), (1, "shed"))
+        self.assertEqual(serving.coordinator.counts["rejected_discovery-lost"], 1)
+        self.assertEqual(worker.received(b"invoke"), [])
+
+    def test_one_that_says_that_it_is_not_ready_gets_nothing(self):
+        def draining(worker, sock, parts):
+            if parts[0] != b"gauges":
+                return False
+            sock.sendall(rig.bulk(parts[1], b"AILING", b"-", b""))
+            return True
+
+        drains = [self.made(rig.Worker(draining)) for _ in range(3)]
+        serving = self.front_end(*(worker.address for worker in drains))
+        client = self.client()
+        client.send(request(1))
+        self.assertEqual(self.final(client, 1500)[:2], (1, "shed"))
+        self.assertEqual(serving.coordinator.counts["health_checks_not-ready"], 3)
+        ready = self.worker()
+        serving.coordinator.post(EndpointsReceived([rig.event(2, rig.instance("w9", ready.address))]))
+        for number in range(2, 9):
+            client.send(request(number))
+            self.assertEqual(self.final(client, 1500), (number, "answer", b"did x"))
+        self.assertEqual([worker.received(b"invoke") + worker.received(b"prewarm") for worker in drains], [[], [], []])
+        self.assertEqual(self.faults(), [])
+
+
+class ProcessesBehindConnections(LoopCase):
+    """What the connections to a worker show of its process."""
+
+    def client(self, play=None):
+        self.worker = rig.Worker(play)
+        self.addCleanup(self.worker.close)
+        made = worker_client.WorkerClient(
+            "w",
+            self.worker.address,
+            lambda event: self.recorded.append(plain(event)),
+            self.loop,
+            connection_pool.ConnectionPool(20),
+            worker_client.WorkerClientSettings(5000.0, 10000.0, ()),
+        )
+        self.addCleanup(made.close)
+        return made
+
+    def check(self, client, number):
+        """A health check; its result."""
+        before = len(self.recorded)
+        tag = b"t%d" % number
+        command = worker_command.Command(CommandKind.HEALTH_CHECK, "w", tag, rig.bulk(b"gauges", tag))
+        client.send(command)
+        self.until(lambda: len(self.recorded) > before, "the result")
+        return self.recorded[-1]
+
+    def test_the_first_connection_shows_nothing(self):
+        client = self.client()
+        self.check(client, 1)
+        self.assertEqual(client.same_process_since, float("-inf"))
+
+    def test_a_reset_of_the_only_connection_may_be_a_new_process(self):
+        client = self.client()
+        self.check(client, 1)
+        rig_socks = list(self.worker.socks)
+        for sock in rig_socks:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+            sock.shutdown(socket.SHUT_RD)
+            sock.close()
+        self.until(lambda: client.shared is None, "the end")
+        self.check(client, 2)
+        self.assertGreater(client.same_process_since, 0.0)
+
+    def test_a_reset_beside_another_connection_is_none(self):
+        client = self.client()
+        attempt = worker_command.Command(CommandKind.ATTEMPT, "a", b"a", rig.bulk(b"invoke", b"a", b"-", b"x"))
+        client.send(attempt)
+        self.until(lambda: self.recorded, "the answer")
+        self.check(client, 1)  # on the connection that the attempt has left
+        attempt = worker_command.Command(CommandKind.ATTEMPT, "b", b"b", rig.bulk(b"invoke", b"b", b"-", b"x"))
+        client.send(attempt)
+        self.until(lambda: len(self.recorded) == 3, "the answer")
+        self.assertEqual(len(self.worker.socks), 2)
+        self.worker.socks[1].shutdown(socket.SHUT_RDWR)
+        self.until(lambda: not client.connections, "the end")
+        self.check(client, 2)
+        self.assertEqual(client.same_process_since, float("-inf"))
+
+    def test_a_health_check_takes_an_idle_connection(self):
+        client = self.client()
+        attempt = worker_command.Command(CommandKind.ATTEMPT, "a", b"a", rig.bulk(b"invoke", b"a", b"-", b"x"))
+        client.send(attempt)
+        self.until(lambda: self.recorded, "the answer")
+        self.check(client, 1)
+        self.assertEqual(len(self.worker.socks), 1)
+
+    def test_a_command_that_may_not_begin_is_not_sent(self):
+        client = self.client()
+        command = worker_command.Command(CommandKind.PREWARM, "p", b"p", rig.bulk(b"prewarm", b"p", b"name=x,units=1"))
+        command.may_begin = lambda now: False
+        client.send(command)
+        self.until(lambda: self.recorded, "the end")
+        self.assertEqual(self.worker.received(b"prewarm"), [])
+        self.assertEqual(self.recorded[-1][3], Outcome.UNSENT)
+
+    def test_nor_one_that_may_not_begin_once_its_connection_is_made(self):
+        client = self.client()
+        may_begin = [True]
+        command = worker_command.Command(CommandKind.PREWARM, "p", b"p", rig.bulk(b"prewarm", b"p", b"name=x,units=1"))
+        command.may_begin = lambda now: may_begin[0]
+        client.send(command)
+        self.assertEqual(self.recorded, [])
+        may_begin[0] = False
+        with patch.object(client, "finish", side_effect=client.finish) as finished:
+            self.until(lambda: self.recorded, "the end")
+        self.assertEqual(finished.call_args.args[1], Outcome.UNSENT)
+        self.assertEqual(self.worker.received(b"prewarm"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -24,6 +24,7 @@
 NEW_CONNECTION_TIME = 500.0  # ms in which a connection counts as new
 RETRY_AFTER = 20.0  # ms until a system call is retried that failed for want of memory
 MAX_UNKNOWN_METHOD_QUOTED = 64  # characters of an unknown method that an error quotes
+MAX_UNREAD_TIME = 100.0  # ms for which requests may have waited unread and still count as received when they are read
 READ_AGAIN_AFTER = 50.0  # ms after which a client is read again before an attempt begins on its behalf
 
 
@@ -249,7 +250,9 @@
             return
         time_left = server.time_for(request.time_left)
         pending = PendingRequest(self, message.number, request.request_class, request.call, time_left)
-        pending.received_at = clock()
+        # Where this process was stopped, or busy with others, a request may have waited in the kernel for as long.
+        unread = server.loop.unread_for(self.sock)
+        pending.received_at = clock() - (unread if unread > MAX_UNREAD_TIME else 0.0)
         self.open[message.number] = server.open[request.call.ident] = pending
         if reason := server.busy() or (None if time_left else RejectionReason.STOPPING):
             server.counts["rejected"] += 1
--- a/wickdyke/routing/router.py
+++ b/wickdyke/routing/router.py
@@ -322,6 +322,10 @@
             self._place(now)
         busy = self.requests or self.health_checker.unanswered
         self.wake_at = min(self.schedule.next_at, now + TICK if busy else self.schedule.next_at)
+        if not self.readiness.in_doubt:
+            self.wake_at = min(self.wake_at, self.readiness.list_valid_until)
+        if self.readiness.not_ready:
+            self.wake_at = min(self.wake_at, now + CHECK_EVERY)
 
     def may_send(self, worker: Worker, now: float) -> bool:
         """Whether new work may go out to the worker at that time (ms): what was decided earlier may be sent later."""
--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -15,6 +15,7 @@
 CONNECTING = (0, errno.EINPROGRESS, errno.EINTR)  # results of a non-blocking connect: done, or in progress
 EVENTS_PER_POLL = 256  # fetched from the kernel at a time
 PEER_CLOSED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR  # the other side has closed or reset
+LATE_RETURN = 10.0  # ms by which a poll may return late without having been interrupted
 MODIFY_RETRY = 10.0  # ms until an epoll_ctl that failed for want of memory is tried again
 TIME_SLICE = 10.0  # ms of an iteration for the handlers of normal priority; at least one of them is served
 
@@ -131,11 +132,23 @@
         self.handlers: dict[int, Handler] = {}  # by descriptor
         self.timers = Timers()
         self.unmodified: dict[int, int] = {}  # descriptor -> events that epoll_ctl had no memory for yet
+        self.unserved_since: dict[int, float] = {}  # descriptor -> ms; ready, but left for a later iteration
         self.last_served: dict[int, int] = {}  # descriptor -> serial number, of those of normal priority
         self.serial_numbers = itertools.count(1)
         self.polled_at = clock()  # ms; when the last poll returned
+        self.returned_at = self.polled_at  # ms; when the last poll returned, whether or not it saw all sockets
+        self.unwatched = 0.0  # ms before that in which this process neither polled nor waited
         self.arrived_after = self.polled_at  # ms; data of a socket that is ready now, and was not before, is no older
 
+    def unread_for(self, sock: socket.socket) -> float:
+        """Returns for how long (ms) data that is read from that socket now may have waited in the kernel, at most.
+
+        That is longer than an iteration where this process was stopped, or others were served first.
+        """
+        now = clock()
+        since = self.returned_at - self.unwatched
+        return now - min(since, self.unserved_since.get(sock.fileno(), since))
+
     def add(self, sock: socket.socket, handler: Handler, write: bool = False) -> None:
         """Serves that socket from now on. Raises OSError where it can't be watched, and then keeps nothing of it."""
         # The kernel is first. A handler kept for a socket that is not registered would be used when its descriptor
@@ -174,6 +187,7 @@
         number = sock.fileno()
         self.unmodified.pop(number, None)
         self.last_served.pop(number, None)
+        self.unserved_since.pop(number, None)
         if self.handlers.pop(number, None) is not None:
             with contextlib.suppress(OSError):
                 self.epoll.unregister(number)
@@ -216,13 +230,21 @@
         """(descriptor, events) of the sockets that are ready."""
         # Rounded up: a wait that ends too early would poll for nothing until its time.
         timeout = max(0.0, wait + 0.5) / 1000 if wait > 0 else 0
+        begun_at = clock()
         try:
             events = self.epoll.poll(timeout, EVENTS_PER_POLL)
+            if not events and clock() - begun_at > wait + LATE_RETURN:
+                # Where a process that was stopped goes on, the wait may end without a look at the sockets (epoll_wait
+                # in signal(7), PEP 475). Timers that are due would then run before what has arrived is read.
+                events = self.epoll.poll(0, EVENTS_PER_POLL)
         except InterruptedError:
             return []  # the kernel reports the events again in the next iteration; the timers run in this one
+        now = clock()
+        self.returned_at = now
         self.arrived_after = self.polled_at
+        self.unwatched = now - self.polled_at - min(now - begun_at, max(0.0, wait))
         if len(events) < EVENTS_PER_POLL:  # else a socket may have been ready and not reported
-            self.polled_at = clock()
+            self.polled_at = now
         return events
 
     def _serve_high_priority(self, events_by_socket: list[tuple[int, int]]) -> list[ReadySocket]:
@@ -249,11 +271,14 @@
         # longest ago go first: else clients that never stop sending would keep all others unread.
         others.sort(key=lambda ready: self.last_served.get(ready.number, 0))
         slice_end = clock() + TIME_SLICE
-        for ready in others:
+        for served, ready in enumerate(others, 1):
             if self.handlers.get(ready.number) is ready.handler:
                 self.last_served[ready.number] = next(self.serial_numbers)
                 self.serve(ready.number, ready.handler, ready.events)
+            self.unserved_since.pop(ready.number, None)
             if clock() > slice_end:
+                for left in others[served:]:
+                    self.unserved_since.setdefault(left.number, self.returned_at - self.unwatched)
                 break
 
     def serve(self, number: int, handler: Handler, events: int = select.EPOLLIN) -> None:
