--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -24,7 +24,7 @@
 NEW_CONNECTION_TIME = 500.0  # ms in which a connection counts as new
 RETRY_AFTER = 20.0  # ms until a system call is retried that failed for want of memory
 MAX_UNKNOWN_METHOD_QUOTED = 64  # characters of an unknown method that an error quotes
-MAX_UNREAD_TIME = 100.0  # ms for which requests may have waited unread and still count as received when they are read
+MAX_UNREAD_TIME = 60.0  # ms for which requests may have waited unread and still count as received when they are read
 READ_AGAIN_AFTER = 50.0  # ms after which a client is read again before an attempt begins on its behalf
 
 
