A stop within a poll is told from a wait: sockets are looked at again before timers run

Traced by the poll's times: it returned the two sockets that were ready before the stop, 2.8 s late; the others were reported by the next, which took nothing for lost. Not the partial reads that were suspected first (32 KiB are read at a time). To blame: EventLoop._poll, which looked again only after a poll without events. Now after each that returns late; and what a client's handler leaves unread keeps its age (data_read). Tests: stopped within the poll, between poll and read, left for later iterations, read in pieces. test_shutdown: one case lets the process poll after it moves the clock by 699 ms, as a process does that was not stopped; one says that discovery was heard, as its jump of 750 ms let the first health check time out or not by chance.

--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from tests import platform_rig as rig
 from tests.front_end_rig import LoopCase
@@ -50,6 +51,124 @@
         self.assertEqual(len(self.loop.handlers), 1)
 
 
+class UnreadTime(unittest.TestCase):
+    """For how long data may have waited unread, at times that the test sets."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.addCleanup(patch.stopall)
+        patch.object(event_loop, "clock", lambda: self.now).start()
+        self.loop = event_loop.EventLoop()
+        self.addCleanup(self.loop.close)
+        self.seen = []
+        self.partly = False
+
+    def client(self):
+        """A socket whose handler notes for how long its data may have waited; returns the other side."""
+        mine, theirs = socket.socketpair()
+        self.addCleanup(mine.close)
+        self.addCleanup(theirs.close)
+
+        def readable():
+            self.seen.append(self.loop.unread_for(mine))
+            mine.recv(1)
+            self.loop.data_read(mine, self.partly)
+            self.now += self.takes
+
+        made = SimpleNamespace(priority=Priority.NORMAL, readable=readable, writable=None, broken=None)
+        self.loop.add(mine, made)
+        return theirs
+
+    def run_once(self):
+        self.loop.run_once(0.0, lambda: None)
+
+    def test_a_process_that_was_stopped(self):
+        self.takes = 0.0
+        client = self.client()
+        self.run_once()
+        client.send(b"x")
+        self.now += 2000
+        self.run_once()
+        client.send(b"x")
+        self.run_once()
+        self.assertEqual(self.seen, [2000.0, 0.0])
+
+    def test_stopped_between_the_poll_and_the_read(self):
+        self.takes = 1500.0
+        clients = [self.client() for _ in range(2)]
+        self.run_once()
+        with patch.object(event_loop, "TIME_SLICE", 1e9):
+            for client in clients:
+                client.send(b"x")
+            self.run_once()
+        self.assertEqual(self.seen, [0.0, 1500.0])
+
+    def test_a_wait_counts_for_nothing(self):
+        """Data ends the wait as it comes; only what the wait took beyond its time counts."""
+        self.takes = 0.0
+        client = self.client()
+        client.send(b"x")
+        real = self.loop.epoll
+
+        def poll(timeout, count):
+            self.now += 1200 * timeout  # which is in s
+            return real.poll(0, count)
+
+        with patch.object(self.loop, "epoll", SimpleNamespace(poll=poll)):
+            self.loop.run_once(100.0, lambda: None)
+        (unread,) = self.seen
+        self.assertAlmostEqual(unread, 20.0, delta=1.0)
+
+    def test_stopped_within_the_poll(self):
+        """It returns what was there before the stop: the sockets are looked at again."""
+        self.takes = 0.0
+        before, meanwhile = self.client(), self.client()
+        self.run_once()
+        before.send(b"x")
+        real = self.loop.epoll
+        polls = []
+
+        def poll(timeout, count):
+            events = real.poll(0, count)
+            if not polls:
+                self.now += 3000
+                meanwhile.send(b"x")
+            polls.append(timeout)
+            return events
+
+        with patch.object(self.loop, "epoll", SimpleNamespace(poll=poll)):
+            self.loop.run_once(50.0, lambda: None)
+        self.assertEqual(len(polls), 2)
+        self.assertEqual(self.seen, [2950.0, 2950.0])
+
+    def test_who_is_left_for_a_later_iteration_waits_on(self):
+        """Each reader takes longer than the slice: of three, the last has waited for two iterations."""
+        self.takes = 2 * event_loop.TIME_SLICE
+        for client in [self.client() for _ in range(3)]:
+            client.send(b"x")
+        for _ in range(3):
+            self.run_once()
+        self.assertEqual(self.seen, [0.0, self.takes, 2 * self.takes])
+        self.assertEqual(self.loop.unread_since, {})
+
+    def test_what_is_read_in_pieces_is_as_old_as_the_first(self):
+        self.takes = 0.0
+        client = self.client()
+        self.run_once()
+        client.send(b"xx")
+        self.now += 2000
+        self.partly = True
+        self.run_once()
+        self.now += 5
+        self.partly = False
+        self.run_once()
+        self.now += 5
+        client.send(b"x")
+        self.run_once()
+        self.assertEqual(self.seen[:2], [2000.0, 2005.0])
+        self.assertLess(self.seen[2], 10.0)
+
+
 class Timers(unittest.TestCase):
     """Repeated timers that raise, and descriptors used again within an iteration."""
 
--- a/tests/test_listed_workers.py
+++ b/tests/test_listed_workers.py
@@ -7,10 +7,10 @@
 import unittest
 import unittest.mock
 
-from tests.rig import LONG, Running, hello, lines_of, until, willing
+from tests.rig import LONG, Running, hello, lines_of, ok, until, willing
 from tests.scripted_workers import refuses
 from wickdyke.config.endpoint_file import EndpointRow, format_endpoints
-from wickdyke.protocol import worker_messages
+from wickdyke.protocol import jsonrpc, worker_messages
 
 
 def _fields(row):
@@ -79,6 +79,36 @@
             self.assertEqual([w.endpoint.ident for w in running.coordinator.router.fleet.ready()], ["w1"])
             client.close()
 
+    def test_a_worker_that_drains_while_the_list_can_not_be_read(self):
+        """Its first rejection says that it drains: it is sent nothing more, and another worker serves the request."""
+        draining = threading.Event()
+        sent = []
+
+        def play(sock, number):
+            source = lines_of(sock)
+            hello(sock, source)
+            for request in source:
+                if request["method"] == "probe":
+                    continue
+                if not draining.is_set():
+                    sock.sendall(ok(request["id"]))
+                    continue
+                sent.append(request["method"])
+                code = worker_messages.DRAINING
+                sock.sendall(jsonrpc.error_response(request["id"], code, "draining", b"{}") + b"\n")
+
+        with Running((play, willing)) as running:
+            os.unlink(os.path.join(running.folder, "workers.sexp"))
+            self.assertTrue(until(lambda: "endpoint list unusable" in running.log_output.getvalue()))
+            client = running.client()
+            for at in range(80):
+                if at == 20:
+                    draining.set()
+                client.ask(at, program=f"p{at % 5}")
+                self.assertIn("result", client.answer())
+            client.close()
+            self.assertEqual(len(sent), 1)
+
     def test_a_worker_that_restarts(self):
         """The hello of a worker has the number of its start: after a restart it counts as empty and warms up."""
         again = threading.Event()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -186,6 +186,7 @@
             with self.subTest(errno.errorcode[number]):
                 self.over = False
                 serving = self.front_end(self.worker())
+                self.discovery_heard()
                 self.terminate()
                 self.run_once()
                 self.now += service.GRACE_PERIOD
@@ -248,6 +249,7 @@
         self.terminate()
         self.run_once()
         self.now += 699
+        self.run_once()  # what comes after a poll has not waited unread
         self.send(client, rig.dispatch(2, rig.fields(A, "pay", d="300", k="k1"), b"slow"))
         self.until(lambda: self.held, "the call-out")
         while self.now < self.terminated + 300 + KILL_AFTER and not self.over:
--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -114,6 +114,7 @@
         self.waiting_since = clock()  # when the incomplete frame, or the wait for the first one, began
         self.last_used_at = clock()  # when a request of it last ended
         self.last_read_at = clock()
+        self.received_at = clock()  # when the data read last had arrived at the latest that is certain
         self.answered = False  # whether anything was written to it
         self.ending = False  # accepts no more requests, and closes after the last answer
         self.closed = False
@@ -153,8 +154,14 @@
         """Reads frames, or the end of the connection."""
         if self.closed or self.sock.gettimeout() != 0:  # could not be made non-blocking yet: a read would wait
             return
-        self.last_read_at = clock()
+        now = clock()
+        self.last_read_at = now
+        # Where this process was stopped, or busy with others, a request may have waited in the kernel for as long.
+        unread = self.server.loop.unread_for(self.sock)
+        self.received_at = now - (unread if unread > MAX_UNREAD_TIME else 0.0)
         data = receive(self.sock, READ_SIZE)
+        if data is not None:
+            self.server.loop.data_read(self.sock, len(data) == READ_SIZE)
         if not data:
             if data is not None:
                 self.close()
@@ -250,9 +257,7 @@
             return
         time_left = server.time_for(request.time_left)
         pending = PendingRequest(self, message.number, request.request_class, request.call, time_left)
-        # Where this process was stopped, or busy with others, a request may have waited in the kernel for as long.
-        unread = server.loop.unread_for(self.sock)
-        pending.received_at = clock() - (unread if unread > MAX_UNREAD_TIME else 0.0)
+        pending.received_at = self.received_at
         self.open[message.number] = server.open[request.call.ident] = pending
         if reason := server.busy() or (None if time_left else RejectionReason.STOPPING):
             server.counts["rejected"] += 1
--- a/wickdyke/platform/worker_connection.py
+++ b/wickdyke/platform/worker_connection.py
@@ -5,17 +5,16 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Protocol
 
-from wickdyke.gateway.interfaces import CommandKind, CommandResult, Withdrawal
+from wickdyke.gateway.interfaces import CommandKind, Withdrawal
 from wickdyke.platform import resp
-from wickdyke.platform.connection_pool import ConnectionPool, PooledClient
+from wickdyke.platform.connection_owner import ConnectionOwner
 from wickdyke.platform.connection_state import LIVENESS, ConnectionState, EndCause
-from wickdyke.platform.reachability import Liveness, Reachability
+from wickdyke.platform.reachability import Liveness
 from wickdyke.platform.worker_command import Command
 from wickdyke.platform.worker_results import read_result
 from wickdyke.routing.model import Outcome
-from wickdyke.transport.event_loop import EventLoop, Priority, clock, dial, error_name
+from wickdyke.transport.event_loop import Priority, clock, dial, error_name
 from wickdyke.transport.write_buffer import (
     SHORT_OF_MEMORY,
     MessageExpiredError,
@@ -31,43 +30,6 @@
 PEER_WAS_THERE = (errno.ECONNRESET, errno.EPIPE)  # ends of a connection that the other side had accepted
 
 
-class ConnectionOwner(PooledClient, Protocol):
-    """The worker client of a connection, which the connection notifies."""
-
-    name: str
-    target: tuple[str, int]  # host and port
-    loop: EventLoop
-    pool: ConnectionPool
-    connect_timeout: float  # ms
-    report_fields: tuple[str, ...]
-    reachability: Reachability
-    same_process_since: float  # ms; as far as connections have shown
-
-    def connected(self) -> None:
-        """The connection was established."""
-
-    def connection_idle(self, connection: "WorkerConnection") -> None:
-        """No command is in flight on the connection any more."""
-
-    def connection_ended(self, connection: "WorkerConnection") -> None:
-        """The connection has ended; how its commands ended follows."""
-
-    def finish(self, command: Command, outcome: Outcome, result: CommandResult | None = None) -> None:
-        """A command has ended."""
-
-    def send_again(self, command: Command) -> None:
-        """The connection ended before a byte of the command was sent, which may be sent on another."""
-
-    def answers_lost(self, commands: list[Command], worker_alive: bool) -> None:
-        """The connection ended with these commands in flight: they may have run."""
-
-    def process_ended(self) -> None:
-        """A connection was refused, or the worker's side has ended one that was established."""
-
-    def settle_unresolved(self, liveness: Liveness) -> None:
-        """The connection ended before it was established, which shows that of the worker."""
-
-
 class WorkerConnection:
     """One connection to a worker. `failed` is how a command for it ends, where it could not even be begun."""
 
@@ -75,7 +37,7 @@
     sock: socket.socket  # not set where the connect failed at once
     write_buffer: WriteBuffer  # likewise
 
-    def __init__(self, worker_client: ConnectionOwner) -> None:
+    def __init__(self, worker_client: "ConnectionOwner[WorkerConnection]") -> None:
         self.worker_client = worker_client
         self.loop = worker_client.loop
         self.state = ConnectionState.CONNECTING
--- a/wickdyke/routing/readiness.py
+++ b/wickdyke/routing/readiness.py
@@ -11,7 +11,8 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from heapq import nlargest
 
 from wickdyke.routing.health_checks import HealthChecker
 from wickdyke.routing.model import EndpointState, Outcome, Worker
@@ -26,6 +27,8 @@
 MIN_WORKER_LEASE = 20.0  # ms, where there is next to no grace; every limit of the protocol has 50 ms of slack
 ANSWER_PATIENCE = 40.0  # ms without an answer to a health check after which another worker is asked
 RETRY_UNANSWERED = 1000.0  # ms until a worker that did not answer is asked again
+IN_USE = 2000.0  # ms since its last answer for which a worker counts as in use
+MAX_ASKED_AHEAD = 8  # workers in use that are asked when the list expires
 NEVER = -math.inf
 
 
@@ -161,6 +164,12 @@
             self.health_checker.ask(worker, now)
         return False
 
+    def ask_workers_in_use(self, workers: Iterable[Worker], now: float) -> None:
+        """Asks the workers heard of last, before requests wait for their answers: the endpoint list has expired."""
+        in_use = [worker for worker in workers if now - worker.last_heard < IN_USE]
+        for worker in nlargest(MAX_ASKED_AHEAD, in_use, key=lambda worker: worker.last_heard):
+            self.require(worker, now)
+
     def may_choose(self, worker: Worker, now: float) -> bool:
         """Whether the worker is worth choosing: it may be sent work, or an answer of it may be waited for."""
         if worker.not_ready_since is not None:
--- a/wickdyke/routing/router.py
+++ b/wickdyke/routing/router.py
@@ -5,7 +5,6 @@
 """
 
 from collections import deque
-from heapq import nlargest
 
 from wickdyke.routing.cells import Cell
 from wickdyke.routing.concurrency import INITIAL_LIMIT
@@ -45,8 +44,6 @@
 POINTS_PER_FUNCTION = 16  # on the hash ring
 MAX_FUNCTIONS = 16384
 MAX_WAITING_FOR_ANSWER = 64  # requests that are decided again at once when a worker has proved ready
-IN_USE = 2000.0  # ms since its last answer for which a worker counts as in use
-MAX_ASKED_AHEAD = 8  # workers in use that are asked when the endpoint list expires
 
 
 class Router:
@@ -308,7 +305,7 @@
             self.following = True
             self.decisions.append(FollowEndpoints(True))
         if self.readiness.update(now):
-            self._ask_workers_in_use(now)
+            self.readiness.ask_workers_in_use(self.workers.values(), now)
         self._check_silent_workers(now)
         for worker in [*self.outliers.ejected, *self.readiness.not_ready]:
             self.health_checker.check(worker, CHECK_EVERY, now)
@@ -331,12 +328,6 @@
         """Whether new work may go out to the worker at that time (ms): what was decided earlier may be sent later."""
         return self.readiness.may_send(worker, now)
 
-    def _ask_workers_in_use(self, now: float) -> None:
-        """The endpoint list has expired: the workers heard of last are asked before a request waits for that."""
-        in_use = [worker for worker in self.workers.values() if now - worker.last_heard < IN_USE]
-        for worker in nlargest(MAX_ASKED_AHEAD, in_use, key=lambda worker: worker.last_heard):
-            self.readiness.require(worker, now)
-
     def _check_silent_workers(self, now: float) -> None:
         # No other attempt can be overdue yet.
         suspects = [
--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -16,6 +16,7 @@
 EVENTS_PER_POLL = 256  # fetched from the kernel at a time
 PEER_CLOSED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR  # the other side has closed or reset
 LATE_RETURN = 10.0  # ms by which a poll may return late without having been interrupted
+MAX_POLLS = 3  # more of one iteration, each after one that returned late
 MODIFY_RETRY = 10.0  # ms until an epoll_ctl that failed for want of memory is tried again
 TIME_SLICE = 10.0  # ms of an iteration for the handlers of normal priority; at least one of them is served
 
@@ -132,7 +133,7 @@
         self.handlers: dict[int, Handler] = {}  # by descriptor
         self.timers = Timers()
         self.unmodified: dict[int, int] = {}  # descriptor -> events that epoll_ctl had no memory for yet
-        self.unserved_since: dict[int, float] = {}  # descriptor -> ms; ready, but left for a later iteration
+        self.unread_since: dict[int, float] = {}  # descriptor -> ms; left for a later iteration in whole or part
         self.last_served: dict[int, int] = {}  # descriptor -> serial number, of those of normal priority
         self.serial_numbers = itertools.count(1)
         self.polled_at = clock()  # ms; when the last poll returned
@@ -147,7 +148,14 @@
         """
         now = clock()
         since = self.returned_at - self.unwatched
-        return now - min(since, self.unserved_since.get(sock.fileno(), since))
+        return now - min(since, self.unread_since.get(sock.fileno(), since))
+
+    def data_read(self, sock: socket.socket, partly: bool) -> None:
+        """Notes that data of the socket was read; `partly` where there may be more."""
+        if partly:
+            self.unread_since.setdefault(sock.fileno(), self.returned_at - self.unwatched)
+        else:
+            self.unread_since.pop(sock.fileno(), None)
 
     def add(self, sock: socket.socket, handler: Handler, write: bool = False) -> None:
         """Serves that socket from now on. Raises OSError where it can't be watched, and then keeps nothing of it."""
@@ -187,7 +195,7 @@
         number = sock.fileno()
         self.unmodified.pop(number, None)
         self.last_served.pop(number, None)
-        self.unserved_since.pop(number, None)
+        self.unread_since.pop(number, None)
         if self.handlers.pop(number, None) is not None:
             with contextlib.suppress(OSError):
                 self.epoll.unregister(number)
@@ -233,10 +241,14 @@
         begun_at = clock()
         try:
             events = self.epoll.poll(timeout, EVENTS_PER_POLL)
-            if not events and clock() - begun_at > wait + LATE_RETURN:
-                # Where a process that was stopped goes on, the wait may end without a look at the sockets (epoll_wait
-                # in signal(7), PEP 475). Timers that are due would then run before what has arrived is read.
+            # Where this process was stopped within it, the poll saw the sockets as they were before, or not at all
+            # (epoll_wait in signal(7), PEP 475): timers that are due would run before what has arrived is read.
+            late_after = begun_at + max(0.0, wait) + LATE_RETURN
+            for _ in range(MAX_POLLS):
+                if (looked_at := clock()) <= late_after:
+                    break
                 events = self.epoll.poll(0, EVENTS_PER_POLL)
+                late_after = looked_at + LATE_RETURN
         except InterruptedError:
             return []  # the kernel reports the events again in the next iteration; the timers run in this one
         now = clock()
@@ -275,10 +287,9 @@
             if self.handlers.get(ready.number) is ready.handler:
                 self.last_served[ready.number] = next(self.serial_numbers)
                 self.serve(ready.number, ready.handler, ready.events)
-            self.unserved_since.pop(ready.number, None)
             if clock() > slice_end:
                 for left in others[served:]:
-                    self.unserved_since.setdefault(left.number, self.returned_at - self.unwatched)
+                    self.unread_since.setdefault(left.number, self.returned_at - self.unwatched)
                 break
 
     def serve(self, number: int, handler: Handler, events: int = select.EPOLLIN) -> None:
