--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -15,8 +15,8 @@
 CONNECTING = (0, errno.EINPROGRESS, errno.EINTR)  # results of a non-blocking connect: done, or in progress
 EVENTS_PER_POLL = 256  # fetched from the kernel at a time
 PEER_CLOSED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR  # the other side has closed or reset
-LATE_RETURN = 10.0  # ms by which a poll may return late without having been interrupted
-MAX_POLLS = 3  # more of one iteration, each after one that returned late
+LATE_RETURN = 100.0  # ms by which a poll may return late and still count as a look at the sockets as they are now
+MAX_POLLS = 2  # more of one iteration, each after one that returned late
 MODIFY_RETRY = 10.0  # ms until an epoll_ctl that failed for want of memory is tried again
 TIME_SLICE = 10.0  # ms of an iteration for the handlers of normal priority; at least one of them is served
 
