Requests on new connections count from when their connection may have been made

Callers saw: a request that they sent on a new connection while the front end's process did not run (SIGSTOP and SIGCONT, a paused machine) was passed on to a worker with all of its time, up to the length of the stop too much, or after its time was over.

Cause: the event loop bounds the age of unread data by its last poll. A connection that waits in the backlog during a stop is accepted in the first iteration after it and read in the second, so that its data was taken to be as new as the first. The bound was not handed on from the listener to what it accepts, and there was none where the listener or the connection was not polled (accepts paused, no watch to be had from the kernel).

The loop's bounds are now a module of their own (transport/unread_times.py). An accepted connection begins with the bound of its listener. A poll that does not report a socket shows it empty and drops its bound, so that a connection which asks later has all its time; a socket that is not polled counts from its last read. The listener keeps its bound until its backlog was found empty.

--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -118,7 +118,6 @@
         self.answered = False  # whether anything was written to it
         self.ending = False  # accepts no more requests, and closes after the last answer
         self.closed = False
-        self.registered = False  # with the event loop
         self.pump_due = False  # whether a timer is to write what waits
 
     def _set_waiting(self, waiting: bool) -> None:
@@ -160,8 +159,7 @@
         unread = self.server.loop.unread_for(self.sock, now)
         self.received_at = now - (unread if unread > MAX_UNREAD_TIME else 0.0)
         data = receive(self.sock, READ_SIZE)
-        if data is not None:
-            self.server.loop.data_read(self.sock, len(data) == READ_SIZE)
+        self.server.loop.data_read(self.sock, data is not None and len(data) == READ_SIZE)
         if not data:
             if data is not None:
                 self.close()
--- a/wickdyke/platform/client_server.py
+++ b/wickdyke/platform/client_server.py
@@ -147,7 +147,9 @@
 
     def readable(self) -> None:
         """Accepts connections."""
+        assert self.sock is not None
         self.backlog_empty = self._accept_waiting()
+        self.loop.data_read(self.sock, not self.backlog_empty)
 
     def _accept_waiting(self) -> bool:
         """Accepts a bounded number of connections; returns whether the kernel had no more of them."""
@@ -175,6 +177,7 @@
         return False
 
     def _admit(self, sock: socket.socket) -> None:
+        assert self.sock is not None
         if len(self.clients) >= self.connection_limit and not self._make_room():
             self.counts["no_room"] += 1
             sock.close()
@@ -185,6 +188,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.last_number += 1
         client = self.clients[self.last_number] = ClientConnection(self, sock, self.last_number)
+        self.loop.accepted(sock, self.sock)
         self._register(client)
 
     def _register(self, client: ClientConnection) -> None:
@@ -196,7 +200,6 @@
         try:
             client.sock.setblocking(False)
             self.loop.add(client.sock, client, not client.write_buffer.empty())
-            client.registered = True
         except OSError:
             self.counts["unwatched"] += 1
             self.loop.call_at(clock() + RETRY_AFTER, self._register, client)
@@ -204,9 +207,7 @@
 
     def release_socket(self, client: ClientConnection) -> None:
         """Closes the socket of a connection that has ended."""
-        with suppress(OSError):
-            if client.registered:
-                self.loop.remove(client.sock)
+        self.loop.remove(client.sock)
         with suppress(OSError):  # it may report late that something could not be written
             client.sock.close()
 
@@ -303,11 +304,8 @@
                 break
         if not self.backlog_empty and not at_once:
             return
-        was_registered = self.listener_state is ListenerState.REGISTERED
         self.listener_state = ListenerState.CLOSED
-        with suppress(OSError):
-            if was_registered:
-                self.loop.remove(self.sock)
+        self.loop.remove(self.sock)
         self.sock.close()
 
     def read_clients(self) -> bool:
--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple, Protocol
 
 from wickdyke.transport.timers import Timers
+from wickdyke.transport.unread_times import UnreadTimes
 
 CONNECTING = (0, errno.EINPROGRESS, errno.EINTR)  # results of a non-blocking connect: done, or in progress
 EVENTS_PER_POLL = 256  # fetched from the kernel at a time
@@ -133,28 +134,37 @@
         self.handlers: dict[int, Handler] = {}  # by descriptor
         self.timers = Timers()
         self.unmodified: dict[int, int] = {}  # descriptor -> events that epoll_ctl had no memory for yet
-        self.unread_since: dict[int, float] = {}  # descriptor -> ms; left for a later iteration in whole or part
         self.last_served: dict[int, int] = {}  # descriptor -> serial number, of those of normal priority
         self.serial_numbers = itertools.count(1)
-        self.polled_at = clock()  # ms; when the last poll returned
-        self.returned_at = self.polled_at  # ms; when the last poll returned, whether or not it saw all sockets
-        self.unwatched = 0.0  # ms before that in which this process neither polled nor waited
-        self.arrived_after = self.polled_at  # ms; data of a socket that is ready now, and was not before, is no older
+        self.unread = UnreadTimes(clock())
+
+    @property
+    def arrived_after(self) -> float:
+        """When data of a socket that is ready now, and was not before, arrived at the earliest (ms)."""
+        return self.unread.arrived_after
+
+    @property
+    def unread_since(self) -> dict[int, float]:
+        """Since when data may wait on sockets that were left for a later iteration (ms, by descriptor)."""
+        return self.unread.since
 
     def unread_for(self, sock: socket.socket, now: float) -> float:
         """Returns for how long (ms) data that is read from that socket now may have waited in the kernel, at most.
 
         That is longer than an iteration where this process was stopped, or others were served first.
         """
-        since = self.returned_at - self.unwatched
-        return now - min(since, self.unread_since.get(sock.fileno(), since))
+        return now - self.unread.of(sock.fileno())
 
     def data_read(self, sock: socket.socket, partly: bool) -> None:
-        """Notes that data of the socket was read; `partly` where there may be more."""
+        """Notes that data of the socket was read, or connections accepted from it; `partly` where there may be more."""
         if partly:
-            self.unread_since.setdefault(sock.fileno(), self.returned_at - self.unwatched)
+            self.unread.keep(sock.fileno())
         else:
-            self.unread_since.pop(sock.fileno(), None)
+            self.unread.emptied(sock.fileno())
+
+    def accepted(self, sock: socket.socket, listener: socket.socket) -> None:
+        """Notes that `sock` was accepted: what is unread there may be as old as what waited at the listener."""
+        self.unread.begin(sock.fileno(), self.unread.of(listener.fileno()))
 
     def add(self, sock: socket.socket, handler: Handler, write: bool = False) -> None:
         """Serves that socket from now on. Raises OSError where it can't be watched, and then keeps nothing of it."""
@@ -163,6 +173,7 @@
         number = sock.fileno()
         self.epoll.register(number, _events(write, True))
         self.handlers[number] = handler
+        self.unread.set_polled(number, True)
 
     def set_interest(self, sock: socket.socket, write: bool, read: bool = True) -> None:
         """Sets which events of that socket are waited for.
@@ -177,6 +188,7 @@
     def _modify(self, number: int, events: int) -> None:
         try:
             self.epoll.modify(number, events)
+            self.unread.set_polled(number, bool(events & select.EPOLLIN))
         except OSError as error:
             if error.errno not in (errno.ENOMEM, errno.ENOSPC, errno.EINTR):
                 raise  # the socket is not registered: a mistake of the caller
@@ -194,7 +206,7 @@
         number = sock.fileno()
         self.unmodified.pop(number, None)
         self.last_served.pop(number, None)
-        self.unread_since.pop(number, None)
+        self.unread.forget(number)
         if self.handlers.pop(number, None) is not None:
             with contextlib.suppress(OSError):
                 self.epoll.unregister(number)
@@ -250,11 +262,8 @@
                 late_after = now + LATE_RETURN
         except InterruptedError:
             return []  # the kernel reports the events again in the next iteration; the timers run in this one
-        self.returned_at = now
-        self.arrived_after = self.polled_at
-        self.unwatched = now - self.polled_at - min(now - begun_at, max(0.0, wait))
-        if len(events) < EVENTS_PER_POLL:  # else a socket may have been ready and not reported
-            self.polled_at = now
+        waited = min(now - begun_at, max(0.0, wait))
+        self.unread.poll_returned(now, now, waited, events, len(events) < EVENTS_PER_POLL)
         return events
 
     def _serve_high_priority(self, events_by_socket: list[tuple[int, int]]) -> list[ReadySocket]:
@@ -287,7 +296,7 @@
                 self.serve(ready.number, ready.handler, ready.events)
             if clock() > slice_end:
                 for left in others[served:]:
-                    self.unread_since.setdefault(left.number, self.returned_at - self.unwatched)
+                    self.unread.keep(left.number)
                 break
 
     def serve(self, number: int, handler: Handler, events: int = select.EPOLLIN) -> None:
