A wait that found nothing is followed by a look at the sockets, however short the stop

Callers saw: nothing alone; with other short stops, a request passed on with the sum of them too much.

Cause: where the process is stopped while epoll_wait waits, and the wait is over when it continues, the poll returns nothing without a look at what has arrived (PEP 475). Below 100 ms late that counted as "all sockets were empty just now", so that the time unread began after the stop, and timers ran before what had arrived was read.

Evidence: the new test, a stop of 80 ms in a wait of 20 ms, fails before: the data is not read in that iteration.

A poll that waited in vain is followed by one that does not wait, and sockets count as empty as of the moment before a poll that found nothing, not after it. It costs one system call in an iteration that has nothing to do.

--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -141,6 +141,24 @@
         self.assertEqual(len(polls), 2)
         self.assertEqual(self.seen, [2950.0, 2950.0])
 
+    def test_a_stop_that_outlasts_a_wait_which_found_nothing(self):
+        """Such a poll returns without a look at what arrived in the stop, however short that was."""
+        self.takes = 0.0
+        client = self.client()
+        self.run_once()
+        real = self.loop.epoll
+
+        def poll(timeout, count):
+            if timeout:
+                self.now += 80
+                client.send(b"x")
+                return []
+            return real.poll(0, count)
+
+        with patch.object(self.loop, "epoll", SimpleNamespace(poll=poll)):
+            self.loop.run_once(20.0, lambda: None)
+        self.assertEqual(self.seen, [60.0])
+
     def test_who_is_left_for_a_later_iteration_waits_on(self):
         """Each reader takes longer than the slice: of three, the last has waited for two iterations."""
         self.takes = 2 * event_loop.TIME_SLICE
--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -251,19 +251,24 @@
         timeout = max(0.0, wait + 0.5) / 1000 if wait > 0 else 0
         try:
             events = self.epoll.poll(timeout, EVENTS_PER_POLL)
+            now = clock()
+            looked_at = now if events else begun_at
             # Where this process was stopped within it, the poll saw the sockets as they were before, or not at all
             # (epoll_wait in signal(7), PEP 475): timers that are due would run before what has arrived is read.
+            waited_in_vain = not events and wait > 0
             late_after = begun_at + max(0.0, wait) + LATE_RETURN
             for _ in range(MAX_POLLS):
-                now = clock()
-                if now <= late_after:
+                if now <= late_after and not waited_in_vain:
                     break
-                events = self.epoll.poll(0, EVENTS_PER_POLL)
+                looked_at = now
                 late_after = now + LATE_RETURN
+                waited_in_vain = False
+                events = self.epoll.poll(0, EVENTS_PER_POLL)
+                now = clock()
         except InterruptedError:
             return []  # the kernel reports the events again in the next iteration; the timers run in this one
         waited = min(now - begun_at, max(0.0, wait))
-        self.unread.poll_returned(now, now, waited, events, len(events) < EVENTS_PER_POLL)
+        self.unread.poll_returned(looked_at, now, waited, events, len(events) < EVENTS_PER_POLL)
         return events
 
     def _serve_high_priority(self, events_by_socket: list[tuple[int, int]]) -> list[ReadySocket]:
