What has waited unread is read to its end before a request in it is decided

Callers saw: a client that connected, sent a request and left while the process did not run had its request executed over a second after it had gone; so had one that left on an open connection, or cancelled behind requests of 48 KiB.

Cause: a connection is read once an iteration. The request was posted and decided in that iteration; the end of the connection, or a cancel beyond the first 32 KiB, was read in the next.

Evidence: three new tests, of close, reset and cancel on new and open connections and behind three requests of 16 KiB; seven of their nine cases fail before: the worker is sent the attempt.

Data that may have waited for over 20 ms is read on, eight pieces or 10 ms at most, so that a client that never stops sending costs the others no more than a time slice. What was taken back by then never reaches the router. Data that has just come is read once, as before: its client can't have been gone for long.

--- a/tests/test_process_stopped.py
+++ b/tests/test_process_stopped.py
@@ -1,4 +1,4 @@
-"""Requests that arrive while the process does not run count from when they arrived."""
+"""Requests, cancels and closes that arrive while the process does not run count from when they arrived."""
 
 import errno
 import socket
@@ -8,7 +8,7 @@
 
 from tests import platform_rig as rig
 from tests.acceptance_rig import STEP, SteppedClockCase, request, settings
-from tests.front_end_rig import wait_for
+from tests.front_end_rig import reset, wait_for
 from tests.test_busy_front_end import peeked
 from tests.test_deadlines import time_left_sent
 from wickdyke.platform import client_server
@@ -17,6 +17,7 @@
 
 STOP = 1200.0  # ms
 DEADLINE_SLACK = 150  # ms by which the time passed on may exceed what is left
+WAYS_TO_LEAVE = ("close", "reset", "cancel")
 
 
 class StoppedCase(SteppedClockCase):
@@ -255,5 +256,65 @@
         self.assert_reduced(worker, STOP)
 
 
+class ClientsThatLeave(StoppedCase):
+    """No attempt begins for a client that left while the process was stopped."""
+
+    def leave(self, client, how):
+        if how == "close":
+            client.close()
+        elif how == "reset":
+            reset(client.sock)
+        else:
+            client.send(rig.cancel(2, 1))
+
+    def test_right_behind_a_request_on_a_new_connection(self):
+        for how in WAYS_TO_LEAVE:
+            with self.subTest(how=how):
+                worker = self.worker()
+                self.running(worker)
+                (client,) = self.connected()
+                client.send(request(1, d="3000"))
+                self.leave(client, how)
+                self.stop()
+                self.assert_not_sent(worker)
+                self.end()
+
+    def test_right_behind_a_request_on_an_open_connection(self):
+        for how in WAYS_TO_LEAVE:
+            with self.subTest(how=how):
+                worker = self.worker()
+                self.running(worker)
+                (client,) = self.connected()
+                client.send(rig.alive(1))
+                self.answer(client)
+                client.send(request(2, d="3000"))
+                if how == "cancel":
+                    client.send(rig.cancel(3, 2))
+                else:
+                    self.leave(client, how)
+                self.stop()
+                self.assert_not_sent(worker)
+                self.end()
+
+    def test_behind_more_than_is_read_at_a_time(self):
+        """Three requests of 16 KiB and the end of the connection, or their cancels."""
+        for how in WAYS_TO_LEAVE:
+            with self.subTest(how=how):
+                worker = self.worker()
+                self.running(worker)
+                (client,) = self.connected()
+                client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 18)
+                for number in range(1, 4):
+                    client.send(request(number, d="3000", body=b"x" * (1 << 14)))
+                for number in range(1, 4):
+                    if how == "cancel":
+                        client.send(rig.cancel(3 + number, number))
+                if how != "cancel":
+                    self.leave(client, how)
+                self.stop()
+                self.assert_not_sent(worker)
+                self.end()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -25,6 +25,10 @@
 RETRY_AFTER = 20.0  # ms until a system call is retried that failed for want of memory
 MAX_UNKNOWN_METHOD_QUOTED = 64  # characters of an unknown method that an error quotes
 MAX_UNREAD_TIME = 60.0  # ms for which requests may have waited unread and still count as received when they are read
+MAX_READS = 8  # of one connection at a time, where all data received by the kernel is wanted
+# A cancel or a close may be behind what has waited for so long (ms): that is read to its end before it is handled.
+READ_ON_AFTER = 20.0
+READ_ON_TIME = 10.0  # ms that this takes at most: others wait meanwhile
 READ_AGAIN_AFTER = 50.0  # ms after which a client is read again before an attempt begins on its behalf
 
 
@@ -151,8 +155,15 @@
 
     def readable(self) -> None:
         """Reads frames, or the end of the connection."""
+        begun_at = clock()
+        for _ in range(MAX_READS):
+            if not self._read_piece() or clock() - begun_at > READ_ON_TIME:
+                return
+
+    def _read_piece(self) -> bool:
+        """Reads once; returns whether to read on, since what was read may have a cancel or a close behind it."""
         if self.closed or self.sock.gettimeout() != 0:  # could not be made non-blocking yet: a read would wait
-            return
+            return False
         now = clock()
         self.last_read_at = now
         # Where this process was stopped, or busy with others, a request may have waited in the kernel for as long.
@@ -160,10 +171,14 @@
         self.received_at = now - (unread if unread > MAX_UNREAD_TIME else 0.0)
         data = receive(self.sock, READ_SIZE)
         self.server.loop.data_read(self.sock, data is not None and len(data) == READ_SIZE)
-        if not data:
-            if data is not None:
-                self.close()
-            return
+        if data:
+            self._handle_data(data)
+        elif data is not None:
+            self.close()
+        return bool(data) and unread > READ_ON_AFTER
+
+    def _handle_data(self, data: bytes) -> None:
+        """Handles the frames that data completes."""
         if self.ending:  # a close or a cancel of the client still ends what it has open
             self._read_cancels(data)
             return
--- a/wickdyke/platform/client_server.py
+++ b/wickdyke/platform/client_server.py
@@ -10,7 +10,13 @@
 
 from wickdyke.gateway.events import Event
 from wickdyke.gateway.interfaces import Log, RejectionReason
-from wickdyke.platform.client_connection import NEW_CONNECTION_TIME, RETRY_AFTER, ClientConnection, PendingRequest
+from wickdyke.platform.client_connection import (
+    MAX_READS,
+    NEW_CONNECTION_TIME,
+    RETRY_AFTER,
+    ClientConnection,
+    PendingRequest,
+)
 from wickdyke.routing.model import RequestClass
 from wickdyke.transport.event_loop import EventLoop, Handler, Priority, clock
 
@@ -18,7 +24,6 @@
 BACKLOG = 512
 SILENCE_TIMEOUT = 2000.0  # ms for a first request, and for the rest of an incomplete frame
 SWEEP_INTERVAL = 200.0  # ms between searches for connections past that
-MAX_READS = 8  # of one connection at a time, where all data received by the kernel is wanted
 MIN_TIME_LEFT = 50.0  # ms that a worker needs; with less before the end of the process a request is rejected
 
 
