No attempt begins on a connection that came up after its client had gone

Callers saw: an attempt that waited for its connection to the worker began over a second after the client had closed or cancelled, where the process did not run in between.

Cause: as the connection came up, only the worker's lease was asked again (`may_begin`). Workers are served before clients, so the client's leaving, which waited unread, was seen after the first byte had gone.

Evidence: a new test, of close, reset and cancel, serves the worker's connection first after a stop of 1.2 s; all three fail before.

--- a/tests/test_process_stopped.py
+++ b/tests/test_process_stopped.py
@@ -8,7 +8,7 @@
 
 from tests import platform_rig as rig
 from tests.acceptance_rig import STEP, SteppedClockCase, request, settings
-from tests.front_end_rig import reset, wait_for
+from tests.front_end_rig import FullListener, reset, wait_for
 from tests.test_busy_front_end import peeked
 from tests.test_deadlines import time_left_sent
 from wickdyke.platform import client_server
@@ -315,6 +315,26 @@
                 self.assert_not_sent(worker)
                 self.end()
 
+    def test_while_an_attempt_waits_for_its_connection(self):
+        """The connection to the worker is there when the process runs again, and so is the client's leaving."""
+        for how in WAYS_TO_LEAVE:
+            with self.subTest(how=how):
+                full = FullListener(self)
+                limits = {"dial-timeout": 60000000}
+                self.running(full, settings=settings(limits))
+                (client,) = self.connected()
+                client.send(request(1, d="4000"))
+                upstream = self.serving.coordinator.workers.clients["w0"]
+                self.until(lambda upstream=upstream: any(each.pending for each in upstream.connections), "the attempt")
+                (waiting,) = [each for each in upstream.connections if each.pending]
+                self.leave(client, how)
+                self.stop()
+                waiting.writable()  # as it is served first, once its connect has succeeded
+                self.assertTrue(waiting.up)
+                attempts = [command for command in waiting.open.values() if command.ident == b"%016x" % 1]
+                self.assertEqual(attempts, [])
+                self.end()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wickdyke/gateway/attempts.py
+++ b/wickdyke/gateway/attempts.py
@@ -18,7 +18,7 @@
 from wickdyke.gateway.worker_registry import WorkerRegistry
 from wickdyke.routing.decisions import Cancel, Forward
 from wickdyke.routing.inputs import AttemptFinished
-from wickdyke.routing.model import Attempt, Outcome
+from wickdyke.routing.model import Attempt, Outcome, Worker
 
 
 class Attempts:
@@ -49,10 +49,9 @@
         now = self.context.now()
         time_left = max(0.0, min(request.deadline - now, request.deadline if timeout is None else timeout))
         command = self.protocol.attempt_command(attempt, pending, time_left)
-        command.may_begin = partial(self.context.driver.router.may_send, decision.worker)
+        command.may_begin = partial(self._may_begin, pending, decision.worker)
         pending.commands[attempt] = command
-        # The client may have left since it was decided: nothing begins for it.
-        wanted = not pending.closed and pending.still_wanted()
+        wanted = self._is_wanted(pending)
         client = self.workers.client(decision.worker.endpoint.ident) if wanted else None
         command.worker_client = client
         if client is None:
@@ -62,6 +61,14 @@
             self.context.timers.at(now + timeout, self._timed_out, pending, attempt)
         client.send(command)
 
+    def _is_wanted(self, pending: PendingRequest) -> bool:
+        """Whether its client still waits: it may have left since an attempt was decided, and nothing begins for it."""
+        return not pending.closed and pending.still_wanted()
+
+    def _may_begin(self, pending: PendingRequest, worker: Worker, now: float) -> bool:
+        """Whether the first byte of an attempt may be sent now, however long ago the attempt was decided."""
+        return self.context.driver.router.may_send(worker, now) and self._is_wanted(pending)
+
     # ---- withdrawing ----
 
     def _timed_out(self, pending: PendingRequest, attempt: Attempt) -> None:
