JSON-RPC gateway: calls that waited unread while it did not run have that much less time

Callers saw: calls with 400 ms left that were sent while the gateway's process did not run for 0.7 s were executed after their time, on open connections as on new ones; those with time left were passed on with the length of the stop too much; calls whose client had closed or cancelled meanwhile were executed.

Cause: `PendingRequest.received_at` was the time of the read. A thread that blocks in a read can't tell a process that was stopped from a client that was silent, and each call was posted before what came behind it was read.

Now a thread ticks every 20 ms; where it is late, the first thread that runs looks which sockets have something to read, and only those count as waiting since the last tick before (transport/stall_detector.py). Readers and the acceptor wait by poll, so that nothing leaves the kernel before the thread runs. What has waited is read to its end before a call in it is posted.

--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -2,45 +2,21 @@
 
 import os
 import signal
-import subprocess
-import sys
 import tempfile
 import threading
 import time
 import unittest
 import unittest.mock
 
-from tests.rig import CALL_OUTS, LONG, TERMS, Client, Peer, hello, lines_of, ok, until
+from tests.gateway_process_rig import GatewayProcessCase
+from tests.rig import LONG, Client, hello, lines_of, ok, until
 from tests.scripted_workers import silent
-from wickdyke.config.endpoint_file import EndpointRow, format_endpoints
 from wickdyke.transport.line_server import AddressInUseError, listener
 
 
-class Shutdown(unittest.TestCase):
+class Shutdown(GatewayProcessCase):
     """Signals that end a gateway, and who owns its socket."""
 
-    def serve(self, folder, play, deadline="20 s"):
-        """A gateway as a process, with one scripted worker."""
-        peer = Peer(folder, "w0", play)
-        self.addCleanup(peer.close)
-        with open(os.path.join(folder, "workers.sexp"), "w") as out:
-            out.write(format_endpoints([EndpointRow("w0", peer.path, None, None, 0, 4.0, "ready", 0)]))
-        with open(os.path.join(folder, "g.sexp"), "w") as out:
-            out.write(
-                TERMS.format(soft="500 ms", deadline=deadline, way="100 ms", more="", call_outs=CALL_OUTS, stock="")
-            )
-        process = subprocess.Popen(
-            [sys.executable, "-m", "wickdyke.cli", "serve", os.path.join(folder, "g.sexp")],
-            stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE,
-        )
-        self.addCleanup(process.stdout.close)
-        self.addCleanup(process.stderr.close)
-        self.addCleanup(process.wait)
-        self.addCleanup(process.kill)
-        self.assertEqual(process.stdout.readline().decode(), f"ready {os.path.join(folder, 'g.sock')}\n")
-        return process, os.path.join(folder, "g.sock")
-
     def test_open_requests_are_answered(self):
         """SIGTERM: open requests get their answers, later ones are rejected, exit 0, no socket file left."""
         go = threading.Event()
--- a/wickdyke/jsonrpc/client_connection.py
+++ b/wickdyke/jsonrpc/client_connection.py
@@ -6,7 +6,6 @@
 
 import socket
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
@@ -18,11 +17,12 @@
 from wickdyke.jsonrpc.requests import CheckedRequest, RequestChecker
 from wickdyke.protocol import client_messages, jsonrpc
 from wickdyke.protocol.framing import LineReader, LineTooLongError
+from wickdyke.transport.stall_detector import StallDetector
+from wickdyke.transport.timed_reader import ReceivedData, TimedReader
 from wickdyke.transport.write_buffer import OutgoingMessage, PeerTooSlowError, WriteBuffer
 
 READ_SIZE = 1 << 18  # bytes read at a time
 STACK_SIZE = 512 * 1024  # bytes of a thread's stack: enough for the decoder's greatest nesting, as measured
-MS_PER_SECOND = 1000
 
 
 class ConnectionOwner(Protocol):
@@ -31,6 +31,7 @@
     bounds: ServerLimits
     checker: RequestChecker
     counts: Counter[str]
+    stalls: StallDetector
     post: Callable[[Event], None]
     warn: Callable[..., object]
 
@@ -68,7 +69,9 @@
 
     client: "ClientConnection"
 
-    def __init__(self, client: "ClientConnection", checked: CheckedRequest, batch: Batch | None) -> None:
+    def __init__(
+        self, client: "ClientConnection", checked: CheckedRequest, batch: Batch | None, received_at: float
+    ) -> None:
         super().__init__(
             client,
             checked.ident,
@@ -78,7 +81,7 @@
             checked.route_policy,
         )
         self.batch = batch
-        self.received_at = time.monotonic() * MS_PER_SECOND
+        self.received_at = received_at
 
     def succeed(self, output: bytes, attempts: int) -> None:
         """Sends its final answer: the output of the worker, after so many attempts."""
@@ -100,15 +103,23 @@
 
 
 class ClientConnection:
-    """One connection of a client; `pending` has its open requests by their ids."""
+    """One connection of a client; `pending` has its open requests by their ids.
+
+    `connected_after` (monotonic ms) is when it was made at the earliest.
+    """
 
-    def __init__(self, owner: ConnectionOwner, sock: socket.socket, number: int) -> None:
+    def __init__(
+        self, owner: ConnectionOwner, sock: socket.socket, number: int, connected_after: float | None = None
+    ) -> None:
         self.owner = owner
         self.sock = sock
         self.number = number
         self.write_buffer = WriteBuffer(sock, owner.bounds.unread_bytes, f"client-{number}-out")
         self.pending: dict[jsonrpc.Ident, PendingRequest] = {}
         self.lock = threading.Lock()  # guards `pending`
+        self.reader = TimedReader(sock, owner.stalls, READ_SIZE, connected_after)
+        self.received = ReceivedData(b"", 0.0, False, False)  # the last
+        self.unposted: list[PendingRequest] = []  # requests that waited unread, until all read with them is handled
 
     # ---- writing ----
 
@@ -169,9 +180,8 @@
         """Reads requests until the client closes the connection."""
         lines = LineReader(self.owner.bounds.line_bytes)
         try:
-            while data := self.sock.recv(READ_SIZE):
-                for line in lines.feed(data):
-                    self._line(line)
+            while not (received := self.reader.read()).ended:
+                self._handle(received, lines)
         except LineTooLongError as error:
             self.owner.counts["malformed"] += 1
             malformed = jsonrpc.MalformedRequestError(jsonrpc.INVALID_REQUEST, str(error))
@@ -183,8 +193,20 @@
             # What is written already reaches a client that still reads.
             self.write_buffer.close()
             self.owner.client_closed(self)
+            self.reader.close()
             self.sock.close()
 
+    def _handle(self, received: ReceivedData, lines: LineReader) -> None:
+        """Handles the lines that data completes. What waited unread and is cancelled by one of them is not posted."""
+        self.received = received
+        try:
+            for line in lines.feed(received.data):
+                self._line(line)
+        finally:
+            for pending in self.unposted:
+                self.owner.post(RequestReceived(pending))
+            self.unposted.clear()
+
     def _line(self, line: bytes) -> None:
         requests = list(jsonrpc.parse_requests(line))
         if not jsonrpc.is_batch(line) or _is_unreadable(requests):
@@ -207,7 +229,8 @@
                 self._cancel(self.owner.checker.cancelled_id(request))
                 self.answer(None, batch)
                 return
-            pending = PendingRequest(self, self.owner.checker.check(request, max_time_left), batch)
+            checked = self.owner.checker.check(request, max_time_left)
+            pending = PendingRequest(self, checked, batch, self.received.received_at)
             self._register(pending)
         except jsonrpc.MalformedRequestError as error:
             self.owner.counts["malformed"] += 1
@@ -218,6 +241,9 @@
 
     def _submit(self, pending: PendingRequest) -> None:
         reason = self.owner.rejection_reason(self)
+        if reason is None and self.received.waited:
+            self.unposted.append(pending)
+            return
         if reason is None:
             self.owner.post(RequestReceived(pending))
             return
@@ -232,7 +258,10 @@
             return
         if pending.batch is not None:
             pending.batch.answer(None)
-        self.owner.post(RequestCancelled(pending))
+        if pending in self.unposted:
+            self.unposted.remove(pending)
+        else:
+            self.owner.post(RequestCancelled(pending))
 
 
 def _is_unreadable(requests: list[jsonrpc.Request | jsonrpc.MalformedRequestError]) -> bool:
--- a/wickdyke/jsonrpc/client_server.py
+++ b/wickdyke/jsonrpc/client_server.py
@@ -20,6 +20,7 @@
 from wickdyke.protocol import client_messages
 from wickdyke.transport.acceptor import Acceptor
 from wickdyke.transport.line_server import listener
+from wickdyke.transport.stall_detector import StallDetector
 
 
 class ClientServer:
@@ -46,11 +47,13 @@
         self.last_number = 0
         self.address = config.listen
         self.sock, self.lock_file = listener(config.listen)
-        self.acceptor = Acceptor(self.sock, self._accept, self._log_not_accepted)
+        self.stalls = StallDetector()
+        self.acceptor = Acceptor(self.sock, self._accept, self._log_not_accepted, self.stalls)
         self.thread = threading.Thread(target=self.acceptor.run, name="client-server", daemon=True)
 
     def open(self) -> None:
         """Begins to accept connections."""
+        self.stalls.open()
         self.thread.start()
 
     def rejection_reason(self, client: ClientConnection) -> RejectionReason | None:
@@ -70,7 +73,7 @@
         """Serves an accepted connection, or sends a rejection and closes it."""
         with self.lock:
             self.last_number += 1
-            client = ClientConnection(self, sock, self.last_number)
+            client = ClientConnection(self, sock, self.last_number, self.acceptor.connected_after)
             full = len(self.clients) >= self.bounds.connections
             if not full:
                 self.clients.add(client)
@@ -91,6 +94,7 @@
     def _reject(self, client: ClientConnection) -> None:
         client.write(client_messages.rejection_response(None, RejectionReason.TOO_MANY_CONNECTIONS) + b"\n")
         client.write_buffer.close()
+        client.reader.close()
         client.sock.close()
 
     def shut(self) -> None:
@@ -109,6 +113,7 @@
 
     def disconnect_all(self) -> None:
         """Ends all connections."""
+        self.stalls.close()
         with self.lock:
             clients = list(self.clients)
         for client in clients:
--- a/wickdyke/transport/acceptor.py
+++ b/wickdyke/transport/acceptor.py
@@ -6,6 +6,8 @@
 import threading
 from collections.abc import Callable
 
+from wickdyke.transport.stall_detector import ArrivalBound, StallDetector
+
 # Nothing can be accepted until descriptors or memory are freed, and the connection stays in the backlog.
 SHORT_OF_RESOURCES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 PAUSE = 0.05  # s between two attempts to accept while resources are short
@@ -17,6 +19,7 @@
 
     `on_connection(sock)` is called with each accepted connection and owns it; where it raises, that is closed.
     `on_failure(error)` is called for each failed accept or `on_connection`. Neither ends the loop, only `close` does.
+    With a `detector`, `connected_after` (monotonic ms) is when the connection in hand was made at the earliest.
     """
 
     def __init__(
@@ -24,17 +27,21 @@
         sock: socket.socket,
         on_connection: Callable[[socket.socket], None],
         on_failure: Callable[[Exception], None] = lambda error: None,
+        detector: StallDetector | None = None,
     ) -> None:
         self.sock = sock
         self.on_connection = on_connection
         self.on_failure = on_failure
         self.closed = threading.Event()
+        self.arrival = None if detector is None else ArrivalBound(detector, sock)
+        self.connected_after: float | None = None
 
     def run(self) -> None:
         """Accepts until closed."""
         failures = 0  # in a row
         while not self.closed.is_set():
             try:
+                self._wait()
                 sock, _ = self.sock.accept()
             except OSError as error:
                 # Linux reports network errors pending on the new connection as errors of accept, and may drop the
@@ -56,6 +63,15 @@
             self.sock.shutdown(socket.SHUT_RDWR)  # wakes the thread that waits in accept
         with contextlib.suppress(OSError):
             self.sock.close()
+        if self.arrival is not None:
+            self.arrival.close()
+
+    def _wait(self) -> None:
+        """Waits for a connection."""
+        if self.arrival is None:
+            return
+        self.arrival.look()
+        self.connected_after = self.arrival.wait()
 
     def _hand_over(self, sock: socket.socket) -> None:
         try:
