Worker: a request that waited unread while it did not run has that much less time

Gateways saw: a worker whose process had not run for a while ran requests after their time, as the time left that the gateway had sent counted from the worker's read.

Cause: `GatewayServer._run` gave `time_left_ms` to the schedule as it was; nothing knew when it had arrived.

Evidence: a new test reads requests as if they had waited for 1 s; the one with 900 ms left ran before.

Line servers read with the gateway's TimedReader, each connection notes when the request in hand arrived, and the schedule is told what is left. One whose time is up is rejected as one that never ran.

--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -7,6 +7,8 @@
 import threading
 import time
 import unittest
+from dataclasses import replace
+from unittest.mock import patch
 
 import msgspec
 
@@ -24,6 +26,8 @@
 )
 from wickdyke.config import worker_config
 from wickdyke.config.sexpr import InvalidConfigError
+from wickdyke.protocol import worker_messages
+from wickdyke.transport import timed_reader
 from wickdyke.worker import package
 
 
@@ -184,6 +188,26 @@
                 self.assertGreater(real, int(name[1:]))
                 self.assertLess(real, 1.5 * int(name[1:]) + 30)  # shared with children, and counted once
 
+    def test_requests_that_waited_unread(self):
+        """The process was stopped for 1 s: (ms left as it was sent) -> whether it runs."""
+        worker, gateway = self.worker()
+        self.assertIsNone(gateway.run()[0])
+        read = timed_reader.TimedReader.read
+
+        def read_late(reader):
+            received = read(reader)
+            return replace(received, received_at=received.received_at - 1000.0)
+
+        with patch.object(timed_reader.TimedReader, "read", read_late):
+            self.assertIsNone(gateway.run()[0])  # the reader waits in the unpatched method until then
+            self.assertEqual(gateway.run(left=900.0)[0], worker_messages.FULL)
+            self.assertIsNone(gateway.run(left=20000.0)[0])
+            ident = gateway.send(left=20000.0, sleep=5)
+            self.assertTrue(until(lambda: worker.schedule.requests))
+            (request,) = worker.schedule.requests.values()
+            self.assertLess(request.deadline, time.monotonic() * 1000 + 19000.0)
+            gateway.request("cancel", id=ident)
+
     def test_no_such_package(self):
         """(what is wrong with a package) -> miss, with the reason in the log, and others go on."""
         write_package(self.path("x"), name="x", code="raise RuntimeError('at import')")
--- a/wickdyke/transport/line_server.py
+++ b/wickdyke/transport/line_server.py
@@ -13,6 +13,8 @@
 from wickdyke.protocol import jsonrpc
 from wickdyke.protocol.framing import LineReader, LineTooLongError
 from wickdyke.transport.acceptor import Acceptor
+from wickdyke.transport.stall_detector import StallDetector
+from wickdyke.transport.timed_reader import TimedReader
 from wickdyke.transport.write_buffer import OutgoingMessage, PeerTooSlowError, WriteBuffer
 
 MAX_LINE_SIZE = 64 << 20  # bytes
@@ -79,6 +81,7 @@
         self.write_buffer = WriteBuffer(sock, unread, "wire")
         self.open = True
         self.peer = ""  # the peer's name, where it has given one
+        self.received_at = 0.0  # monotonic ms; when the request in hand arrived
 
     def send(self, body: bytes) -> None:
         """Sends one line, or closes the connection where that fails."""
@@ -98,10 +101,12 @@
     def __init__(self, address: str, serve: Callable[[socket.socket], None]) -> None:
         self.serve = serve
         self.sock, self.lock_file = listener(address)
-        self.socks: set[socket.socket] = set()
+        self.readers: dict[socket.socket, TimedReader] = {}  # of all open connections
         self.lock = threading.Lock()
-        self.acceptor = Acceptor(self.sock, self._start_serving)
+        self.stalls = StallDetector()
+        self.acceptor = Acceptor(self.sock, self._start_serving, detector=self.stalls)
         try:
+            self.stalls.open()
             threading.Thread(target=self.acceptor.run, name="accept", daemon=True).start()
         except RuntimeError:
             self.close()
@@ -110,8 +115,9 @@
     def close(self) -> None:
         """Accepts no more connections and ends all open ones."""
         self.acceptor.close()
+        self.stalls.close()
         with self.lock:
-            socks = list(self.socks)
+            socks = list(self.readers)
         for sock in socks:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
@@ -123,7 +129,7 @@
             if self.acceptor.closed.is_set():  # accepted during `close`, which does not end it
                 sock.close()
                 return
-            self.socks.add(sock)
+            self.readers[sock] = TimedReader(sock, self.stalls, READ_SIZE, self.acceptor.connected_after)
         try:
             threading.Thread(target=self._serve_one, args=(sock,), name="connection", daemon=True).start()
         except RuntimeError:
@@ -140,7 +146,9 @@
 
     def _forget(self, sock: socket.socket) -> None:
         with self.lock:
-            self.socks.discard(sock)
+            reader = self.readers.pop(sock, None)
+        if reader is not None:
+            reader.close()
         with contextlib.suppress(OSError):
             sock.close()
 
@@ -164,10 +172,16 @@
     def _read(self, sock: socket.socket) -> None:
         connection = LineConnection(sock)
         lines = LineReader(self.line_size)
+        with self.lock:
+            reader = self.readers[sock]
         self.connections.add(connection)
         try:
-            while data := sock.recv(READ_SIZE):
-                for line in lines.feed(data):
+            ended = False
+            while not ended:
+                received = reader.read()
+                ended = received.ended
+                connection.received_at = received.received_at
+                for line in lines.feed(received.data):
                     self._handle(connection, line)
         except (OSError, LineTooLongError):
             pass
--- a/wickdyke/worker/gateway_server.py
+++ b/wickdyke/worker/gateway_server.py
@@ -88,7 +88,9 @@
                 connection.send(jsonrpc.error_response(None, jsonrpc.INVALID_REQUEST, "an id that is in use, or none"))
                 return
             self.open_requests.add(key, run)
-            schedule.submit(key, run.function, run.memory_mb, run.concurrency, run.time_left_ms)
+            # The time that it waited to be read is no time that its sender has left.
+            time_left = run.time_left_ms - (monotonic_ms() - connection.received_at)
+            schedule.submit(key, run.function, run.memory_mb, run.concurrency, time_left)
 
     def _prewarm(self, connection: LineConnection, request: jsonrpc.Request) -> None:
         prewarm = msgspec.json.decode(request.params, type=worker_messages.PrewarmRequest)
