A known failure is passed over by its subtest and by the rule that was seen broken

An entry is now TEST | COMMAND AND SEED | KINDS: WHAT WAS SEEN | ISSUE. It names a subtest with its parameters and the kinds of failure that it passes over; another seed, another rule alone or beside it, and the test as a whole fail the run. The soak's report shows a finding of each broken rule before the others, so that none hides behind twelve of another; the soak's test and checks are as they were.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,9 +1,13 @@
-"""Runs all tests; failures of the tests that KNOWN-RED.txt lists are printed and passed over, all others fail the run.
+"""Runs all tests; failures that KNOWN-RED.txt lists are printed and passed over, all others fail the run.
 
-A line of the list is `TEST | CAUSE | ISSUE`, TEST as unittest names it (`tests.test_x.Case.test_y`); `#` begins a
-comment. A listed test that does not exist fails the run, and so do more than MAX_LISTED lines.
+A line of the list is `TEST | COMMAND AND SEED | KINDS: WHAT WAS SEEN | ISSUE`; `#` begins a comment. TEST is named as
+unittest names it, a subtest with its parameters (`tests.test_x.Case.test_y (seed=3)`). KINDS, separated by commas, are
+the rules that were seen broken there (lines `  RULE: ...` of the failure), or the exception's type where it names none.
+A failure of another test, of another subtest or of a kind that is not named counts. A listed test that does not exist
+fails the run.
 """
 
+import re
 import sys
 import unittest
 from collections.abc import Iterator
@@ -11,17 +15,36 @@
 from typing import NamedTuple
 
 LIST_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
-MAX_LISTED = 3
-FIELD_COUNT = 3
+FIELD_COUNT = 4
+RULE_LINE = re.compile(r"^  ([a-z][a-z ]*): ", re.MULTILINE)
+EXCEPTION_LINE = re.compile(r"^([A-Za-z_][\w.]*)(?::|$)", re.MULTILINE)
 
 
 class KnownFailure(NamedTuple):
     """One line of the list."""
 
     test: str
-    cause: str
+    command: str
+    seen: str
     issue: str
 
+    @property
+    def test_name(self) -> str:
+        """The test, without the parameters of a subtest."""
+        return self.test.partition(" (")[0]
+
+    @property
+    def kinds(self) -> set[str]:
+        """The kinds of failure that were seen."""
+        return {kind.strip() for kind in self.seen.partition(":")[0].split(",")}
+
+
+class Failure(NamedTuple):
+    """A failure of a run: the test or subtest, and of which kinds it was."""
+
+    test: str
+    kinds: frozenset[str]
+
 
 class InvalidListError(Exception):
     """KNOWN-RED.txt is not as described above; the message names the line."""
@@ -34,11 +57,10 @@
         if not line.strip() or line.startswith("#"):
             continue
         fields = [field.strip() for field in line.split("|")]
-        if len(fields) != FIELD_COUNT or not all(fields):
-            raise InvalidListError(f"line {number}: {line!r}, expected TEST | CAUSE | ISSUE")
+        if len(fields) != FIELD_COUNT or not all(fields) or ":" not in fields[2]:
+            expected = "TEST | COMMAND AND SEED | KINDS: WHAT WAS SEEN | ISSUE"
+            raise InvalidListError(f"line {number}: {line!r}, expected {expected}")
         known.append(KnownFailure(*fields))
-    if len(known) > MAX_LISTED:
-        raise InvalidListError(f"{len(known)} tests are listed, expected {MAX_LISTED} at most")
     return known
 
 
@@ -51,22 +73,31 @@
             yield test.id()
 
 
-def failed_names(result: unittest.TestResult) -> set[str]:
-    """The names of the tests that failed; a subtest counts for its test."""
-    failed = [test for test, _ in result.failures + result.errors] + list(result.unexpectedSuccesses)
-    return {getattr(test, "test_case", test).id() for test in failed}
+def kinds_of(failure_text: str) -> frozenset[str]:
+    """The rules that a failure names, else the type of its exception."""
+    rules = RULE_LINE.findall(failure_text)
+    return frozenset(rules or EXCEPTION_LINE.findall(failure_text)[-1:] or ["unknown"])
+
+
+def failures_of(result: unittest.TestResult) -> list[Failure]:
+    """What failed in a run, subtests by themselves."""
+    failed = [Failure(test.id(), kinds_of(text)) for test, text in result.failures + result.errors]
+    return failed + [Failure(test.id(), frozenset(["unexpected success"])) for test in result.unexpectedSuccesses]
 
 
-def report(known: list[KnownFailure], existing: set[str], failed: set[str]) -> bool:
+def report(known: list[KnownFailure], existing: set[str], failures: list[Failure]) -> bool:
     """Prints what the list has to do with the run; returns whether the run passes."""
-    unknown = [each.test for each in known if each.test not in existing]
+    passed_over: set[Failure] = set()
     for each in known:
-        state = "failed" if each.test in failed else "passed this time" if each.test in existing else "does not exist"
-        print(f"known red: {each.test} {state}: {each.cause} ({each.issue})")
-    others = failed - {each.test for each in known}
-    for name in sorted(others):
-        print(f"failed and not listed: {name}")
-    return not others and not unknown
+        matching = {failure for failure in failures if failure.test == each.test and failure.kinds <= each.kinds}
+        passed_over |= matching
+        exists = each.test_name in existing
+        state = "failed" if matching else "passed this time" if exists else "does not exist"
+        print(f"known red: {each.test} {state}: {each.seen} ({each.issue})")
+    others = [failure for failure in failures if failure not in passed_over]
+    for failure in others:
+        print(f"failed and not listed: {failure.test}: {', '.join(sorted(failure.kinds))}")
+    return not others and all(each.test_name in existing for each in known)
 
 
 def main() -> int:
@@ -76,7 +107,7 @@
     existing = set(test_names(suite))
     result = unittest.TextTestRunner().run(suite)
     sys.stdout.flush()
-    passed = report(known, existing, failed_names(result))
+    passed = report(known, existing, failures_of(result))
     return 0 if passed and result.testsRun else 1
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,6 +7,8 @@
 
 from tests.soak.play import SoakResult, play
 
+MAX_FINDINGS = 12  # shown of one run
+
 
 def parse_seeds(text: str) -> list[int]:
     """1-3 or 1,5,9."""
@@ -16,10 +18,18 @@
     return [int(part) for part in text.split(",")]
 
 
+def shown_findings(broken: list[str]) -> list[str]:
+    """The first finding of each rule, then the others, MAX_FINDINGS at most or one of each rule."""
+    first_of_rule = {finding.partition(":")[0]: finding for finding in reversed(broken)}
+    first = [finding for finding in broken if finding in first_of_rule.values()]
+    others = [finding for finding in broken if finding not in first_of_rule.values()]
+    return first + others[: max(0, MAX_FINDINGS - len(first))]
+
+
 def describe(result: SoakResult) -> str:
-    """One line, and one for each broken rule."""
+    """One line, and one for each finding that is shown."""
     lines = [f"seed {result.seed}: {result.requests} requests, served {result.served:.3f}, {len(result.broken)} broken"]
-    lines += [f"  {line}"[:400] for line in result.broken[:12]]
+    lines += [f"  {line}"[:400] for line in shown_findings(result.broken)]
     if result.broken:
         lines += [f"    {step}" for step in result.steps if step.kind.name != "CANCEL"]
     return "\n".join(lines)
