What discovery reported in a stop is in force before anything that had waited is sent

Callers saw nothing; workers that drained did: an attempt that waited for its connection went out to a worker whose drain discovery had reported over a second before, while the process did not run.

Cause: after a stop the sockets of workers and of discovery are ready together and were served in the kernel's order, and an event of discovery went through the coordinator's queue, behind all that the connections did at once. The lease of the endpoint list is longer than the grace for a drain, so it did not stop that.

Evidence: found by reading what is counted from when after a stop; a new test reports the connection first, and fails before: the attempt is handed to the connection.

Discovery is served before all others in an iteration, and its events are applied as they are read: what waits for a connection to a worker that drains is withdrawn there and then.

--- a/tests/test_process_stopped.py
+++ b/tests/test_process_stopped.py
@@ -1,9 +1,11 @@
 """Requests, cancels and closes that arrive while the process does not run count from when they arrived."""
 
 import errno
+import select
 import socket
 import unittest
 from contextlib import contextmanager
+from types import SimpleNamespace
 from unittest.mock import patch
 
 from tests import platform_rig as rig
@@ -256,6 +258,40 @@
         self.assert_reduced(worker, STOP)
 
 
+class DrainsReportedMeanwhile(StoppedCase):
+    """Discovery has reported a drain while the process was stopped: nothing that waited goes to that worker."""
+
+    def test_an_attempt_that_waits_for_its_connection(self):
+        """The connection is made, and the event is there to be read; the kernel reports the connection first."""
+        full = FullListener(self)
+        bus = self.made(rig.Bus())
+        self.running(full, bus=bus.address, settings=settings({"dial-timeout": 60000000}))
+        self.until(lambda: bus.readers, "discovery")
+        (client,) = self.connected()
+        client.send(request(1, d="4000"))
+        upstream = self.serving.coordinator.workers.clients["w0"]
+        self.until(lambda: any(each.pending for each in upstream.connections), "the attempt")
+        (waiting,) = [each for each in upstream.connections if each.pending]
+        bus.event(rig.event(2, rig.instance("w0", full.address, lifecycle="DRAINING")))
+        wait_for(self, lambda: peeked(self.serving.discovery.sock))
+        self.stop()
+        self.iterate_with_events(waiting.sock, self.serving.discovery.sock)
+        self.assertEqual([command for command in waiting.open.values() if command.ident == b"%016x" % 1], [])
+        self.assertEqual(self.serving.endpoints.offset, 2)
+
+    def iterate_with_events(self, writable, readable):
+        """One iteration in which the kernel reports these two sockets, in that order."""
+        loop = self.serving.loop
+        events = [(writable.fileno(), select.EPOLLOUT), (readable.fileno(), select.EPOLLIN)]
+        with patch.object(loop, "epoll", SimpleNamespace(**{**epoll_methods(loop), "poll": lambda *_: events})):
+            loop.run_once(0.0, lambda: None)
+
+
+def epoll_methods(loop):
+    """The methods of the loop's epoll object."""
+    return {name: getattr(loop.epoll, name) for name in ("register", "modify", "unregister", "close")}
+
+
 class ClientsThatLeave(StoppedCase):
     """No attempt begins for a client that left while the process was stopped."""
 
--- a/wickdyke/gateway/coordinator.py
+++ b/wickdyke/gateway/coordinator.py
@@ -195,6 +195,10 @@
             # An exception on one decision must not delay the others until the router is advanced again.
             self.context.guarded(self.actions[type(decision)], decision)
 
+    def handle_at_once(self, event: Event) -> None:
+        """Handles an event before those that wait. For the event loop that runs it, outside of `run_once`."""
+        self.context.guarded(self.handlers[type(event)], event)
+
     # ---- requests ----
 
     def answer_all(self, reason: RejectionReason) -> None:
--- a/wickdyke/platform/discovery.py
+++ b/wickdyke/platform/discovery.py
@@ -49,7 +49,7 @@
     `last_offset` returns the number of the last event applied, after which events are requested.
     """
 
-    priority = Priority.HIGH
+    priority = Priority.FIRST
 
     def __init__(
         self,
--- a/wickdyke/platform/service.py
+++ b/wickdyke/platform/service.py
@@ -92,7 +92,7 @@
             self.loop,
             _discovery_settings(configuration),
             lambda: self.endpoints.offset,
-            self._post_events,
+            self._apply_events,
             log,
             lambda at: self.coordinator.post(DiscoveryHeard(at)),
         )
@@ -111,8 +111,9 @@
             where=f"{os.path.basename(last.filename)}:{last.lineno}",
         )
 
-    def _post_events(self, events: list[Event]) -> None:
-        self.coordinator.post(EndpointsReceived(events))
+    def _apply_events(self, events: list[Event]) -> None:
+        # In the queue they would wait while what had waited for its connection goes to a worker that drains.
+        self.coordinator.handle_at_once(EndpointsReceived(events))
 
     def handle_signals(self) -> None:
         """Installs the handlers of SIGTERM, SIGINT and SIGHUP."""
--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -67,7 +67,8 @@
 class Priority(Enum):
     """The order in which handlers are served within one iteration of the loop."""
 
-    HIGH = auto()  # before the timers: workers and discovery
+    FIRST = auto()  # before all others: discovery, whose events say what may be sent
+    HIGH = auto()  # before the timers: workers
     NORMAL = auto()  # after the timers, in a bounded slice of time: clients
 
 
@@ -231,7 +232,8 @@
     def run_once(self, wait: float, between: Callable[[], object], now: float | None = None) -> None:
         """Runs one iteration: polls, waiting `wait` ms at most from `now` on, and serves what is ready.
 
-        The order: handlers of high priority, the timers that are due, `between`, handlers of normal priority.
+        The order: handlers of the first and of high priority, the timers that are due, `between`, handlers of normal
+        priority.
 
         So clients that flood us with requests or connects do not delay the answers of workers and the timers. Workers
         could flood us too, but of each only a bounded piece is read at a time.
@@ -272,7 +274,7 @@
         return events
 
     def _serve_high_priority(self, events_by_socket: list[tuple[int, int]]) -> list[ReadySocket]:
-        """Serves the handlers of high priority, and those whose peer has closed; returns the others."""
+        """Serves all handlers but those of normal priority, and those whose peer has closed; returns the others."""
         # Serving one may close the connection of another, and a new one may get its descriptor: with the events of the
         # other it would consider itself connected. So all handlers are looked up before any is served.
         ready_sockets = [
@@ -280,10 +282,11 @@
             for number, events in events_by_socket
             if (handler := self.handlers.get(number)) is not None
         ]
+        ready_sockets.sort(key=lambda ready: ready.handler.priority is not Priority.FIRST)
         others = []
         for ready in ready_sockets:
             # A close is seen before anything is decided, however many other clients send at that moment.
-            if ready.handler.priority is Priority.HIGH or ready.events & PEER_CLOSED:
+            if ready.handler.priority is not Priority.NORMAL or ready.events & PEER_CLOSED:
                 self.serve(ready.number, ready.handler, ready.events)
             else:
                 others.append(ready)
