Discovery is read to its end before a request is decided after a stop

Callers saw nothing; workers that drained did: a request that came in a stop went to a worker whose drain discovery had reported in the same stop, behind other events.

Cause: 64 KiB of discovery are read in an iteration, and requests are decided in each.

What may have waited for over 100 ms is read on, 4 MiB at most. In other iterations a large event is read piece by piece as before.

--- a/tests/test_process_stopped.py
+++ b/tests/test_process_stopped.py
@@ -1,8 +1,11 @@
 """Requests, cancels and closes that arrive while the process does not run count from when they arrived."""
 
 import errno
+import fcntl
 import select
 import socket
+import sys
+import termios
 import unittest
 from contextlib import contextmanager
 from types import SimpleNamespace
@@ -286,12 +289,35 @@
         with patch.object(loop, "epoll", SimpleNamespace(**{**epoll_methods(loop), "poll": lambda *_: events})):
             loop.run_once(0.0, lambda: None)
 
+    def test_more_than_is_read_of_discovery_at_a_time(self):
+        """The drain is behind 200 KiB of other events: a request that came in the stop does not go to that worker."""
+        worker = self.worker()
+        bus = self.made(rig.Bus())
+        self.running(worker, bus=bus.address)
+        self.until(lambda: bus.readers, "discovery")
+        (client,) = self.connected()
+        client.send(request(1, d="4000"))
+        for offset in range(2, 1002):
+            bus.event(rig.event(offset, rig.instance(f"x{offset}", "127.0.0.1:9", lifecycle="DRAINING")))
+        bus.event(rig.event(1002, rig.instance("w0", worker.address, lifecycle="DRAINING")))
+        wait_for(self, lambda: waiting_bytes(self.serving.discovery.sock) > 1 << 15)
+        self.stop()
+        self.assertEqual(self.final(client, 4000.0, settle=False)[:2], (1, "shed"))
+        self.assertEqual(worker.received(b"invoke"), [])
+
 
 def epoll_methods(loop):
     """The methods of the loop's epoll object."""
     return {name: getattr(loop.epoll, name) for name in ("register", "modify", "unregister", "close")}
 
 
+def waiting_bytes(sock):
+    """How many bytes there are to read."""
+    count = bytearray(4)
+    fcntl.ioctl(sock, termios.FIONREAD, count)
+    return int.from_bytes(count, sys.byteorder)
+
+
 class ClientsThatLeave(StoppedCase):
     """No attempt begins for a client that left while the process was stopped."""
 
--- a/wickdyke/platform/discovery.py
+++ b/wickdyke/platform/discovery.py
@@ -17,6 +17,8 @@
 
 PATH = "/bus/read"
 READ_SIZE = 1 << 16  # bytes read at a time
+MAX_READS = 64  # in one iteration, of what has waited for READ_ON_AFTER
+READ_ON_AFTER = 100.0  # ms
 SILENCE_TIMEOUT = 1500.0  # ms without data after which the connection counts as dead: there is a heartbeat each second
 MAX_SILENCE_TIMEOUT = 12000.0  # ms, while an event is coming
 MAX_CONNECT_TIMEOUT = 400.0  # ms
@@ -249,9 +251,21 @@
 
     def readable(self) -> None:
         """Reads data of the response, or its end."""
-        assert self.sock is not None
-        if (data := receive(self.sock, READ_SIZE)) is None:
-            return
+        # Where this process was stopped, a drain may be behind much else, and what is sent next must heed it. In other
+        # iterations a large event is read piece by piece, so that workers and clients don't wait for it.
+        sock = self.sock
+        assert sock is not None
+        for _ in range(MAX_READS):
+            waited = self.loop.unread_for(sock, clock()) > READ_ON_AFTER
+            if not self._read_piece(sock) or not waited or self.sock is not sock:
+                return
+
+    def _read_piece(self, sock: socket.socket) -> bool:
+        """Reads once; returns whether there was anything."""
+        data = receive(sock, READ_SIZE)
+        self.loop.data_read(sock, data is not None and len(data) == READ_SIZE)
+        if data is None:
+            return False
         # The data may have waited in the kernel while this process did not run: it is as old as the poll before the
         # first that found the socket ready.
         arrived_after = self.loop.arrived_after if self.unread_since is None else self.unread_since
@@ -264,7 +278,7 @@
                 self.counts["invalid"] += 1
                 self._end()
                 self._retry_later(str(error))
-                return
+                return True
             ended = True  # the connection ended within the response
         # A stream that stops within an event and sends a few bytes now and then would count as alive for ever, with the
         # list out of date. So only data after which no event is incomplete counts as a sign of life.
@@ -276,6 +290,7 @@
             was_up = self.up
             self._end()
             self._retry_later("ended" if was_up else "ended before its answer")
+        return True
 
     def _parse_http(self, data: bytes) -> bool:
         """Parses data of the response; returns whether it has ended."""
