--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,11 +1,14 @@
-"""Plays seeds of the soak by hand: `python -m tests.soak --seeds 1-50 --jobs 4`. Exit code 1 where a rule broke."""
+"""Plays seeds of the soak by hand: `python -m tests.soak --seeds 1-50 --jobs 4`. Exit code 1 where a rule broke.
+
+With --stops front ends are stopped often, in series too, while clients connect, ask and leave.
+"""
 
 import argparse
 import multiprocessing
 import statistics
 import sys
 
-from tests.soak.play import SoakResult, play
+from tests.soak.play import SoakResult, play, play_stops
 
 MAX_FINDINGS = 12  # shown of one run
 
@@ -40,10 +43,12 @@
     parser = argparse.ArgumentParser(prog="python -m tests.soak")
     parser.add_argument("--seeds", type=parse_seeds, default=parse_seeds("1-50"))
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--stops", action="store_true", help="front ends are stopped often, while visitors connect")
     arguments = parser.parse_args()
+    play_run = play_stops if arguments.stops else play
     with multiprocessing.get_context("spawn").Pool(arguments.jobs, maxtasksperchild=1) as pool:
         results = []
-        for result in pool.imap_unordered(play, arguments.seeds):
+        for result in pool.imap_unordered(play_run, arguments.seeds):
             print(describe(result), flush=True)
             results.append(result)
     broken = [result.seed for result in results if result.broken]
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -13,6 +13,7 @@
 TERM_SERIES = 3  # signals of one kind that come in a row, at most
 HUP_SERIES = 4
 CROWD_RATE = 60.0  # requests a second of each client that joins
+STOP_SERIES = 6  # of stops in one run
 WAYS_BACK = 0.5  # part of the drained workers that end and come back
 
 
@@ -31,6 +32,7 @@
     PAUSE = auto()
     CROWD = auto()
     CANCEL = auto()
+    STOPS = auto()
 
 
 @dataclass(frozen=True, order=True)
@@ -40,9 +42,11 @@
     at: float
     kind: StepKind = field(compare=False)
     number: int = field(default=0, compare=False)
-    count: int = field(default=1, compare=False)  # signals in a row
+    count: int = field(default=1, compare=False)  # signals or stops in a row
     mode: BusMode = field(default=BusMode.UP, compare=False)
-    span: float = field(default=0.0, compare=False)  # s between signals, or of a pause
+    span: float = field(default=0.0, compare=False)  # s between signals, or of a pause or stop
+    gap: float = field(default=0.0, compare=False)  # s between stops
+    visitors: int = field(default=0, compare=False)  # that connect in each stop
 
 
 def make_plan(seed: int, front_ends: int, workers: int) -> list[Step]:
@@ -61,6 +65,25 @@
     return sorted(steps)
 
 
+def make_stop_plan(seed: int, front_ends: int, workers: int) -> list[Step]:
+    """The steps of a run in which front ends are stopped often, in series too, while visitors connect."""
+    draw = random.Random(seed)
+    steps = make_plan(seed, front_ends, workers)
+    for _ in range(STOP_SERIES):
+        steps.append(
+            Step(
+                draw.uniform(CALM_SECONDS, 14.0),
+                StepKind.STOPS,
+                draw.randrange(front_ends),
+                count=draw.choice((1, 1, 4, 8)),
+                span=draw.choice((0.04, 0.09, 0.15, 0.25, 0.5, 1.2)),
+                gap=draw.choice((0.0, 0.01, 0.05, 0.3)),
+                visitors=draw.choice((1, 3, 10)),
+            )
+        )
+    return sorted(steps)
+
+
 def _add_outages(draw: random.Random, steps: list[Step]) -> None:
     at = CALM_SECONDS + draw.uniform(0.0, 2.0)
     for _ in range(draw.choice((1, 1, 2))):
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -8,12 +8,13 @@
 
 from tests.soak.checks import served_share, violations
 from tests.soak.front_end import SoakFrontEnd
-from tests.soak.plan import CROWD_RATE, LONGEST_SECONDS, Step, StepKind, make_plan
+from tests.soak.plan import CROWD_RATE, LONGEST_SECONDS, Step, StepKind, make_plan, make_stop_plan
 from tests.soak.scene import Scene, SceneSize
 
 SIZE = SceneSize(front_ends=3, workers=5, clients_per_front_end=3, rate=6.0)
 # After SIGTERM, SIGKILL comes at the protocol's earliest: the longest deadline, counted as 3 s at most, and 0.7 s.
 KILL_SECONDS = 3.7
+MIN_GAP_SECONDS = 0.05  # between two stops, in which a process gets something done: else they count as one
 LIST_CHANGES = {StepKind.DRAIN: Scene.drain, StepKind.REMOVE: Scene.remove, StepKind.BRING_BACK: Scene.bring_back}
 
 
@@ -43,6 +44,7 @@
             StepKind.RELOAD: self._reload,
             StepKind.PAUSE: self._pause,
             StepKind.CROWD: self._crowd,
+            StepKind.STOPS: self._stops,
         }
 
     def carry_out(self, step: Step) -> None:
@@ -122,6 +124,25 @@
         with self.lock:
             self.restarting.discard(front_end.name)
 
+    def _stops(self, step: Step) -> None:
+        front_end = self.scene.front_ends[step.number]
+        if not self._claim(front_end):
+            return
+        visitors = self.scene.add_visitors(front_end)
+        began_at = time.time()
+        for _ in range(step.count):
+            if step.gap >= MIN_GAP_SECONDS:
+                began_at = time.time()
+            front_end.signal(signal.SIGSTOP)
+            for _ in range(step.visitors):
+                visitors.come(step.span)
+            time.sleep(step.span)
+            front_end.signal(signal.SIGCONT)
+            front_end.life.pauses.append((began_at, time.time()))
+            time.sleep(step.gap)
+        with self.lock:
+            self.restarting.discard(front_end.name)
+
     def _crowd(self, step: Step) -> None:
         joined = self.scene.add_clients(CROWD_RATE)
         time.sleep(step.span)
@@ -131,7 +152,15 @@
 
 def play(seed: int) -> SoakResult:
     """Plays one run."""
-    steps = make_plan(seed, SIZE.front_ends, SIZE.workers)
+    return _play(seed, make_plan(seed, SIZE.front_ends, SIZE.workers))
+
+
+def play_stops(seed: int) -> SoakResult:
+    """Plays one run in which front ends are stopped often."""
+    return _play(seed, make_stop_plan(seed, SIZE.front_ends, SIZE.workers))
+
+
+def _play(seed: int, steps: list[Step]) -> SoakResult:
     scene = Scene(SIZE, seed)
     try:
         scene.start()
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -9,6 +9,7 @@
 from tests.soak.bus import BusMode, EventLog, SoakBus
 from tests.soak.front_end import SoakFrontEnd
 from tests.soak.load_client import LoadClient, SentRequest
+from tests.soak.visitors import Visitors
 from tests.soak.worker import SoakWorker
 
 DRAIN_GRACE_SECONDS = rig.SETTINGS["rules"]["stop-sending-within"] / 1e6
@@ -50,7 +51,7 @@
             SoakFrontEnd(f"n{index}", self.folder.name, rig.SETTINGS, index, size.front_ends)
             for index in range(size.front_ends)
         ]
-        self.clients: list[LoadClient] = []
+        self.clients: list[LoadClient | Visitors] = []
 
     def start(self) -> None:
         """Starts the front ends, then their clients."""
@@ -75,6 +76,12 @@
             client.start()
         return added
 
+    def add_visitors(self, front_end: SoakFrontEnd) -> Visitors:
+        """Clients of one front end that come when told to."""
+        visitors = Visitors(front_end.address, FUNCTIONS, self.seed * 1000 + len(self.clients))
+        self.clients.append(visitors)
+        return visitors
+
     def set_discovery(self, mode: BusMode) -> None:
         """Discovery behaves that way at each of its addresses."""
         for bus in self.buses:
