JSON-RPC gateway: after a stall nothing is decided before the readers have read

Callers saw: a client that had closed while the gateway's process did not run could have its request tried again, where its first attempt had ended as full in the same stop.

Cause: readers and the coordinator are threads, and after a stop they run in any order. The coordinator decided on the worker's answer before the client's reader had seen the end of its connection.

After a stall of 70 ms or more the coordinator waits, 50 ms at most, until each reader has handled what was unread. The unit tests force it by order of steps. Shorter stalls, as a busy machine has, cost nothing.

--- a/tests/gateway_process_rig.py
+++ b/tests/gateway_process_rig.py
@@ -1,4 +1,4 @@
-"""A JSON-RPC gateway as a process, with one scripted worker."""
+"""A JSON-RPC gateway as a process, with scripted workers."""
 
 import os
 import subprocess
@@ -12,12 +12,14 @@
 class GatewayProcessCase(unittest.TestCase):
     """Starts gateways, which end with the test."""
 
-    def serve(self, folder, play, deadline="20 s"):
-        """A gateway as a process, with one scripted worker."""
-        peer = Peer(folder, "w0", play)
-        self.addCleanup(peer.close)
+    def serve(self, folder, *plays, deadline="20 s"):
+        """A gateway as a process, with scripted workers."""
+        peers = [Peer(folder, f"w{number}", play) for number, play in enumerate(plays)]
+        for peer in peers:
+            self.addCleanup(peer.close)
+        rows = [EndpointRow(f"w{at}", peer.path, None, None, 0, 4.0, "ready", 0) for at, peer in enumerate(peers)]
         with open(os.path.join(folder, "workers.sexp"), "w") as out:
-            out.write(format_endpoints([EndpointRow("w0", peer.path, None, None, 0, 4.0, "ready", 0)]))
+            out.write(format_endpoints(rows))
         with open(os.path.join(folder, "g.sexp"), "w") as out:
             out.write(
                 TERMS.format(soft="500 ms", deadline=deadline, way="100 ms", more="", call_outs=CALL_OUTS, stock="")
--- a/tests/test_gateway_stopped.py
+++ b/tests/test_gateway_stopped.py
@@ -9,7 +9,7 @@
 
 from tests.gateway_process_rig import GatewayProcessCase
 from tests.rig import Client, hello, lines_of, ok, until
-from wickdyke.protocol import jsonrpc
+from wickdyke.protocol import jsonrpc, worker_messages
 
 STOP_SECONDS = 0.7
 SHORT_MS = 400  # is over before the process runs again
@@ -23,14 +23,17 @@
 
     def setUp(self):
         self.runs = {}  # what a worker was told of the time left (ms), by the call's id
+        self.run_count = 0
+        self.held = []  # attempts that a worker has not answered: (socket, number)
+        self.holds = False
         self.lock = threading.Lock()
         folder = tempfile.TemporaryDirectory(prefix="wd-")
         self.addCleanup(folder.cleanup)
-        self.process, self.path = self.serve(folder.name, self.play)
+        self.process, self.path = self.serve(folder.name, self.play, self.play)
         self.assertEqual(self.final(self.client(), 0), "ok")  # the worker is connected
 
     def play(self, sock, number):
-        """A worker that notes what it is sent and answers at once."""
+        """A worker that notes what it is sent and answers at once, unless attempts are held."""
         source = lines_of(sock)
         hello(sock, source)
         for request in source:
@@ -38,6 +41,10 @@
                 params = request["params"]
                 with self.lock:
                     self.runs[params["input"]["n"]] = params["time_left_ms"]
+                    self.run_count += 1
+                    if self.holds:
+                        self.held.append((sock, request["id"]))
+                        continue
                 sock.sendall(ok(request["id"]))
 
     def client(self):
@@ -103,6 +110,25 @@
         self.assertEqual(self.final(busy, 2, time_left_ms=SHORT_MS), "ok")
         self.assertEqual(self.final(silent, 3, time_left_ms=SHORT_MS), "ok")
 
+    def test_no_retry_for_clients_that_left(self):
+        """In the stop their first attempts end as full, and they close."""
+        clients = [self.client() for _ in range(CLIENTS)]
+        self.holds = True
+        self.ask_all(clients, 2 * LONG_MS)
+        self.assertTrue(until(lambda: len(self.held) == CLIENTS))
+        self.holds = False
+        before = self.run_count
+
+        def act():
+            for sock, number in self.held:
+                sock.sendall(jsonrpc.error_response(number, worker_messages.FULL, "full", b"{}") + b"\n")
+            for client in clients:
+                client.sock.close()
+
+        self.stopped(act)
+        self.assertEqual(self.final(self.client(), 0), "ok")
+        self.assertFalse(until(lambda: self.run_count > before + 1, 0.5))
+
     def test_clients_that_left(self):
         """(how) -> their calls reach no worker."""
         for how in ("close", "cancel"):
--- a/tests/test_stall_detector.py
+++ b/tests/test_stall_detector.py
@@ -163,6 +163,57 @@
         self.assertEqual(reader.read().received_at, 1000.0)
 
 
+class CatchingUp(StallCase):
+    """The thread that decides waits for the readers after a long stall."""
+
+    def catch_up(self, *steps):
+        """Does one of the steps each time it waits, then lets time pass; returns the result and how often it waited."""
+        steps = list(steps)
+        waits = []
+
+        def sleep(span):
+            waits.append(span)
+            if steps:
+                steps.pop(0)()
+            else:
+                self.now += 10.0
+
+        with patch.object(stall_detector.time, "sleep", sleep):
+            return self.detector.catch_up(), len(waits)
+
+    def test_nothing_to_wait_for(self):
+        """(no stall, a short one, a long one in which nothing came)"""
+        self.reader()
+        self.assertEqual(self.catch_up(), (False, 0))
+        self.now += stall_detector.MIN_CATCH_UP_STALL - 1
+        self.assertEqual(self.catch_up(), (False, 0))
+        self.now += STOP
+        self.assertEqual(self.catch_up(), (True, 0))
+        self.assertEqual(self.catch_up(), (False, 0))
+
+    def test_until_what_came_is_handled(self):
+        reader, client = self.reader()
+        client.send(b"x")
+        self.now += STOP
+
+        def handled():  # as the reader's thread waits again
+            reader.arrival.handling = False
+
+        self.assertEqual(self.catch_up(reader.read, handled), (True, 2))
+
+    def test_until_one_that_has_left_is_closed(self):
+        reader, client = self.reader()
+        client.close()
+        self.now += STOP
+        self.assertEqual(self.catch_up(reader.read, reader.close), (True, 2))
+
+    def test_not_for_ever(self):
+        _, client = self.reader()
+        client.send(b"x")
+        self.now += STOP
+        self.assertEqual(self.catch_up(), (True, stall_detector.MAX_CATCH_UP / 10))
+
+
 class NewConnections(StallCase):
     """Connections that waited to be accepted."""
 
--- a/wickdyke/gateway/coordinator.py
+++ b/wickdyke/gateway/coordinator.py
@@ -73,6 +73,9 @@
         self.isolation.attach(self.context, self.workers)
         self.attempts = Attempts(self.context, protocol, self.requests, self.workers, self.isolation)
         self.thread = threading.Thread(target=self._run, name="coordinator", daemon=True)
+        # Called before anything is decided: waits, where this process did not run, until others have posted what they
+        # had not read by then, and returns whether it did.
+        self.catch_up: Callable[[], bool] = lambda: False
         self.actions = self._actions()
         self.handlers = self._handlers()
         if isinstance(endpoints, HelloEndpointList):
@@ -163,7 +166,7 @@
 
         Returns False once it is to end.
         """
-        if not self._handle_events(wait):
+        if not self._handle_events(wait) or (self.catch_up() and not self._handle_events(0.0)):
             return False
         guarded = self.context.guarded
         now = self.context.now()
--- a/wickdyke/jsonrpc/service.py
+++ b/wickdyke/jsonrpc/service.py
@@ -62,6 +62,7 @@
             BreakerIsolation(CircuitBreaker(config.breakers, config.instance.count, log)),
         )
         self.client_server = ClientServer(config, self.coordinator.post, self.coordinator.busy, log.warning)
+        self.coordinator.catch_up = self.client_server.stalls.catch_up
         self.policy_transition = PolicyTransition()
         self.watchers: list[FileWatcher[list[endpoint_file.EndpointRow]] | FileWatcher[route_config.Routes]] = [
             FileWatcher(
--- a/wickdyke/transport/stall_detector.py
+++ b/wickdyke/transport/stall_detector.py
@@ -9,11 +9,17 @@
 import select
 import socket
 import threading
+import time
 
 from wickdyke.transport.event_loop import clock
 
 TICK_INTERVAL = 20.0  # ms
 MIN_STALL = 30.0  # ms between two ticks from which on the process counts as stalled in between
+# ms without a run after which what is decided next waits for the readers: a client that has left for longer than 100 ms
+# must not be served.
+MIN_CATCH_UP_STALL = 70.0
+MAX_CATCH_UP = 50.0  # ms that it waits
+CATCH_UP_POLL = 0.001  # s between two checks
 MS_PER_SECOND = 1000
 
 
@@ -25,6 +31,7 @@
         self.arrivals: set[ArrivalBound] = set()
         self.lock = threading.Lock()  # guards `arrivals`
         self.tick_lock = threading.Lock()
+        self.readers_behind = False  # since a long stall
         self.closed = threading.Event()
 
     def open(self) -> None:
@@ -46,12 +53,32 @@
             now = clock()
             if self.is_overdue(now):
                 self._look()
+            self.readers_behind |= now - self.ticked_at >= MIN_CATCH_UP_STALL
             self.ticked_at = now  # last: until the sockets were looked at, all that is read may have waited
 
     def is_overdue(self, now: float) -> bool:
         """Whether the process did not run for a while before that time, and nobody has noticed yet."""
         return now - self.ticked_at >= MIN_STALL
 
+    def catch_up(self) -> bool:
+        """After a long stall, waits until what was unread then is handled; returns whether there was such a stall.
+
+        For the thread that decides by what the readers pass on. The wait is bounded by MAX_CATCH_UP.
+        """
+        now = clock()
+        if self.is_overdue(now):
+            self.tick()
+        if not self.readers_behind:
+            return False
+        self.readers_behind = False
+        while self._any_behind() and clock() - now < MAX_CATCH_UP:
+            time.sleep(CATCH_UP_POLL)
+        return True
+
+    def _any_behind(self) -> bool:
+        with self.lock:
+            return any(arrival.is_behind() for arrival in self.arrivals)
+
     def _look(self) -> None:
         with self.lock:
             by_number = {arrival.sock.fileno(): arrival for arrival in self.arrivals}
@@ -80,6 +107,7 @@
         self.waiting_since: float | None = None  # None where nothing is known to wait
         self.noted_at = clock()  # when `waiting_since` was noted
         self.empty_at = -math.inf  # there was nothing to read then
+        self.handling = False  # what was read last
         self.lock = threading.Lock()  # guards these three
         self.poller = select.poll()
         self.poller.register(sock, select.POLLIN)
@@ -94,11 +122,14 @@
         """Ends the observation of the socket."""
         with self.detector.lock:
             self.detector.arrivals.discard(self)
+        self.handling = False
 
     def wait(self) -> float:
         """Waits until there is something to read, which is left there; returns since when it may have waited."""
         # A read that waits would take data from the kernel before this thread runs, and the socket would look empty.
+        self.handling = False
         self.poller.poll()
+        self.handling = True
         now = clock()
         if self.detector.is_overdue(now):
             self.detector.tick()
@@ -121,6 +152,10 @@
             elif self.waiting_since is not None:
                 self.waiting_since = max(at, self.waiting_since)
 
+    def is_behind(self) -> bool:
+        """Whether something that waited is not handled yet."""
+        return self.waiting_since is not None or self.handling
+
     def look(self) -> None:
         """Forgets since when something may wait, if there is nothing to read now."""
         looked_at = clock()
