A wait that a stop outlasted takes nothing off the time unread

Callers saw nothing yet; by the sums, a stop of 150 to 160 ms that began with a wait of 100 ms let a request be passed on with up to 160 ms too much, where 150 are allowed.

Cause: data that arrives ends a wait, so the time of the wait was left out of the bound. That is not so while the process is stopped within it, and the loss added to the 60 ms that count as no wait.

A wait that found nothing and returned over 5 ms late counts in full.

--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -157,7 +157,7 @@
 
         with patch.object(self.loop, "epoll", SimpleNamespace(poll=poll)):
             self.loop.run_once(20.0, lambda: None)
-        self.assertEqual(self.seen, [60.0])
+        self.assertEqual(self.seen, [80.0])
 
     def test_who_is_left_for_a_later_iteration_waits_on(self):
         """Each reader takes longer than the slice: of three, the last has waited for two iterations."""
--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -17,6 +17,7 @@
 EVENTS_PER_POLL = 256  # fetched from the kernel at a time
 PEER_CLOSED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR  # the other side has closed or reset
 LATE_RETURN = 100.0  # ms by which a poll may return late and still count as a look at the sockets as they are now
+MAX_OVERSLEEP = 5.0  # ms by which a wait that finds nothing may exceed its time where the process runs
 MAX_POLLS = 2  # more of one iteration, each after one that returned late
 MODIFY_RETRY = 10.0  # ms until an epoll_ctl that failed for want of memory is tried again
 TIME_SLICE = 10.0  # ms of an iteration for the handlers of normal priority; at least one of them is served
@@ -258,6 +259,9 @@
             # Where this process was stopped within it, the poll saw the sockets as they were before, or not at all
             # (epoll_wait in signal(7), PEP 475): timers that are due would run before what has arrived is read.
             waited_in_vain = not events and wait > 0
+            waited = min(now - begun_at, max(0.0, wait))
+            if waited_in_vain and now - begun_at > wait + MAX_OVERSLEEP:
+                waited = 0.0  # stopped at some time within it: what arrived then did not end it
             late_after = begun_at + max(0.0, wait) + LATE_RETURN
             for _ in range(MAX_POLLS):
                 if now <= late_after and not waited_in_vain:
@@ -269,7 +273,6 @@
                 now = clock()
         except InterruptedError:
             return []  # the kernel reports the events again in the next iteration; the timers run in this one
-        waited = min(now - begun_at, max(0.0, wait))
         self.unread.poll_returned(looked_at, now, waited, events, len(events) < EVENTS_PER_POLL)
         return events
 
