After a stop without a connection to discovery the list is trusted for the grace alone

Cause: the list is trusted for 2 s and 0.8 of the grace after discovery was heard, since what it would have reported counts as known 2 s after it broke off. That holds for a process that runs, and makes a lost connection anew within the grace. While it did not run discovery was out of reach and back, and the drain counted as known at once.

After a stall of over 100 ms the loop reports the time of its last look before it. Where there is no connection on which all events have come, the list's lease ends 0.8 of the grace after that look, until discovery is heard again; workers prove ready meanwhile (`Readiness.discovery_lost`).

--- a/tests/test_process_stopped.py
+++ b/tests/test_process_stopped.py
@@ -30,6 +30,7 @@
 
     def running(self, *workers, **more):
         """A front end with that worker, which discovery has reported, after its first iterations."""
+        self.stopped = False
         self.front_end(*(worker.address for worker in workers), **more)
         self.discovery_heard()
         self.iterate()
@@ -57,6 +58,7 @@
     def stop(self, span=STOP):
         """The process does not run for so long; all that was sent by now is there afterwards."""
         self.now += span
+        self.stopped = True
 
     def times_passed_on(self, worker, count):
         """The time that a worker was told for each of so many requests (ms)."""
@@ -289,6 +291,56 @@
         with patch.object(loop, "epoll", SimpleNamespace(**{**epoll_methods(loop), "poll": lambda *_: events})):
             loop.run_once(0.0, lambda: None)
 
+    def test_a_connection_to_discovery_that_ended(self):
+        """It ended in the stop, or before it: a drain may have been reported since, and the worker is asked first."""
+        for ended_before in (False, True):
+            with self.subTest(ended_before=ended_before):
+                worker = self.draining_worker()
+                bus = self.made(rig.Bus())
+                self.running(worker, bus=bus.address)
+                self.catch_up(bus)
+                if ended_before:
+                    bus.close()
+                    self.until(lambda: self.serving.discovery.sock is None, "the end")
+                (client,) = self.connected()
+                client.send(request(1, d="4000"))
+                if not ended_before:
+                    bus.close()
+                self.stop()
+                self.assertEqual(self.final(client, 4000.0, settle=False)[:2], (1, "shed"))
+                self.assertEqual(worker.received(b"invoke"), [])
+                self.end()
+
+    def test_a_connection_to_discovery_that_goes_on(self):
+        """The list is as good as before: the worker is sent the request."""
+        worker = self.draining_worker()
+        bus = self.made(rig.Bus())
+        self.running(worker, bus=bus.address)
+        self.catch_up(bus)
+        (client,) = self.connected()
+        client.send(request(1, d="4000"))
+        self.stop()
+        self.until(lambda: worker.received(b"invoke"), "the attempt")
+
+    def draining_worker(self):
+        """A worker that drains in the stop: it rejects work from then on, and does not prove ready."""
+
+        def play(worker, sock, parts):
+            if self.stopped and parts[0] == b"invoke":
+                sock.sendall(rig.bulk(parts[1], b"AGAIN", b"-", b""))
+            return self.stopped
+
+        return self.made(rig.Worker(play))
+
+    def catch_up(self, bus):
+        """Discovery has reported all events on its present connection."""
+        discovery = self.serving.discovery
+        self.until(lambda: bus.readers and discovery.up, "discovery")
+        self.later(200.0)
+        bus.send_raw(b": heartbeat\n\n")
+        self.until(lambda: discovery.caught_up, "the heartbeat")
+        self.iterate()
+
     def test_more_than_is_read_of_discovery_at_a_time(self):
         """The drain is behind 200 KiB of other events: a request that came in the stop does not go to that worker."""
         worker = self.worker()
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -47,6 +47,28 @@
         self.heard(fleet.clock - 5 * LIST_LEASE)
         self.assertEqual(len(called(fleet.take())), 1)
 
+    def test_a_host_that_was_stopped_and_has_lost_discovery(self):
+        """(ms since its last look) -> whether work goes out by the list; heard since that look or before it."""
+        for age, heard_again, sent in (
+            (WORKER_LEASE - 1, False, 1),
+            (WORKER_LEASE, False, 0),
+            (WORKER_LEASE, True, 1),
+        ):
+            with self.subTest(age=age, heard_again=heard_again):
+                fleet = self.fleet()
+                self.heard()
+                looked_at = fleet.clock
+                fleet.clock += age
+                fleet.router.discovery_lost(looked_at)
+                decisions = [*self.heard(fleet.clock if heard_again else looked_at), *fleet.take()]
+                self.assertEqual((len(called(decisions)), bool(asked(decisions))), (sent, not sent))
+
+    def test_a_host_that_never_reports_discovery_loses_nothing(self):
+        fleet = self.fleet()
+        fleet.router.discovery_lost(fleet.clock)
+        fleet.pass_time(WORKER_LEASE)
+        self.assertEqual(len(called(fleet.take())), 1)
+
     def test_what_waits_goes_out_as_soon_as_discovery_is_heard(self):
         fleet = self.fleet()
         self.heard(NEVER)
--- a/wickdyke/gateway/coordinator.py
+++ b/wickdyke/gateway/coordinator.py
@@ -100,6 +100,7 @@
             events.ClientClosed: self._client_closed,
             events.EndpointsReceived: lambda event: self.workers.apply(event.entries, self.context.now()),
             events.DiscoveryHeard: lambda event: self.context.inform("discovery_heard", event.at),
+            events.DiscoveryLost: lambda event: self.context.inform("discovery_lost", event.at),
             events.CommandFinished: self._command_finished,
             events.AttemptWithdrawn: self.attempts.withdrawn,
         }
--- a/wickdyke/gateway/events.py
+++ b/wickdyke/gateway/events.py
@@ -42,6 +42,13 @@
     at: float
 
 
+@dataclass(slots=True, frozen=True, eq=False)
+class DiscoveryLost:
+    """The process did not run from that time on (monotonic ms), and has no connection to discovery now."""
+
+    at: float
+
+
 @dataclass(slots=True, frozen=True, eq=False)
 class WorkerConnected:
     """A worker was connected to, and sent its hello."""
@@ -103,6 +110,7 @@
     | ClientClosed
     | EndpointsReceived
     | DiscoveryHeard
+    | DiscoveryLost
     | WorkerConnected
     | WorkerUnreachable
     | WorkerConnectionLost
--- a/wickdyke/platform/discovery.py
+++ b/wickdyke/platform/discovery.py
@@ -61,12 +61,14 @@
         notify: Callable[[list[Event]], None],
         log: Log,
         notify_heard: Callable[[float], None] = lambda at: None,
+        notify_lost: Callable[[float], None] = lambda at: None,
     ) -> None:
         self.loop = loop
         self.address = settings.address
         self.last_offset = last_offset
         self.notify = notify
         self.notify_heard = notify_heard
+        self.notify_lost = notify_lost
         self.log = log
         # Where the grace for drains leaves next to no time, a server that is slow to accept has to be reached still.
         self.connect_timeout = min(MAX_CONNECT_TIMEOUT, max(MIN_CONNECT_TIMEOUT, settings.backoff_limit))
@@ -155,6 +157,16 @@
                 heard_ms=self.heard_ms(),
             )
 
+    def process_stalled(self, since: float) -> None:
+        """This process has not looked at its sockets since then (ms); what this connection brought was read.
+
+        Calls `notify_lost` where there is no connection on which all events were received.
+        """
+        # While the process runs, a lost connection is made anew within the grace for drains, or discovery is out of
+        # reach. While it did not, discovery may have been in reach, and have reported a drain.
+        if self.sock is None or not self.caught_up or self.events.begun:
+            self.notify_lost(since)
+
     def heard_ms(self) -> int | None:
         """Returns how long ago (ms) all events were known; None where they never were."""
         return None if self.heard_at is None else round(clock() - self.heard_at)
--- a/wickdyke/platform/service.py
+++ b/wickdyke/platform/service.py
@@ -13,7 +13,7 @@
 from wickdyke.gateway import log as logs
 from wickdyke.gateway.context import clock
 from wickdyke.gateway.coordinator import Coordinator
-from wickdyke.gateway.events import DiscoveryHeard, EndpointsReceived
+from wickdyke.gateway.events import DiscoveryHeard, DiscoveryLost, EndpointsReceived
 from wickdyke.gateway.interfaces import Log, RejectionReason
 from wickdyke.platform import configuration as configurations
 from wickdyke.platform.client_server import ClientServer, ClientServerSettings
@@ -95,7 +95,9 @@
             self._apply_events,
             log,
             lambda at: self.coordinator.post(DiscoveryHeard(at)),
+            lambda at: self.coordinator.handle_at_once(DiscoveryLost(at)),
         )
+        self.loop.on_stall = self.discovery.process_stalled
         self.shutdown_requested_at: float | None = None  # ms
         self.reload_requested = False  # by a signal
         self.reload_pending = False  # until the file can be read
--- a/wickdyke/routing/readiness.py
+++ b/wickdyke/routing/readiness.py
@@ -49,6 +49,7 @@
         self.worker_lease = max(MIN_WORKER_LEASE, GRACE_PART * drain_grace)
         self.list_lease = NOTIFIED_AFTER + self.worker_lease
         self.heard_at: float | None = None  # ms; None where the host does not report it
+        self.lost_at = NEVER  # ms; what discovery has reported since then may be missing, however short its outage was
         self.list_valid_until = math.inf  # ms
         self.in_doubt = False
         self.not_ready: dict[Worker, None] = {}  # workers that said so, or whose process has ended
@@ -59,7 +60,23 @@
     def discovery_heard(self, at: float) -> None:
         """The endpoint list was complete at that time (ms); -inf where it is of unknown age."""
         self.heard_at = at if self.heard_at is None else max(at, self.heard_at)
+        self._renew_list()
+
+    def discovery_lost(self, at: float) -> None:
+        """The host did not run from that time on (ms) and has no connection to discovery now.
+
+        Discovery may have been in reach all the while, so that the time after which it counts as broken off says
+        nothing: what it reported counts as known at once.
+        """
+        if self.heard_at is not None:
+            self.lost_at = max(at, self.lost_at)
+            self._renew_list()
+
+    def _renew_list(self) -> None:
+        assert self.heard_at is not None
         self.list_valid_until = self.heard_at + self.list_lease
+        if self.heard_at <= self.lost_at:
+            self.list_valid_until = min(self.list_valid_until, self.lost_at + self.worker_lease)
 
     def work_accepted(self, worker: Worker, sent_at: float) -> None:
         """The worker has accepted work that was sent then (ms)."""
--- a/wickdyke/routing/router.py
+++ b/wickdyke/routing/router.py
@@ -173,6 +173,11 @@
         if expired and not self.readiness.list_expired(self.now):
             self.wake_at = self.now
 
+    def discovery_lost(self, at: float) -> None:
+        """The host did not run from that time on (ms), and has no connection to discovery now."""
+        self.readiness.discovery_lost(at)
+        self.wake_at = min(self.wake_at, max(self.now, self.readiness.list_valid_until))
+
     def request_received(self, received: RequestReceived) -> None:
         """Opens a request, and makes its function known if it is new."""
         ident, time_left, request_class, name, _, _, _, work, is_repeat, policy = received
--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -139,6 +139,9 @@
         self.last_served: dict[int, int] = {}  # descriptor -> serial number, of those of normal priority
         self.serial_numbers = itertools.count(1)
         self.unread = UnreadTimes(clock())
+        # Called where this process did not run, or was busy, for over LATE_RETURN, with the time (ms) of the last look
+        # at the sockets before that; after the handlers of the first priority.
+        self.on_stall: Callable[[float], object] = lambda since: None
 
     @property
     def arrived_after(self) -> float:
@@ -239,7 +242,9 @@
         So clients that flood us with requests or connects do not delay the answers of workers and the timers. Workers
         could flood us too, but of each only a bounded piece is read at a time.
         """
-        others = self._serve_high_priority(self._poll(wait, clock() if now is None else now))
+        ready_sockets = self._with_handlers(self._poll(wait, clock() if now is None else now))
+        self._serve_first(ready_sockets)
+        others = self._serve_high_priority(ready_sockets)
         for callback, args in self.timers.due(clock()):
             try:
                 callback(*args)
@@ -276,20 +281,34 @@
         self.unread.poll_returned(looked_at, now, waited, events, len(events) < EVENTS_PER_POLL)
         return events
 
-    def _serve_high_priority(self, events_by_socket: list[tuple[int, int]]) -> list[ReadySocket]:
-        """Serves all handlers but those of normal priority, and those whose peer has closed; returns the others."""
+    def _with_handlers(self, events_by_socket: list[tuple[int, int]]) -> list[ReadySocket]:
         # Serving one may close the connection of another, and a new one may get its descriptor: with the events of the
         # other it would consider itself connected. So all handlers are looked up before any is served.
-        ready_sockets = [
+        return [
             ReadySocket(number, handler, events)
             for number, events in events_by_socket
             if (handler := self.handlers.get(number)) is not None
         ]
-        ready_sockets.sort(key=lambda ready: ready.handler.priority is not Priority.FIRST)
+
+    def _serve_first(self, ready_sockets: list[ReadySocket]) -> None:
+        """Serves the handlers of the first priority, then reports a stall."""
+        for ready in ready_sockets:
+            if ready.handler.priority is Priority.FIRST:
+                self.serve(ready.number, ready.handler, ready.events)
+        if self.unread.returned_at - self.unread.estimate > LATE_RETURN:
+            try:
+                self.on_stall(self.unread.arrived_after)
+            except Exception as error:  # noqa: BLE001 - the loop serves all connections
+                self._report(error)
+
+    def _serve_high_priority(self, ready_sockets: list[ReadySocket]) -> list[ReadySocket]:
+        """Serves handlers of high priority, and others whose peer has closed; returns those that are left."""
         others = []
         for ready in ready_sockets:
+            if ready.handler.priority is Priority.FIRST:
+                continue
             # A close is seen before anything is decided, however many other clients send at that moment.
-            if ready.handler.priority is not Priority.NORMAL or ready.events & PEER_CLOSED:
+            if ready.handler.priority is Priority.HIGH or ready.events & PEER_CLOSED:
                 self.serve(ready.number, ready.handler, ready.events)
             else:
                 others.append(ready)
