JSON-RPC gateway and worker: a read that finds no memory ends no connection

Cause: ENOMEM and ENOBUFS of recv(2) and ENOMEM of poll(2) were taken for the end of the connection, though the kernel keeps the data.

Evidence: new cases of TimedReader, the first read or one behind it fails, and of its poll.

Such a call is tried again 20 ms later. In a look at all sockets, each counts as having something to read.

--- a/tests/test_stall_detector.py
+++ b/tests/test_stall_detector.py
@@ -1,8 +1,11 @@
 """Since when data may have waited unread in a process of several threads, at times that the test sets."""
 
+import errno
+import os
 import socket
 import struct
 import unittest
+import unittest.mock
 from unittest.mock import patch
 
 from wickdyke.transport import stall_detector, timed_reader
@@ -151,6 +154,47 @@
                 with patch.object(reader, "sock", unittest.mock.Mock(recv=recv)):
                     self.assertTrue(reader.read().ended)
 
+    def test_a_read_that_finds_no_memory(self):
+        """The first read fails, or one of those behind it: nothing is lost, and the rest is as old."""
+        for failing in (1, 2, 3):
+            for code in (errno.ENOMEM, errno.ENOBUFS):
+                with self.subTest(failing=failing, code=code):
+                    self.detector.tick()
+                    began_at = self.now
+                    reader, client = self.reader()
+                    data = b"x" * (2 * SIZE) + b"y"
+                    client.send(data)
+                    self.now += STOP
+                    received = self.read_with_failure(reader, failing, code, len(data))
+                    self.assertEqual(b"".join(each.data for each in received), data)
+                    self.assertEqual({each.received_at for each in received}, {began_at})
+                    self.assertFalse(any(each.ended for each in received))
+
+    def read_with_failure(self, reader, failing, code, size):
+        """Reads so many bytes; one of the reads of the socket fails."""
+        reads = []
+
+        def recv(size, flags, real=reader.sock):
+            reads.append(size)
+            if len(reads) == failing:
+                raise OSError(code, os.strerror(code))
+            return real.recv(size, flags)
+
+        received = []
+        with patch.object(reader, "sock", unittest.mock.Mock(recv=recv)), patch.object(timed_reader.time, "sleep"):
+            while sum(len(each.data) for each in received) < size:
+                received.append(reader.read())
+        return received
+
+    def test_a_poll_that_finds_no_memory(self):
+        reader, client = self.reader()
+        client.send(b"x")
+        real = reader.arrival.poller
+        reader.arrival.poller = unittest.mock.Mock()
+        reader.arrival.poller.poll.side_effect = [OSError(errno.ENOMEM, "Cannot allocate memory"), real.poll()]
+        with patch.object(stall_detector.time, "sleep"):
+            self.assertEqual(reader.read().data, b"x")
+
     def test_an_old_observation_does_not_hide_a_later_stall(self):
         """A thread looked before the stall, and says so after it."""
         reader, client = self.reader()
--- a/wickdyke/transport/stall_detector.py
+++ b/wickdyke/transport/stall_detector.py
@@ -20,6 +20,7 @@
 MIN_CATCH_UP_STALL = 70.0
 MAX_CATCH_UP = 50.0  # ms that it waits
 CATCH_UP_POLL = 0.001  # s between two checks
+MEMORY_RETRY = 0.02  # s until a system call is retried that failed for want of memory
 MS_PER_SECOND = 1000
 
 
@@ -87,7 +88,10 @@
         poller = select.poll()
         for number in by_number:
             poller.register(number, select.POLLIN)
-        ready = {number for number, _ in poller.poll(0)}
+        try:
+            ready = {number for number, _ in poller.poll(0)}
+        except OSError:  # ENOMEM: any of them may have something
+            ready = set(by_number)
         for number, arrival in by_number.items():
             if number in ready:
                 arrival.waits_since(self.ticked_at)
@@ -128,7 +132,7 @@
         """Waits until there is something to read, which is left there; returns since when it may have waited."""
         # A read that waits would take data from the kernel before this thread runs, and the socket would look empty.
         self.handling = False
-        self.poller.poll()
+        self._wait_until_readable()
         self.handling = True
         now = clock()
         if self.detector.is_overdue(now):
@@ -136,6 +140,14 @@
         waiting_since = self.waiting_since
         return now if waiting_since is None else min(now, waiting_since)
 
+    def _wait_until_readable(self) -> None:
+        while True:
+            try:
+                self.poller.poll()
+                return
+            except OSError:  # poll(2): ENOMEM, which passes
+                time.sleep(MEMORY_RETRY)
+
     def waits_since(self, since: float) -> None:
         """Something may wait there since then, if not for longer."""
         with self.lock:
@@ -159,5 +171,9 @@
     def look(self) -> None:
         """Forgets since when something may wait, if there is nothing to read now."""
         looked_at = clock()
-        if not self.poller.poll(0):
+        try:
+            is_empty = not self.poller.poll(0)
+        except OSError:  # ENOMEM: unknown
+            return
+        if is_empty:
             self.emptied(looked_at)
--- a/wickdyke/transport/timed_reader.py
+++ b/wickdyke/transport/timed_reader.py
@@ -1,10 +1,12 @@
 """Reads from a connection by a thread of its own, and tells since when what it reads may have waited."""
 
 import socket
+import time
 from dataclasses import dataclass
 
 from wickdyke.transport.event_loop import clock
-from wickdyke.transport.stall_detector import ArrivalBound, StallDetector
+from wickdyke.transport.stall_detector import MEMORY_RETRY, ArrivalBound, StallDetector
+from wickdyke.transport.write_buffer import SHORT_OF_MEMORY
 
 MAX_UNREAD_TIME = 60.0  # ms for which data may have waited unread and still counts as received when it is read
 MAX_PIECES = 8  # read at once of what has waited
@@ -37,11 +39,7 @@
 
     def read(self) -> ReceivedData:
         """Waits for data, or for the end. What has waited is read to its end, within a bound. Raises OSError."""
-        while True:
-            since = self.arrival.wait()
-            data = self._receive()
-            if data is not None:
-                break
+        since, data = self._wait_for_data()
         now = clock()
         received_at = since if now - since > MAX_UNREAD_TIME else now
         if not data or self.arrival.waiting_since is None:
@@ -54,7 +52,12 @@
         pieces: list[bytes] = []
         while len(pieces) < MAX_PIECES:
             looked_at = clock()
-            piece = self._receive_rest()
+            try:
+                piece = self._receive()
+            except OSError as error:
+                if error.errno not in SHORT_OF_MEMORY:  # reset: as an end
+                    pieces.append(b"")
+                break
             if piece is None:
                 self.arrival.emptied(looked_at)
                 break
@@ -63,15 +66,23 @@
                 break
         return pieces
 
+    def _wait_for_data(self) -> tuple[float, bytes]:
+        """Since when it may have waited (ms), and up to `size` bytes; none at the end of the connection."""
+        while True:
+            since = self.arrival.wait()
+            try:
+                data = self._receive()
+            except OSError as error:
+                if error.errno not in SHORT_OF_MEMORY:
+                    raise
+                time.sleep(MEMORY_RETRY)  # the kernel keeps the data: ending the connection would lose its requests
+                continue
+            if data is not None:
+                return since, data
+
     def _receive(self) -> bytes | None:
         """Up to `size` bytes; None for nothing yet, empty for the end."""
         try:
             return self.sock.recv(self.size, socket.MSG_DONTWAIT)
         except (BlockingIOError, InterruptedError):
             return None
-
-    def _receive_rest(self) -> bytes | None:
-        try:
-            return self._receive()
-        except OSError:  # reset: what was read before it is handled as before an end
-            return b""
