A connection to discovery without a comment in a stop of over a second counts as lost

Cause: after a stop a connection to discovery counted as good where it was open and all that it had brought was read. It had fallen silent before, which shows by the comment that is missing.

After a stall, a connection on which nothing has come for 1.2 s ends the trust in the list as one that is not there.

--- a/tests/test_process_stopped.py
+++ b/tests/test_process_stopped.py
@@ -311,6 +311,18 @@
                 self.assertEqual(worker.received(b"invoke"), [])
                 self.end()
 
+    def test_a_connection_to_discovery_that_fell_silent(self):
+        """No comment came in a stop of more than a second: the worker is asked first."""
+        worker = self.draining_worker()
+        bus = self.made(rig.Bus())
+        self.running(worker, bus=bus.address)
+        self.catch_up(bus)
+        (client,) = self.connected()
+        client.send(request(1, d="4000"))
+        self.stop(STOP + 100.0)
+        self.assertEqual(self.final(client, 4000.0, settle=False)[:2], (1, "shed"))
+        self.assertEqual(worker.received(b"invoke"), [])
+
     def test_a_connection_to_discovery_that_goes_on(self):
         """The list is as good as before: the worker is sent the request."""
         worker = self.draining_worker()
@@ -319,7 +331,9 @@
         self.catch_up(bus)
         (client,) = self.connected()
         client.send(request(1, d="4000"))
-        self.stop()
+        bus.send_raw(b": heartbeat\n\n")
+        wait_for(self, lambda: peeked(self.serving.discovery.sock))
+        self.stop(STOP + 100.0)
         self.until(lambda: worker.received(b"invoke"), "the attempt")
 
     def draining_worker(self):
--- a/wickdyke/platform/discovery.py
+++ b/wickdyke/platform/discovery.py
@@ -19,6 +19,7 @@
 READ_SIZE = 1 << 16  # bytes read at a time
 MAX_READS = 64  # in one iteration, of what has waited for READ_ON_AFTER
 READ_ON_AFTER = 100.0  # ms
+MAX_HEARTBEAT_INTERVAL = 1200.0  # ms between two comments of a stream that is not silent
 SILENCE_TIMEOUT = 1500.0  # ms without data after which the connection counts as dead: there is a heartbeat each second
 MAX_SILENCE_TIMEOUT = 12000.0  # ms, while an event is coming
 MAX_CONNECT_TIMEOUT = 400.0  # ms
@@ -160,11 +161,12 @@
     def process_stalled(self, since: float) -> None:
         """This process has not looked at its sockets since then (ms); what this connection brought was read.
 
-        Calls `notify_lost` where there is no connection on which all events were received.
+        Calls `notify_lost` where there is no connection on which all events were received, and a comment each second.
         """
         # While the process runs, a lost connection is made anew within the grace for drains, or discovery is out of
         # reach. While it did not, discovery may have been in reach, and have reported a drain.
-        if self.sock is None or not self.caught_up or self.events.begun:
+        is_silent = clock() - self.last_activity > MAX_HEARTBEAT_INTERVAL
+        if self.sock is None or not self.caught_up or self.events.begun or is_silent:
             self.notify_lost(since)
 
     def heard_ms(self) -> int | None:
