--- /dev/null
+++ b/tests/test_clients_leaving_in_stops.py
@@ -0,0 +1,95 @@
+"""Clients that leave while the process does not run: no attempt begins for them."""
+
+import socket
+import unittest
+
+from tests import platform_rig as rig
+from tests.acceptance_rig import request, settings
+from tests.front_end_rig import FullListener, reset
+from tests.stopped_rig import StoppedCase
+
+WAYS_TO_LEAVE = ("close", "reset", "cancel")
+
+
+class ClientsThatLeave(StoppedCase):
+    """No attempt begins for a client that left while the process was stopped."""
+
+    def leave(self, client, how):
+        if how == "close":
+            client.close()
+        elif how == "reset":
+            reset(client.sock)
+        else:
+            client.send(rig.cancel(2, 1))
+
+    def test_right_behind_a_request_on_a_new_connection(self):
+        for how in WAYS_TO_LEAVE:
+            with self.subTest(how=how):
+                worker = self.worker()
+                self.running(worker)
+                (client,) = self.connected()
+                client.send(request(1, d="3000"))
+                self.leave(client, how)
+                self.stop()
+                self.assert_not_sent(worker)
+                self.end()
+
+    def test_right_behind_a_request_on_an_open_connection(self):
+        for how in WAYS_TO_LEAVE:
+            with self.subTest(how=how):
+                worker = self.worker()
+                self.running(worker)
+                (client,) = self.connected()
+                client.send(rig.alive(1))
+                self.answer(client)
+                client.send(request(2, d="3000"))
+                if how == "cancel":
+                    client.send(rig.cancel(3, 2))
+                else:
+                    self.leave(client, how)
+                self.stop()
+                self.assert_not_sent(worker)
+                self.end()
+
+    def test_behind_more_than_is_read_at_a_time(self):
+        """Three requests of 16 KiB and the end of the connection, or their cancels."""
+        for how in WAYS_TO_LEAVE:
+            with self.subTest(how=how):
+                worker = self.worker()
+                self.running(worker)
+                (client,) = self.connected()
+                client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 18)
+                for number in range(1, 4):
+                    client.send(request(number, d="3000", body=b"x" * (1 << 14)))
+                for number in range(1, 4):
+                    if how == "cancel":
+                        client.send(rig.cancel(3 + number, number))
+                if how != "cancel":
+                    self.leave(client, how)
+                self.stop()
+                self.assert_not_sent(worker)
+                self.end()
+
+    def test_while_an_attempt_waits_for_its_connection(self):
+        """The connection to the worker is there when the process runs again, and so is the client's leaving."""
+        for how in WAYS_TO_LEAVE:
+            with self.subTest(how=how):
+                full = FullListener(self)
+                limits = {"dial-timeout": 60000000}
+                self.running(full, settings=settings(limits))
+                (client,) = self.connected()
+                client.send(request(1, d="4000"))
+                upstream = self.serving.coordinator.workers.clients["w0"]
+                self.until(lambda upstream=upstream: any(each.pending for each in upstream.connections), "the attempt")
+                (waiting,) = [each for each in upstream.connections if each.pending]
+                self.leave(client, how)
+                self.stop()
+                waiting.writable()  # as it is served first, once its connect has succeeded
+                self.assertTrue(waiting.up)
+                attempts = [command for command in waiting.open.values() if command.ident == b"%016x" % 1]
+                self.assertEqual(attempts, [])
+                self.end()
+
+
+if __name__ == "__main__":
+    unittest.main()
