--- a/review/3/case.py
+++ b/review/3/case.py
@@ -95,6 +95,8 @@
         until = asyncio.get_running_loop().time() + DURATION
         await asyncio.gather(*(ask(client, number, until) for number, client in enumerate(clients)))
         await asyncio.sleep(6.6)
+        for front_end in stage.front_ends:
+            record.add(f"{front_end.name} counted {front_end.count('invalid_answers')} answers that can't be read")
         served = sum(request.words[:1] == ["answer"] for client in clients for request in client.requests)
         record.add(f"{served} answers were served, {len(spoilt)} of the workers' were spoilt")
         if not served:
