Review: a script that is ended early ends all that it started

Cause: SIGTERM to a script left its front ends and bad clients running. Change: SIGTERM, SIGINT and 110 s end the play, its processes are ended and waited for, exit 2.

--- a/review/standins.py
+++ b/review/standins.py
@@ -22,6 +22,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PYTHON = os.path.join(ROOT, ".venv", "bin", "python")
 CROSSING = 0.05  # s; a request that crosses the close of its connection within this time is sent again, once
+LONGEST_RUN = 110.0  # s after which a case is given up
 READY_TIME = 25.0  # s within which a front end has to answer `alive`
 NEVER_RAN = ("AGAIN", "NOENT", "STALE")  # answers by which a request never ran
 
@@ -662,12 +663,25 @@
             await bus.close()
 
 
+async def _play_to_the_end(play: Callable[[Record, bool], Awaitable[list[str]]], record: Record) -> list[str]:
+    """Plays a case; a signal or LONGEST_RUN ends it, and with it all that it started. Raises CannotRunError."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    job = asyncio.ensure_future(play(record, trouble))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, job.cancel)
+    try:
+        return await asyncio.wait_for(job, LONGEST_RUN)
+    except TimeoutError:
+        raise CannotRunError(f"not at its end after {LONGEST_RUN:.0f} s") from None
+    except asyncio.CancelledError:
+        raise CannotRunError("ended by a signal") from None
+
+
 def run_case(folder: str, play: Callable[[Record, bool], Awaitable[list[str]]]) -> int:
     """Plays a case; writes the record; returns the exit code: 1 broken, 0 held, 2 could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record()
     try:
-        broken = asyncio.run(play(record, trouble))
+        broken = asyncio.run(_play_to_the_end(play, record))
     except (CannotRunError, OSError) as error:
         record.add(f"could not run: {error}")
         record.write(os.path.join(folder, "record.txt"))
