--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -203,6 +203,14 @@
     return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(p), p) for p in parts)
 
 
+def bulk_with_length(length, *parts):
+    """Encodes a RESP array of bulk strings, whose last part is said to have `length` bytes."""
+    whole = bulk(*parts)
+    end = b"%b\r\n" % parts[-1]
+    head = whole[: -len(end)].removesuffix(b"$%d\r\n" % len(parts[-1]))
+    return head + b"$%d\r\n" % length + end
+
+
 class Listener:
     """Accepts connections on loopback and calls `_serve(sock)` in a thread of each."""
 
--- a/tests/soak/load_client.py
+++ b/tests/soak/load_client.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from tests import platform_rig as rig
+from tests.soak.bodies import body_of
 
 MAX_OPEN_REQUESTS = 32  # on a connection
 RECONNECT_SECONDS = 0.05
@@ -135,7 +136,7 @@
         if not request.sent_again:
             self.requests.append(request)
         try:
-            self.sock.sendall(rig.dispatch(self.number, fields, request.ident.encode()))
+            self.sock.sendall(rig.dispatch(self.number, fields, body_of(request.ident)))
         except OSError:
             self._handle_connection_end()
 
@@ -165,7 +166,7 @@
             return
         request.answers += 1
         request.answered_at = time.time()
-        request.word = word if word != "answer" or body == request.ident.encode() else "spoilt"
+        request.word = word if word != "answer" or body == body_of(request.ident) else "spoilt"
 
     def _handle_connection_end(self) -> None:
         """Handles the end of the connection: resends requests that crossed it, records the others as closed."""
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -11,7 +11,7 @@
 from tests.soak.plan import CROWD_RATE, LONGEST_SECONDS, Step, StepKind, make_plan, make_stop_plan
 from tests.soak.scene import Scene, SceneSize
 
-SIZE = SceneSize(front_ends=3, workers=5, clients_per_front_end=3, rate=6.0)
+SIZE = SceneSize(front_ends=3, workers=5, clients_per_front_end=3, rate=6.0, spoilt_share=0.025)
 # SIGKILL follows SIGTERM at the earliest that the protocol allows: the longest deadline, counted as 3 s at most, and
 # 0.7 s.
 KILL_SECONDS = 3.7
--- a/tests/soak/scene.py
+++ b/tests/soak/scene.py
@@ -27,12 +27,13 @@
 
 @dataclass(frozen=True)
 class SceneSize:
-    """The numbers of front ends, workers and clients."""
+    """The numbers of front ends, workers and clients, and the share of the workers' answers that arrive spoilt."""
 
     front_ends: int = 3
     workers: int = 4
     clients_per_front_end: int = 2
     rate: float = 10.0  # requests per second of each client
+    spoilt_share: float = 0.0
 
 
 class Scene:
@@ -44,7 +45,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.log = EventLog()
         self.buses = [SoakBus(self.log) for _ in range(2)]
-        self.workers = [SoakWorker(f"w{number}") for number in range(size.workers)]
+        self.workers = [SoakWorker(f"w{number}", seed, size.spoilt_share) for number in range(size.workers)]
         self.changes: list[ListChange] = []
         self.log.append(*(self._instance(worker, "SERVING") for worker in self.workers))
         self.front_ends = [
--- a/tests/soak/visitors.py
+++ b/tests/soak/visitors.py
@@ -9,6 +9,7 @@
 from enum import Enum, auto
 
 from tests import platform_rig as rig
+from tests.soak.bodies import body_of
 from tests.soak.load_client import CROSSING_SECONDS, SentRequest
 
 ANSWER_SECONDS = 5.0  # after which a visitor leaves without an answer
@@ -72,7 +73,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             request.connected_at = request.sent_at = time.time()
             self.requests.append(request)
-            sock.sendall(rig.dispatch(1, fields, request.ident.encode()))
+            sock.sendall(rig.dispatch(1, fields, body_of(request.ident)))
             if way is WayToLeave.WAIT and self._wait(sock, request):
                 return
             request.gone_at = time.time()
@@ -99,5 +100,5 @@
         _, word, body = rig.parse_answer(source.read(struct.unpack(">i", size)[0]))
         request.answers += 1
         request.answered_at = time.time()
-        request.word = word if word != "answer" or body == request.ident.encode() else "spoilt"
+        request.word = word if word != "answer" or body == body_of(request.ident) else "spoilt"
         return True
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -1,5 +1,7 @@
 """A worker that records when each command reached this machine, and that a test can drain, stop and restart."""
 
+import random
+import re
 import socket
 import struct
 import threading
@@ -95,10 +97,15 @@
 
 
 class SoakWorker:
-    """A worker that keeps its loopback address over restarts."""
+    """A worker that keeps its loopback address over restarts.
 
-    def __init__(self, name: str) -> None:
+    `spoilt_share` of its answers to attempts arrive with a length of the body that does not fit; `seed` fixes which.
+    """
+
+    def __init__(self, name: str, seed: int, spoilt_share: float) -> None:
         self.name = name
+        self.spoilt_share = spoilt_share
+        self.random = random.Random(f"{seed} {name}")
         self.lock = threading.Lock()
         self.arrivals: list[Arrival] = []
         self.executed: list[tuple[float, bytes]] = []  # when an attempt was accepted, and its id
@@ -180,8 +187,9 @@
             if state is WorkerState.READY and parts[0] == b"invoke":
                 self.executed.append((at, parts[1]))
             delay, answer = self._answer(arrival)
-        if answer is not None:
-            self.delayed.after(delay, lambda: self._send(sock, answer))
+            encoded = None if answer is None else self._encode(arrival, answer)
+        if encoded is not None:
+            self.delayed.after(delay, lambda: self._send(sock, encoded))
 
     def _answer(self, arrival: Arrival) -> tuple[float, tuple[bytes, ...] | None]:
         """Returns the delay (s) and the parts of the answer, or None for no answer."""
@@ -208,6 +216,15 @@
         self.loaded.add(name)
         return LOAD_SECONDS
 
-    def _send(self, sock: socket.socket, answer: tuple[bytes, ...]) -> None:
+    def _encode(self, arrival: Arrival, parts: tuple[bytes, ...]) -> bytes:
+        body = parts[-1]
+        if arrival.verb != b"invoke" or not body or self.random.random() >= self.spoilt_share:
+            return rig.bulk(*parts)
+        length = self.random.randrange(2 * len(body))
+        if self.random.random() < 0.5:  # the line ends are where the beginning of a body looks like a whole one
+            length = self.random.choice([match.start() for match in re.finditer(b"\r\n", body)] or [length])
+        return rig.bulk_with_length(length, *parts)
+
+    def _send(self, sock: socket.socket, answer: bytes) -> None:
         with suppress(OSError):
-            sock.sendall(rig.bulk(*answer))
+            sock.sendall(answer)
--- a/tests/test_platform_parsers.py
+++ b/tests/test_platform_parsers.py
@@ -94,7 +94,9 @@
             ("length that is not a number", b"*x\r\n"),
             ("no parts", b"*0\r\n"),
             ("too many parts", b"*4000\r\n"),
-            ("part longer than its length", b"*1\r\n$2\r\nabcd\r\n"),
+            ("part longer than its length", b"*4\r\n$2\r\nabcd\r\n"),
+            ("too few parts", b"*3\r\n"),
+            ("one part too many", b"*5\r\n"),
             ("simple string", b"+OK\r\n"),
         ):
             with self.subTest(name):
--- a/tests/test_platform_worker_client.py
+++ b/tests/test_platform_worker_client.py
@@ -6,10 +6,8 @@
 import unittest
 
 from tests import platform_rig as rig
-from tests.front_end_rig import LoopCase
-from tests.rig import event_tuple
+from tests.worker_client_rig import WorkerClientCase
 from wickdyke.gateway.interfaces import CommandKind
-from wickdyke.platform import connection_pool, resp, worker_client, worker_command
 from wickdyke.transport.event_loop import clock
 
 
@@ -47,36 +45,9 @@
     return None
 
 
-class WorkerConnections(LoopCase):
+class WorkerConnections(WorkerClientCase):
     """Connections of one worker client: outcomes, cancels, the pool, drains."""
 
-    def make_client(self, respond=None, connect_timeout=5000.0, pool_capacity=20):
-        self.worker = rig.Worker(respond)
-        self.addCleanup(self.worker.close)
-        self.pool = connection_pool.ConnectionPool(pool_capacity)
-        client = worker_client.WorkerClient(
-            "w",
-            self.worker.address,
-            lambda event: self.recorded.append(event_tuple(event)),
-            self.loop,
-            self.pool,
-            worker_client.WorkerClientSettings(connect_timeout, 10000.0, ("utilization", "in_flight")),
-        )
-        self.addCleanup(client.close)
-        return client
-
-    def command(self, ident=b"9b1f03aa5c7e2d41", kind=CommandKind.ATTEMPT):
-        message = {
-            CommandKind.ATTEMPT: (b"invoke", ident, b"lane=look,name=x,ttl=9", b"b"),
-            CommandKind.PREWARM: (b"prewarm", ident, b"name=x,units=1"),
-            CommandKind.HEALTH_CHECK: (b"gauges", ident),
-        }[kind]
-        return worker_command.Command(kind, None, ident, resp.command(*message))
-
-    def outcomes(self, count=1):
-        self.until(lambda: len(self.recorded) >= count, "an end")
-        return [(event[2].ident, event[3]) for event in self.recorded]
-
     def test_the_outcome_of_an_attempt(self):
         """Each case: the worker's response, whether another connection is established, and the outcome."""
 
--- a/tests/test_worker_connecting.py
+++ b/tests/test_worker_connecting.py
@@ -187,7 +187,7 @@
                 self.until(lambda unanswered=unanswered: unanswered)
                 answer = rig.bulk(ASCII_A, b"ACK", b"-", b"body")
                 unanswered[0][0].sendall(answer[:-4] if case == "abandon" else answer + answer[:-4])
-                self.until(lambda client=client: client.connections[0].answer_parser.has_partial_answer)
+                self.until(lambda client=client: client.connections[0].answer_reader.has_partial_answer)
                 if case == "abandon":
                     self.assertTrue(client.abandon(command))
                 self.assertFalse(any(connection.accepts(ASCII_B) for connection in client.connections))
--- a/wickdyke/platform/resp.py
+++ b/wickdyke/platform/resp.py
@@ -1,11 +1,11 @@
 """Encoder and parser of RESP arrays of bulk strings, the wire format of workers. No I/O.
 
-Memory is bounded whatever lengths the peer sends: a length line, a part and the number of parts each have a limit.
+Memory is bounded whatever lengths the peer sends: a length line and a part each have a limit.
 """
 
 from collections import deque
 
-MAX_PARTS = 8  # of one answer
+ANSWER_PART_COUNT = 4  # id, status, fields, body
 MAX_PART_SIZE = 256 * 1024  # bytes of one part
 MAX_LENGTH_LINE = 24  # bytes of a line that gives a length
 # The type bytes that begin a length line.
@@ -49,15 +49,24 @@
     def feed(self, data: bytes) -> list[list[bytes]]:
         """Adds data and returns the answers that it completes.
 
-        Raises InvalidAnswerError; the answers before the invalid one are then in `complete`.
+        Raises InvalidAnswerError; `take_complete` then returns the answers before the place that could not be parsed.
         """
         self.buffer += data
         while self._step():
             pass
+        return self.take_complete()
+
+    def take_complete(self) -> list[list[bytes]]:
+        """Removes and returns the complete answers."""
         answers = list(self.complete)
         self.complete.clear()
         return answers
 
+    @property
+    def partial_ident(self) -> bytes | None:
+        """The id of the incomplete answer, None where it was not received yet."""
+        return self.partial_parts[0] if self.partial_parts else None
+
     @property
     def has_partial_answer(self) -> bool:
         """Whether part of an answer was received and its end was not."""
@@ -97,12 +106,13 @@
         if not digits.isdigit():
             raise InvalidAnswerError(f"invalid length {digits!r}")
         length = int(digits)
-        maximum = self.part_size_limit if self.missing_parts else MAX_PARTS
-        if length > maximum or not (length or self.missing_parts):
-            raise InvalidAnswerError(f"length {length} exceeds the maximum of {maximum} or is 0")
-        del buffer[: end + 2]
         if self.missing_parts:
+            if length > self.part_size_limit:
+                raise InvalidAnswerError(f"length {length} exceeds the maximum of {self.part_size_limit}")
             self.part_length = length
         else:
+            if length != ANSWER_PART_COUNT:
+                raise InvalidAnswerError(f"an answer of {length} parts, expected {ANSWER_PART_COUNT}")
             self.missing_parts = length
+        del buffer[: end + 2]
         return True
--- a/wickdyke/platform/worker_connection.py
+++ b/wickdyke/platform/worker_connection.py
@@ -8,11 +8,11 @@
 
 from wickdyke.gateway.interfaces import CommandKind, Withdrawal
 from wickdyke.platform import resp
+from wickdyke.platform.answer_reader import AnswerReader, ReceivedAnswer
 from wickdyke.platform.connection_owner import ConnectionOwner
 from wickdyke.platform.connection_state import LIVENESS_BY_CAUSE, ConnectionState, EndCause
 from wickdyke.platform.reachability import Liveness
 from wickdyke.platform.worker_command import Command
-from wickdyke.platform.worker_results import read_result
 from wickdyke.routing.model import Outcome
 from wickdyke.transport.event_loop import Priority, clock, dial, error_name
 from wickdyke.transport.write_buffer import (
@@ -45,7 +45,7 @@
         self.open_commands: dict[bytes, Command] = {}  # by id; in the write buffer or sent, and not answered yet
         self.pending_commands: list[Command] = []  # waiting for the connection to be established
         self.ended_ids: deque[bytes] = deque(maxlen=MAX_ENDED_IDS)
-        self.answer_parser = resp.AnswerParser()
+        self.answer_reader = AnswerReader(worker_client.report_fields, self._is_open, self._was_sent)
         self.connect_started_at = self.last_used_at = self.last_read_at = clock()
         self.failure_outcome: Outcome | None = None
         sock, code = dial(worker_client.target)
@@ -110,7 +110,7 @@
             self.state is not ConnectionState.CLOSED
             and not self.stale
             and self.commands_in_flight < MAX_COMMANDS_IN_FLIGHT
-            and not self.answer_parser.has_partial_answer
+            and not self.answer_reader.has_partial_answer
             and ident not in self.open_commands
             and ident not in self.ended_ids
             and all(command.ident != ident for command in self.pending_commands)
@@ -202,7 +202,7 @@
         """Drops a command whose answer may still arrive."""
         self.open_commands.pop(command.ident, None)
         self.ended_ids.append(command.ident)
-        self.stale = self.stale or self.last_read_at <= command.sent_at or self.answer_parser.has_partial_answer
+        self.stale = self.stale or self.last_read_at <= command.sent_at or self.answer_reader.has_partial_answer
 
     def _handle_expiry(self, command: Command) -> None:
         """Finishes a command whose deadline passed before a byte of it was sent."""
@@ -288,38 +288,37 @@
         self.worker_client.reachability.route_found()
         self._handle_data(data)
 
+    def _is_open(self, ident: bytes) -> bool:
+        """Whether a command of that id waits for its answer."""
+        return ident in self.open_commands
+
+    def _was_sent(self, ident: bytes) -> bool:
+        """Whether a command of that id is open or has ended not long ago."""
+        return ident in self.open_commands or ident in self.ended_ids
+
     def _handle_data(self, data: bytes) -> None:
-        try:
-            for answer in self.answer_parser.feed(data):
-                self._handle_answer(answer)
-        except resp.InvalidAnswerError as error:
-            self._read_complete_answers()
+        batch = self.answer_reader.feed(data)
+        for answer in batch.answers:
+            self._handle_answer(answer)
+        if batch.error is not None:
             self._count("invalid_answers")
-            self.end(f"invalid answer: {error}", EndCause.INVALID_ANSWER)
+            self.end(f"invalid answer: {batch.error}", EndCause.INVALID_ANSWER)
             return
         if self.stale and not self.commands_in_flight:
             self.end("stale")
         if not self.commands_in_flight:
             self.worker_client.connection_idle(self)
 
-    def _read_complete_answers(self) -> None:
-        """Handles the answers that were complete before an invalid one."""
-        for answer in list(self.answer_parser.complete):
-            try:
-                self._handle_answer(answer)
-            except resp.InvalidAnswerError:
-                return
-
-    def _handle_answer(self, answer: list[bytes]) -> None:
-        command = self.open_commands.get(answer[0])
-        if command is None:  # the command was abandoned or already answered, or never existed
+    def _handle_answer(self, answer: ReceivedAnswer) -> None:
+        command = self.open_commands.get(answer.ident)
+        result = answer.result
+        if command is None or result is None:  # abandoned or already answered, or never sent
             self._count("strays")
             return
-        result = read_result(answer, self.worker_client.report_fields)
         # A worker may answer twice, and the second answer would end a later attempt of the same request that has not
         # run yet. So the id is not used on this connection again.
-        self.ended_ids.append(answer[0])
-        del self.open_commands[answer[0]]
+        self.ended_ids.append(answer.ident)
+        del self.open_commands[answer.ident]
         self.last_used_at = self.last_read_at
         if command.kind == CommandKind.HEALTH_CHECK:
             result = replace(result, same_process_since=self.worker_client.same_process_since)
--- a/wickdyke/platform/worker_results.py
+++ b/wickdyke/platform/worker_results.py
@@ -21,7 +21,6 @@
     "j": LoadNote.AWAITED_LOAD,
     "f": LoadNote.LOAD_FAILED,
 }
-ANSWER_PART_COUNT = 4  # id, status, fields, body
 MAX_REPORT_VALUE = 1e12  # of a field of a load report; larger values are invalid
 # Load reports name their fields as the protocol does or as the settings do.
 REPORT_FIELDS = REPORT_FIELD_NAMES | {
@@ -49,7 +48,7 @@
 
 def read_result(answer: list[bytes], report_fields: tuple[str, ...]) -> CommandResult:
     """Parses an answer into the result of its command. Raises InvalidAnswerError."""
-    if len(answer) != ANSWER_PART_COUNT or answer[1] not in OUTCOMES_BY_STATUS:
+    if len(answer) != resp.ANSWER_PART_COUNT or answer[1] not in OUTCOMES_BY_STATUS:
         raise resp.InvalidAnswerError(f"answer of {len(answer)} parts with status {answer[1:2]!r}")
     _, status, fields, body = answer
     values = resp.fields(fields)
