--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -23,8 +23,8 @@
 
 def read(data, sent=(FIRST, SPOILT, LAST)):
     """Returns the reader after one read of `data`, and what it found; the commands `sent` are open."""
-    reader = AnswerReader((), sent.__contains__, sent.__contains__)
-    return reader, reader.feed(data)
+    reader = AnswerReader(())
+    return reader, reader.feed(data, sent, ())
 
 
 class LengthsThatDoNotFit(unittest.TestCase):
@@ -110,11 +110,11 @@
             idents = (FIRST, SPOILT, LAST)
             bodies = {ident: b"".join(chance.choices(PIECES, k=chance.randrange(12))) for ident in idents}
             stream = b"".join(answer(ident, body) for ident, body in bodies.items())
-            reader = AnswerReader((), bodies.__contains__, bodies.__contains__)
+            reader = AnswerReader(())
             size = chance.randrange(1, len(stream) + 1)
             served = {}
             for start in range(0, len(stream), size):
-                batch = reader.feed(stream[start : start + size])
+                batch = reader.feed(stream[start : start + size], bodies, ())
                 self.assertIsNone(batch.error, stream)
                 served |= self.bodies(batch)
             self.assertEqual(served, bodies)
--- a/wickdyke/platform/answer_reader.py
+++ b/wickdyke/platform/answer_reader.py
@@ -6,7 +6,7 @@
 """
 
 import re
-from collections.abc import Callable
+from collections.abc import Container
 from dataclasses import dataclass
 
 from wickdyke.gateway.interfaces import CommandResult
@@ -35,27 +35,23 @@
 
 
 class AnswerReader:
-    """Parses the data of a connection into answers.
+    """Parses the data of a connection into answers."""
 
-    `is_open` tells whether a command of that id waits for its answer, `was_sent` whether one was sent on the connection
-    not long ago.
-    """
-
-    def __init__(
-        self, report_fields: tuple[str, ...], is_open: Callable[[bytes], bool], was_sent: Callable[[bytes], bool]
-    ) -> None:
+    def __init__(self, report_fields: tuple[str, ...]) -> None:
         self.parser = resp.AnswerParser()
         self.report_fields = report_fields
-        self.is_open = is_open
-        self.was_sent = was_sent
 
     @property
     def has_partial_answer(self) -> bool:
         """Whether part of an answer was received and its end was not."""
         return self.parser.has_partial_answer
 
-    def feed(self, data: bytes) -> AnswerBatch:
-        """Adds data; returns the answers that it completes."""
+    def feed(self, data: bytes, open_ids: Container[bytes], ended_ids: Container[bytes]) -> AnswerBatch:
+        """Adds data; returns the answers that it completes.
+
+        `open_ids` has the ids of the commands that wait for their answers on the connection, `ended_ids` those of others
+        that were sent on it.
+        """
         error: resp.InvalidAnswerError | None = None
         try:
             answers = self.parser.feed(data)
@@ -66,38 +62,34 @@
         received: list[ReceivedAnswer] = []
         for answer in answers:
             try:
-                received.append(self._read(answer))
+                received.append(self._read(answer, open_ids))
             except resp.InvalidAnswerError as caught:
                 next_ident = answer[0]
                 error = caught
                 break
         if error is None:
             return AnswerBatch(received)
-        return AnswerBatch(self._intact(received, next_ident), error)
+        next_idents = [*(answer.ident for answer in received[1:]), next_ident]
+        # The next answer begins at the end of an intact one, with an id that was sent. What follows any other answer
+        # may as well be the rest of its body.
+        intact = [
+            answer
+            for answer, following in zip(received, next_idents, strict=False)
+            if following is not None and (following in open_ids or following in ended_ids)
+        ]
+        return AnswerBatch(intact, error)
 
-    def _read(self, answer: list[bytes]) -> ReceivedAnswer:
+    def _read(self, answer: list[bytes], open_ids: Container[bytes]) -> ReceivedAnswer:
         ident = answer[0]
-        if not self.is_open(ident):
+        if ident not in open_ids:
             return ReceivedAnswer(ident, None)
-        if self._includes_answer(answer[BODY_PART]):
+        if _includes_answer(answer[BODY_PART], open_ids):
             raise resp.InvalidAnswerError("a body includes the answer to another command")
         return ReceivedAnswer(ident, read_result(answer, self.report_fields))
 
-    def _includes_answer(self, body: bytes) -> bool:
-        """Returns whether a body includes the beginning of an answer to an open command."""
-        if ANSWER_START not in body:
-            return False
-        return any(self.is_open(match.group(1)) for match in ANSWER_START_WITH_IDENT.finditer(body))
 
-    def _intact(self, received: list[ReceivedAnswer], next_ident: bytes | None) -> list[ReceivedAnswer]:
-        """Returns the answers that certainly end where they should, of those before the invalid data.
-
-        The next answer begins at the end of such an answer: it has the id of a command of this connection. What follows
-        any other answer may as well be the rest of its body.
-        """
-        next_idents = [*(answer.ident for answer in received[1:]), next_ident]
-        return [
-            answer
-            for answer, following in zip(received, next_idents, strict=False)
-            if following is not None and self.was_sent(following)
-        ]
+def _includes_answer(body: bytes, open_ids: Container[bytes]) -> bool:
+    """Returns whether a body includes the beginning of an answer to an open command."""
+    if ANSWER_START not in body:
+        return False
+    return any(match.group(1) in open_ids for match in ANSWER_START_WITH_IDENT.finditer(body))
--- a/wickdyke/platform/worker_connection.py
+++ b/wickdyke/platform/worker_connection.py
@@ -45,7 +45,7 @@
         self.open_commands: dict[bytes, Command] = {}  # by id; in the write buffer or sent, and not answered yet
         self.pending_commands: list[Command] = []  # waiting for the connection to be established
         self.ended_ids: deque[bytes] = deque(maxlen=MAX_ENDED_IDS)
-        self.answer_reader = AnswerReader(worker_client.report_fields, self._is_open, self._was_sent)
+        self.answer_reader = AnswerReader(worker_client.report_fields)
         self.connect_started_at = self.last_used_at = self.last_read_at = clock()
         self.failure_outcome: Outcome | None = None
         sock, code = dial(worker_client.target)
@@ -288,16 +288,8 @@
         self.worker_client.reachability.route_found()
         self._handle_data(data)
 
-    def _is_open(self, ident: bytes) -> bool:
-        """Whether a command of that id waits for its answer."""
-        return ident in self.open_commands
-
-    def _was_sent(self, ident: bytes) -> bool:
-        """Whether a command of that id is open or has ended not long ago."""
-        return ident in self.open_commands or ident in self.ended_ids
-
     def _handle_data(self, data: bytes) -> None:
-        batch = self.answer_reader.feed(data)
+        batch = self.answer_reader.feed(data, self.open_commands, self.ended_ids)
         for answer in batch.answers:
             self._handle_answer(answer)
         if batch.error is not None:
