--- a/wickdyke/gateway/attempts.py
+++ b/wickdyke/gateway/attempts.py
@@ -49,6 +49,7 @@
         now = self.context.now()
         time_left = max(0.0, min(request.deadline - now, request.deadline if timeout is None else timeout))
         command = self.protocol.attempt_command(attempt, pending, time_left)
+        command.begin_before = attempt.begin_before
         command.may_begin = partial(self._may_begin, pending, decision.worker)
         pending.commands[attempt] = command
         is_wanted = self._is_wanted(pending)
@@ -60,6 +61,8 @@
         if timeout is not None and now + timeout < request.deadline:
             self.context.timers.at(now + timeout, self._handle_timeout, pending, attempt)
         client.send(command)
+        if attempt.begin_before < request.deadline and not command.send_started:
+            self.context.timers.at(attempt.begin_before, self._handle_begin_expired, pending, attempt)
 
     def _is_wanted(self, pending: PendingRequest) -> bool:
         """Whether the client still waits for the request.
@@ -74,6 +77,16 @@
 
     # ---- withdrawing ----
 
+    def _handle_begin_expired(self, pending: PendingRequest, attempt: Attempt) -> None:
+        """Withdraws an attempt that still waits to be sent and may not begin any more.
+
+        The router then decides at once what becomes of the request.
+        """
+        command = pending.commands.get(attempt)
+        if command is not None and command.worker_client is not None and command.worker_client.withdraw_unsent(command):
+            self.context.counts["begin_expired"] += 1
+            self._finish(pending, attempt, CommandResult(Outcome.UNSENT))
+
     def _handle_timeout(self, pending: PendingRequest, attempt: Attempt) -> None:
         if attempt not in pending.commands:
             return
--- a/wickdyke/gateway/interfaces.py
+++ b/wickdyke/gateway/interfaces.py
@@ -4,6 +4,7 @@
 (`wickdyke/platform`).
 """
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
@@ -11,6 +12,7 @@
 
 from wickdyke.routing.inputs import WorkerLoad
 from wickdyke.routing.model import Attempt, Endpoint, LoadNote, Outcome, Request, RequestClass, RoutePolicy
+from wickdyke.transport.write_buffer import OutgoingMessage
 
 ClientRequestId = str | int | float | None  # the id that a client gave its request
 EntryT_contra = TypeVar("EntryT_contra", contravariant=True)
@@ -189,18 +191,27 @@
 class Command:
     """One message to a worker that expects an answer. `key` identifies the command to the coordinator.
 
-    `may_begin` is called with the time (monotonic ms) just before the first byte is sent. If it returns False, the
-    command is not sent and ends as unsent. A worker client that sends without delay need not call it.
+    A command whose first byte is not sent before `begin_before` (monotonic ms) is not sent and ends as unsent. The same
+    applies where `may_begin`, called with the time just before the first byte is sent, returns False. `may_begin` reads
+    the coordinator's state: a worker client with threads of its own must not call it. `message` is set once the command
+    is handed to an established connection.
     """
 
-    __slots__ = ("key", "kind", "may_begin", "worker_client")
+    __slots__ = ("begin_before", "key", "kind", "may_begin", "message", "worker_client")
 
     def __init__(self, kind: CommandKind, key: CommandKey) -> None:
         self.kind = kind
         self.key = key
+        self.begin_before = math.inf
         self.may_begin: Callable[[float], bool] = _always_allowed
+        self.message: OutgoingMessage | None = None
         self.worker_client: AnyWorkerClient | None = None
 
+    @property
+    def send_started(self) -> bool:
+        """Whether a byte of the command may have been sent."""
+        return self.message is not None and self.message.send_started
+
 
 CommandT_contra = TypeVar("CommandT_contra", bound=Command, contravariant=True)
 
--- a/wickdyke/jsonrpc/worker_client.py
+++ b/wickdyke/jsonrpc/worker_client.py
@@ -332,8 +332,7 @@
             sock.close()
         for command in in_flight:
             # No byte of a command that still waited in the write buffer can have reached the worker.
-            send_started = command.message is not None and command.message.send_started
-            outcome = Outcome.CONNECTION_LOST if send_started else Outcome.UNSENT
+            outcome = Outcome.CONNECTION_LOST if command.send_started else Outcome.UNSENT
             self.notify(CommandFinished(self, command, outcome))
         self.notify(WorkerConnectionLost(self, reason))
 
--- a/wickdyke/jsonrpc/worker_command.py
+++ b/wickdyke/jsonrpc/worker_command.py
@@ -25,7 +25,7 @@
     (monotonic ms). `number` is its JSON-RPC id.
     """
 
-    __slots__ = ("deadline", "message", "method", "number", "params")
+    __slots__ = ("deadline", "method", "number", "params")
 
     def __init__(
         self,
@@ -39,14 +39,14 @@
         self.method = method
         self.params = params
         self.deadline = deadline
-        self.message: OutgoingMessage | None = None
         self.number = NO_NUMBER
 
     def line(self) -> bytes | None:
-        """Returns the request line to be sent now, or None if the deadline has passed."""
-        time_left = self.deadline - clock()
-        if time_left <= 0:
+        """Returns the request line to be sent now, or None if the command may not begin any more."""
+        now = clock()
+        if now >= min(self.deadline, self.begin_before):
             return None
+        time_left = self.deadline - now
         params = self.params(time_left) if callable(self.params) else self.params
         return jsonrpc.request_line(self.method, params, self.number)
 
--- a/wickdyke/platform/answer_reader.py
+++ b/wickdyke/platform/answer_reader.py
@@ -49,8 +49,8 @@
     def feed(self, data: bytes, open_ids: Container[bytes], ended_ids: Container[bytes]) -> AnswerBatch:
         """Adds data; returns the answers that it completes.
 
-        `open_ids` has the ids of the commands that wait for their answers on the connection, `ended_ids` those of others
-        that were sent on it.
+        `open_ids` has the ids of the commands that wait for their answers on the connection, `ended_ids` those of
+        others that were sent on it.
         """
         error: resp.InvalidAnswerError | None = None
         try:
--- a/wickdyke/platform/worker_client.py
+++ b/wickdyke/platform/worker_client.py
@@ -79,8 +79,7 @@
     def send(self, command: Command) -> None:
         """Sends a command on a connection that accepts it; `notify` reports how it ended."""
         command.worker_client = self
-        now = clock()
-        if self.closed or self.draining or command.deadline <= now or not command.may_begin(now):
+        if self.closed or self.draining or not command.may_begin_at(clock()):
             self.finish(command, Outcome.UNSENT)
             return
         connection = self._connection_for(command)
--- a/wickdyke/platform/worker_command.py
+++ b/wickdyke/platform/worker_command.py
@@ -7,7 +7,6 @@
 from wickdyke.gateway import interfaces
 from wickdyke.gateway.interfaces import CommandKey, CommandKind, Withdrawal
 from wickdyke.transport.event_loop import clock
-from wickdyke.transport.write_buffer import OutgoingMessage
 
 
 class CommandConnection(Protocol):
@@ -30,7 +29,7 @@
     ms), at least 1. `send_count` is the number of connections it was assigned to.
     """
 
-    __slots__ = ("connection", "content", "deadline", "ident", "message", "send_count", "sent_at")
+    __slots__ = ("connection", "content", "deadline", "ident", "send_count", "sent_at")
 
     def __init__(
         self,
@@ -44,22 +43,18 @@
         self.ident = ident
         self.content = content
         self.deadline = deadline
-        self.message: OutgoingMessage | None = None  # set once the connection is established
         self.connection: CommandConnection | None = None  # also None once withdrawn from the liveness probe
         self.sent_at = 0.0  # ms
         self.send_count = 0
 
-    @property
-    def send_started(self) -> bool:
-        """Whether a byte of the command may have been sent."""
-        return self.message is not None and self.message.send_started
+    def may_begin_at(self, now: float) -> bool:
+        """Whether the first byte may be sent at `now` (monotonic ms); what was decided may have lapsed since."""
+        return now < min(self.deadline, self.begin_before) and self.may_begin(now)
 
     def render(self) -> bytes | None:
-        """Returns the bytes to send now; None where the deadline has passed, or the command may not begin."""
-        # The command may have waited for a connection since the worker was last known to be ready.
+        """Returns the bytes to send now; None where the command may not begin any more."""
         now = clock()
-        left = self.deadline - now
-        if left <= 0 or not self.may_begin(now):
+        if not self.may_begin_at(now):
             return None
         # Rounded down, so that the worker is never given more time than is left.
-        return self.content(max(1, math.floor(left))) if callable(self.content) else self.content
+        return self.content(max(1, math.floor(self.deadline - now))) if callable(self.content) else self.content
--- a/wickdyke/routing/dispatcher.py
+++ b/wickdyke/routing/dispatcher.py
@@ -30,7 +30,14 @@
 from wickdyke.routing.placement import FILL_UTILIZATION
 from wickdyke.routing.prewarming import Prewarmer, PrewarmLimiter, PrewarmPlan
 from wickdyke.routing.readiness import Readiness
-from wickdyke.routing.retries import attempts_allowed, may_attempt_at, may_reject, may_wait, within_retry_budget
+from wickdyke.routing.retries import (
+    attempts_allowed,
+    may_attempt_at,
+    may_reject,
+    may_wait,
+    must_begin_before,
+    within_retry_budget,
+)
 from wickdyke.routing.selection import ReplicaSelector
 from wickdyke.routing.settings import AttemptLimits, FunctionCache
 from wickdyke.routing.slow_start import SlowStartGuard
@@ -253,6 +260,8 @@
         attempt = Attempt(  # positional arguments, as keyword arguments take twice the time
             request, number, replica, now, expected, expected_loaded, active_at_worker, active_in_total, overdue_at
         )
+        if request.request_class.effect == Effect.KEYED:
+            attempt.begin_before = must_begin_before(request, now)
         begin_attempt(attempt)
         self.global_concurrency.in_flight.append(attempt)
         if expected_loaded:
--- a/wickdyke/routing/model.py
+++ b/wickdyke/routing/model.py
@@ -4,6 +4,7 @@
 memory is in MB.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -373,7 +374,8 @@
     """One attempt of a request at a replica.
 
     `expected_loaded`: whether a loaded replica was expected. `active_at_worker` and `active_in_total` are the numbers
-    of this front end's attempts that were active when this one was sent.
+    of this front end's attempts that were active when this one was sent. `begin_before` is the time (ms) before which
+    the host must send its first byte, or not send it at all.
     """
 
     request: Request
@@ -387,6 +389,7 @@
     overdue_at: float = 0.0
     outcome: Outcome | None = None
     withdrawn: bool = False  # cancelled in favour of another worker
+    begin_before: float = math.inf
 
 
 class OverdueEntry(NamedTuple):
--- a/wickdyke/routing/retries.py
+++ b/wickdyke/routing/retries.py
@@ -1,5 +1,7 @@
 """Rules of retries: whether and when a request may be attempted again, and how it may be answered when it may not."""
 
+import math
+
 from wickdyke.routing.model import Effect, Outcome, Request, RetryBudget, RoutePolicy, Scope, Worker
 from wickdyke.routing.samples import trim_times
 from wickdyke.routing.seeded_random import SeededRandom
@@ -36,6 +38,28 @@
     return min(limits.attempts, request.route_policy.attempts)
 
 
+def key_expires_at(request: Request) -> float:
+    """Returns when workers no longer recognize the key of a repeat (ms); infinity where that binds no attempt."""
+    request_class = request.request_class
+    if request_class.effect != Effect.KEYED:
+        return math.inf
+    may_have_run = request.may_have_run()
+    return may_have_run[0].sent_at + request_class.dedupe_window if may_have_run else math.inf
+
+
+def must_begin_before(request: Request, now: float) -> float:
+    """Returns the time (ms) before which an attempt that is decided at `now` must begin; infinity where none binds.
+
+    The host may send an attempt long after its decision, when a connection is established or the worker reads again.
+    """
+    expires_at = key_expires_at(request)
+    hedged = request.route_policy is not None and request.route_policy.hedge is not None
+    if expires_at == math.inf and hedged and request.request_class.effect == Effect.KEYED:
+        # A hedge may be sent while this attempt still waits, and its key is remembered from then on.
+        return now + (request.request_class.dedupe_window or math.inf)
+    return expires_at
+
+
 def may_attempt_at(request: Request, worker: Worker, allowed: int, now: float) -> bool:
     """Returns whether one more attempt at the worker is safe for the effect of the request's class.
 
@@ -46,7 +70,7 @@
     may_have_run, request_class = request.may_have_run(), request.request_class
     if not may_have_run or request_class.effect == Effect.IDEMPOTENT:
         return True
-    if request_class.effect != Effect.KEYED or now >= may_have_run[0].sent_at + request_class.dedupe_window:
+    if request_class.effect != Effect.KEYED or now >= key_expires_at(request):
         return False
     scope = request_class.scope
     return scope == Scope.ALL or all(
