Send a keyed repeat near the end of its window on an open connection

Change: after an error the id is used there again: a second error says no more than that the repeat may have run. After answers that say that nothing ran it is not, nor after an attempt that was given up. With less of the window left than a connect may take, the router prefers a worker that answered lately, as it does while connections fail. Decisions change only for keyed repeats that late.

--- a/tests/test_key_windows.py
+++ b/tests/test_key_windows.py
@@ -9,9 +9,11 @@
 from tests.front_end_rig import FullListener
 from tests.helpers import FrontEnd
 from tests.test_attempts import first_decision, make_policy
+from tests.worker_client_rig import WorkerClientCase
 from wickdyke.gateway.events import EndpointsReceived
 from wickdyke.gateway.interfaces import CommandKind
 from wickdyke.jsonrpc import worker_command
+from wickdyke.routing.replicas import replica_of
 
 WINDOW = 1000.0  # ms
 CONNECT_TIMEOUT = 60000.0  # ms
@@ -109,6 +111,43 @@
                 self.close_front_end()
 
 
+class RepeatsOnTheSameConnection(WorkerClientCase):
+    """A repeat of the same id at the worker that has just answered the attempt before it."""
+
+    def answered(self, status):
+        """Returns a client whose first attempt was answered with this status, and the sockets of its attempts."""
+        self.recorded.clear()
+        socks = []
+        client = self.make_client(lambda worker, sock, parts: parts[0] == b"invoke" and (socks.append(sock), True)[1])
+        client.send(self.command())
+        self.until(lambda: socks)
+        self.answer(socks[0], status)
+        self.outcomes()
+        client.send(self.command())
+        self.until(lambda: len(socks) == 2)
+        return socks
+
+    def answer(self, sock, status):
+        """Sends an answer to the attempt."""
+        sock.sendall(rig.bulk(self.command().ident, status, b"-", b""))
+
+    def test_only_after_an_error(self):
+        """A second answer that says that nothing ran would be wrong of a repeat that runs."""
+        for status, same in ((b"EIO", True), (b"AGAIN", False), (b"NOENT", False), (b"STALE", False)):
+            with self.subTest(status):
+                first, second = self.answered(status)
+                self.assertEqual(second is first, same)
+
+    def test_a_second_error_that_arrives_late(self):
+        """It ends the repeat as one that may have run, and the repeat's own answer is dropped."""
+        sock, _ = self.answered(b"EIO")
+        self.answer(sock, b"EIO")
+        self.assertEqual([outcome for _, outcome in self.outcomes(2)], ["error", "error"])
+        self.answer(sock, b"ACK")
+        self.until(lambda: self.pool.counts["strays"])
+        self.assertEqual(len(self.recorded), 2)
+
+
 class LatestBeginning(unittest.TestCase):
     """The time before which an attempt must begin, as the router decides it."""
 
@@ -146,6 +185,30 @@
         self.assertEqual(self.begins_before("idempotent", (), policy), float("inf"))
 
 
+class WorkerOfARepeat(unittest.TestCase):
+    """Which worker a repeat goes to, of those that may recognize its key."""
+
+    def test_little_time_for_a_new_connection(self):
+        """Near the end of the window a repeat prefers a worker that answered lately, which has a connection."""
+        for effect, elapsed, same_worker in (
+            ("tokened", 500.0, False),
+            ("tokened", 1900.0, True),  # 100 ms are left, and a connect may take 250 ms
+            ("idempotent", 1900.0, False),
+        ):
+            with self.subTest(effect=effect, elapsed=elapsed):
+                front_end = FrontEnd(workers=2, effect=effect)
+                request = first_decision(front_end.submit()).request
+                front_end.clock += elapsed
+                tried = request.attempts[0].replica.worker
+                (untried,) = (worker for worker in front_end.ready_workers if worker is not tried)
+                other = replica_of(request.function, untried)
+                other.loaded_replicas = 1
+                other.last_used = front_end.clock
+                front_end.finish_attempt(request, "error")
+                first, second = (attempt.replica.worker for attempt in request.attempts)
+                self.assertEqual(second is first, same_worker)
+
+
 class JsonRpcCommands(unittest.TestCase):
     """A command of the JSON-RPC gateway that waited for its connection."""
 
--- a/wickdyke/platform/worker_connection.py
+++ b/wickdyke/platform/worker_connection.py
@@ -26,7 +26,7 @@
 READ_SIZE = 1 << 16  # bytes read at a time
 MAX_BUFFERED_BYTES = 1 << 20  # bytes that may wait to be sent to a worker
 MAX_COMMANDS_IN_FLIGHT = 32  # on one connection at a time
-MAX_ENDED_IDS = 64  # ids of ended commands that are not reused, so that a late or duplicate answer matches no command
+MAX_ENDED_IDS = 64  # ids of ended commands, by which a late or duplicate answer is recognized
 PEER_RESET_ERRORS = (errno.ECONNRESET, errno.EPIPE)  # errors of a connect that the peer had accepted
 
 
@@ -45,6 +45,7 @@
         self.open_commands: dict[bytes, Command] = {}  # by id; in the write buffer or sent, and not answered yet
         self.pending_commands: list[Command] = []  # waiting for the connection to be established
         self.ended_ids: deque[bytes] = deque(maxlen=MAX_ENDED_IDS)
+        self.unusable_ids: deque[bytes] = deque(maxlen=MAX_ENDED_IDS)  # of `ended_ids`, those that are not used again
         self.answer_reader = AnswerReader(worker_client.report_fields)
         self.connect_started_at = self.last_used_at = self.last_read_at = clock()
         self.failure_outcome: Outcome | None = None
@@ -103,8 +104,9 @@
     def accepts(self, ident: bytes) -> bool:
         """Returns whether a command of that id may be sent on this connection.
 
-        The id must not be in use, nor have been used recently, as a late answer may still arrive. While an answer is
-        incomplete no command is accepted: if the rest never comes, later data would be parsed as part of it.
+        The id must not be in use, nor have been used recently by a command whose answer may still arrive and end this
+        one with a wrong outcome. While an answer is incomplete no command is accepted: if the rest never comes, later
+        data would be parsed as part of it.
         """
         return (
             self.state is not ConnectionState.CLOSED
@@ -112,7 +114,7 @@
             and self.commands_in_flight < MAX_COMMANDS_IN_FLIGHT
             and not self.answer_reader.has_partial_answer
             and ident not in self.open_commands
-            and ident not in self.ended_ids
+            and ident not in self.unusable_ids
             and all(command.ident != ident for command in self.pending_commands)
         )
 
@@ -202,6 +204,7 @@
         """Drops a command whose answer may still arrive."""
         self.open_commands.pop(command.ident, None)
         self.ended_ids.append(command.ident)
+        self.unusable_ids.append(command.ident)
         self.stale = self.stale or self.last_read_at <= command.sent_at or self.answer_reader.has_partial_answer
 
     def _handle_expiry(self, command: Command) -> None:
@@ -307,9 +310,12 @@
         if command is None or result is None:  # abandoned or already answered, or never sent
             self._count("strays")
             return
-        # A worker may answer twice, and the second answer would end a later attempt of the same request that has not
-        # run yet. So the id is not used on this connection again.
         self.ended_ids.append(answer.ident)
+        # A worker may answer twice, and the second answer would end a later attempt of the same request that has not
+        # run yet. So the id is not used on this connection again, except after an error: a second one says no more than
+        # that the later attempt may have run, and a repeat often has no time for a new connection.
+        if result.outcome != Outcome.ERROR:
+            self.unusable_ids.append(answer.ident)
         del self.open_commands[answer.ident]
         self.last_used_at = self.last_read_at
         if command.kind == CommandKind.HEALTH_CHECK:
--- a/wickdyke/routing/dispatcher.py
+++ b/wickdyke/routing/dispatcher.py
@@ -32,6 +32,7 @@
 from wickdyke.routing.readiness import Readiness
 from wickdyke.routing.retries import (
     attempts_allowed,
+    key_expires_at,
     may_attempt_at,
     may_reject,
     may_wait,
@@ -151,7 +152,8 @@
 
     def _choose(self, request: Request, excluded: set[Worker], now: float) -> Replica | None:
         can_serve = self._make_filter(request, excluded, now)
-        if self.outliers.network_fault:  # prefer workers with open connections while new connections fail
+        expires_soon = key_expires_at(request) - now < self.limits.connect_timeout
+        if self.outliers.network_fault or expires_soon:  # a new connection may fail, or be established too late
             idle_timeout = self.limits.idle_timeout
 
             def is_connected(worker: Worker) -> bool:
