JSON-RPC: handle whole lines that come in the same read as one that is too long

What callers saw: an attempt that its worker had answered ended as lost (cut), and a request that may not be repeated failed, where a line over the limit came in the same read as the answer. Change: feed yields the lines and raises when it comes to the long one. A line that is cut off is no JSON, so none of them can be truncated.

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -189,7 +189,15 @@
             with self.subTest(pieces=pieces), self.assertRaises(LineTooLongError):
                 reader = LineReader(6)
                 for piece in pieces:
-                    reader.feed(piece)
+                    list(reader.feed(piece))
+        for pieces, lines in (([b"ab\ncd\nabcdefg\n"], [b"ab", b"cd"]), ([b"a", b"b\nabcdefg"], [b"ab"])):
+            with self.subTest(pieces=pieces):
+                reader = LineReader(6)
+                received = []
+                with self.assertRaises(LineTooLongError):
+                    for piece in pieces:
+                        received.extend(reader.feed(piece))
+                self.assertEqual(received, lines)
 
     def test_responses_are_distinguished_from_other_lines(self):
         """A line that is not a JSON-RPC response raises an error."""
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -137,6 +137,12 @@
                 b"{}",
                 "cut",
             ),
+            (
+                "a line longer than allowed behind the answer",
+                answers_with(lambda n: success_line(n) + b"x" * (17 << 20)),
+                b"{}",
+                "ok",
+            ),
             ("the worker ends on the attempt", resets_on_run, b"{}", "cut"),
             ("the connection is reset within the answer", resets_within_answer, b"{}", "cut"),
             ("the connection is reset before the message is read in full", resets_while_reading, LARGE_JSON, "cut"),
@@ -156,6 +162,11 @@
             with self.subTest(case=name):
                 self.assertEqual(self.run_once(play, params)[1], outcome)
 
+    def test_an_answer_in_the_same_read_as_a_line_that_is_too_long(self):
+        """Guards against whole answers that were dropped with what followed them."""
+        play = answers_with(lambda n: success_line(n) + b"x" * 300)
+        self.assertEqual(self.run_once(play, line=200)[1], "ok")
+
     def test_no_connection(self):
         """(worker) -> unreached, within the connect timeout."""
         for name, play in (
--- a/wickdyke/jsonrpc/worker_handshake.py
+++ b/wickdyke/jsonrpc/worker_handshake.py
@@ -76,7 +76,7 @@
         data = sock.recv(READ_SIZE)
         if not data:
             raise ConnectionResetError("worker closed the connection before its hello")
-        if lines := reader.feed(data):
+        if lines := list(reader.feed(data)):
             return lines
 
 
--- a/wickdyke/protocol/framing.py
+++ b/wickdyke/protocol/framing.py
@@ -1,5 +1,7 @@
 """Newline-delimited framing: splits a stream of bytes into lines."""
 
+from collections.abc import Iterator
+
 
 class LineTooLongError(Exception):
     """A line exceeds the limit; the start of the next line is then unknown."""
@@ -9,7 +11,7 @@
     """Splits a stream into lines. Buffers at most one incomplete line of `max_line` bytes.
 
     >>> lines = LineReader(100)
-    >>> lines.feed(b'{"a":1}\\n{"b"')
+    >>> list(lines.feed(b'{"a":1}\\n{"b"'))
     [b'{"a":1}']
     """
 
@@ -18,23 +20,24 @@
         self.parts: list[bytes] = []  # parts of the incomplete line; joined once, so that 8 MB is not copied repeatedly
         self.buffered_bytes = 0  # the total size of `parts`
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """Returns the lines that `data` completes, without line ends; blank lines are omitted.
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Yields the lines that `data` completes, without line ends; blank lines are omitted.
 
-        Raises LineTooLongError once a line, complete or not, is longer than `max_line` bytes. Earlier lines in the same
-        `data` are then lost, since the connection is to be closed.
+        The data counts as read once the iterator has ended. Raises LineTooLongError after the lines before it once a
+        line, complete or not, is longer than `max_line` bytes.
         """
         if b"\n" not in data:
             self._append(data)
-            return []
+            return
         first, *rest = data.split(b"\n")
         incomplete_line = rest.pop()
         self._append(first)
-        lines = [self._take_line(), *rest]
-        if any(len(line) > self.max_line for line in rest):
-            raise self._too_long()
+        for line in (self._take_line(), *rest):
+            if len(line) > self.max_line:
+                raise self._too_long()
+            if line.strip():
+                yield line
         self._append(incomplete_line)
-        return [line for line in lines if line.strip()]
 
     def _append(self, data: bytes) -> None:
         self.buffered_bytes += len(data)
