Count a load order in its ration from when it began, and bound how long it may wait

An order was counted in the ration at its decision; one that waited for a connection came to its worker up to two connect timeouts later, so that the orders of the next window fell into the same window there. Change: a prewarm begins within one connect timeout of its decision or not at all (Prewarm.begin_before, looked at where an attempt's is), and counts from when it began; while that is not known, as if it had begun at the last moment. Recordings hold the wait as a new last field of prewarm_finished; recordings without it replay alike (tests.test_recordings). Orders whose result takes longer than the window count longer there.

--- a/wickdyke/gateway/coordinator.py
+++ b/wickdyke/gateway/coordinator.py
@@ -245,24 +245,29 @@
             case Attempt() as attempt:
                 self.attempts.handle_finished(attempt, result)
             case PrewarmKey() as key:
-                self._prewarm_finished(key, result)
+                began_at = event.command.began_at
+                waited = 0.0 if began_at is None else max(0.0, began_at - key.sent_at)
+                self._prewarm_finished(key, result, waited)
             case worker:
                 self.counts[f"health_checks_{result.outcome}"] += 1
                 self.context.apply_input(
                     "health_checked", worker, result.outcome, result.report, result.same_process_since
                 )
 
-    def _prewarm_finished(self, key: PrewarmKey, result: CommandResult) -> None:
+    def _prewarm_finished(self, key: PrewarmKey, result: CommandResult, waited: float) -> None:
         self.counts[f"prewarms_{result.outcome}"] += 1
         self.isolation.prewarm_finished(key.worker, key.function, result)
         elapsed = self.context.now() - key.sent_at
-        self.context.apply_input("prewarm_finished", key.worker, key.function, result.outcome, result.replicas, elapsed)
+        self.context.apply_input(
+            "prewarm_finished", key.worker, key.function, result.outcome, result.replicas, elapsed, waited
+        )
 
     def _prewarm(self, decision: decisions.Prewarm) -> None:
         name = decision.worker.endpoint.ident
         function = decision.function
         key = PrewarmKey(name, function.name, self.context.now())
         command = self.protocol.prewarm_command(key, function, decision.replicas)
+        command.begin_before = decision.begin_before
         command.may_begin = partial(self.router.may_send, decision.worker)
         self.counts["prewarms"] += 1
         self._send_to(name, command, self.config.function_cache.prewarm_timeout)
--- a/wickdyke/gateway/interfaces.py
+++ b/wickdyke/gateway/interfaces.py
@@ -197,11 +197,12 @@
     is handed to an established connection.
     """
 
-    __slots__ = ("begin_before", "key", "kind", "may_begin", "message", "worker_client")
+    __slots__ = ("began_at", "begin_before", "key", "kind", "may_begin", "message", "worker_client")
 
     def __init__(self, kind: CommandKind, key: CommandKey) -> None:
         self.kind = kind
         self.key = key
+        self.began_at: float | None = None  # monotonic ms; when its bytes were last rendered to be sent
         self.begin_before = math.inf
         self.may_begin: Callable[[float], bool] = _always_allowed
         self.message: OutgoingMessage | None = None
--- a/wickdyke/jsonrpc/worker_command.py
+++ b/wickdyke/jsonrpc/worker_command.py
@@ -46,6 +46,7 @@
         now = clock()
         if now >= min(self.deadline, self.begin_before):
             return None
+        self.began_at = now
         time_left = self.deadline - now
         params = self.params(time_left) if callable(self.params) else self.params
         return jsonrpc.request_line(self.method, params, self.number)
--- a/wickdyke/platform/worker_command.py
+++ b/wickdyke/platform/worker_command.py
@@ -56,5 +56,6 @@
         now = clock()
         if not self.may_begin_at(now):
             return None
+        self.began_at = now
         # Rounded down, so that the worker is never given more time than is left.
         return self.content(max(1, math.floor(self.deadline - now))) if callable(self.content) else self.content
--- a/wickdyke/routing/decisions.py
+++ b/wickdyke/routing/decisions.py
@@ -41,11 +41,15 @@
 
 @dataclass(slots=True, frozen=True, eq=False)
 class Prewarm:
-    """Request that the worker load `replicas` replicas of the function."""
+    """Request that the worker load `replicas` replicas of the function.
+
+    The host must send the first byte before `begin_before` (ms), or not send it at all.
+    """
 
     worker: Worker
     function: Function
     replicas: int
+    begin_before: float
 
 
 @dataclass(slots=True, frozen=True, eq=False)
--- a/wickdyke/routing/prewarming.py
+++ b/wickdyke/routing/prewarming.py
@@ -1,8 +1,9 @@
 """Prewarming: which replicas to load ahead of their requests, and how many prewarms may be sent."""
 
-from bisect import insort
+from bisect import bisect_right, insort
 from collections import Counter, deque
 from dataclasses import dataclass
+from math import inf
 
 from wickdyke.routing.cells import Cell
 from wickdyke.routing.control_budget import ControlBudget
@@ -36,13 +37,18 @@
 
     Only requests of verified functions count. Otherwise requests of functions that do not exist or are broken would
     earn prewarms. The cost is a slower start where no replica is loaded anywhere and the quota has no free prewarms.
+
+    A worker counts a prewarm when it arrives, and one may wait up to `max_wait` ms for its connection. So a prewarm
+    counts from when it began, and while that is not known as if it began at the last moment.
     """
 
-    def __init__(self, quota: PrewarmQuota) -> None:
+    def __init__(self, quota: PrewarmQuota, max_wait: float) -> None:
         """Creates a limiter without requests."""
         self.quota = quota
+        self.max_wait = max_wait
         self.request_times: deque[float] = deque()  # times at which counted requests were received (ms)
-        self.prewarm_times: deque[float] = deque()  # times at which prewarms were sent (ms)
+        self.unfinished_times: deque[float] = deque()  # times at which prewarms without a result were decided (ms)
+        self.begin_times: list[float] = []  # times at which other prewarms began (ms), in order
 
     def request_received(self, function: Function, now: float) -> None:
         """Counts a request, if its function is verified."""
@@ -67,11 +73,32 @@
         if worker.endpoint.state != EndpointState.READY:
             return False
         self.trim(now)
-        trim_times(self.prewarm_times, now - self.quota.window - WINDOW_MARGIN)
         if not self.quota.window:
             return True
         allowed = self.quota.free + self.quota.share * len(self.request_times)
-        return len(self.prewarm_times) + 1 <= allowed * (1 - FRACTION_FOR_NEW * renewal)
+        return self._count(now) + 1 <= allowed * (1 - FRACTION_FOR_NEW * renewal)
+
+    def _count(self, now: float) -> int:
+        """Returns the number of prewarms that count at `now`."""
+        since = now - self.quota.window - WINDOW_MARGIN
+        trim_times(self.unfinished_times, since - self.max_wait)
+        del self.begin_times[: bisect_right(self.begin_times, since)]
+        return len(self.unfinished_times) + len(self.begin_times)
+
+    def sent(self, now: float) -> None:
+        """Counts a prewarm that is decided at `now`."""
+        if self.quota.window:
+            self.unfinished_times.append(now)
+
+    def finished(self, decided_at: float, waited: float) -> None:
+        """Counts a prewarm that has ended from when it began, `waited` ms after its decision."""
+        if decided_at in self.unfinished_times:
+            self.unfinished_times.remove(decided_at)
+            insort(self.begin_times, decided_at + waited)
+
+    def must_begin_before(self, now: float) -> float:
+        """Returns the time (ms) before which a prewarm decided at `now` must begin; infinity without a quota."""
+        return now + self.max_wait if self.quota.window else inf
 
 
 class Prewarmer:
@@ -141,13 +168,14 @@
             if len(self.held_plans) < MAX_HELD_PLANS and self.readiness.may_choose(replica.worker, now):
                 self.held_plans[replica] = plan
             return
-        self.limiter.prewarm_times.append(now)
+        self.limiter.sent(now)
         self.budget.spend()
         replica.prewarm_sent_at = now
         if not plan.renewal and not replica.loaded_replicas:
             replica.loading_since = now
         replicas = min(plan.replicas, MAX_REPLICAS)
-        self.decisions.append(Prewarm(replica.worker, replica.function, replicas))
+        begin_before = self.limiter.must_begin_before(now)
+        self.decisions.append(Prewarm(replica.worker, replica.function, replicas, begin_before))
 
     def release(self, worker: Worker) -> list[PrewarmPlan]:
         """Removes and returns the plans that were held for an answer of the worker."""
--- a/wickdyke/routing/router.py
+++ b/wickdyke/routing/router.py
@@ -83,7 +83,7 @@
         self.following_endpoints = settings.discovery.pushed
         self.latency = LatencyEstimator(cache, instance, settings.tenant_quotas)
         self.slow_start = SlowStartGuard(settings.slow_start, instance)
-        self.prewarm_limiter = PrewarmLimiter(settings.prewarm_quota)
+        self.prewarm_limiter = PrewarmLimiter(settings.prewarm_quota, settings.attempt_limits.connect_timeout)
         self.control_budget = ControlBudget()
         self.health_checker = HealthChecker(settings.attempt_limits.health_checks, self.control_budget, self.decisions)
         self.readiness = Readiness(
@@ -262,11 +262,18 @@
         if request := self.requests.get(ident):
             self.dispatcher.close(request)
 
-    def prewarm_finished(self, worker_ident: str, name: str, outcome: Outcome, replicas: int, elapsed: float) -> None:
-        """Records the outcome of a prewarm that took `elapsed` ms and left `replicas` replicas loaded."""
+    def prewarm_finished(
+        self, worker_ident: str, name: str, outcome: Outcome, replicas: int, elapsed: float, waited: float = 0.0
+    ) -> None:
+        """Records the outcome of a prewarm that took `elapsed` ms and left `replicas` replicas loaded.
+
+        `waited`: how long after its decision its first byte was sent (ms).
+        """
         worker, function = self.workers.get(worker_ident), self.functions.get(name)
         replica = worker.replicas.get(function) if worker and function else None
         if replica is not None:
+            if replica.prewarm_sent_at is not None:
+                self.prewarm_limiter.finished(replica.prewarm_sent_at, waited)
             self.results.prewarm_finished(replica, outcome, replicas, elapsed, self.now)
             if outcome == Outcome.FULL:
                 self.readiness.work_rejected(replica.worker, self.now)
