Tests of waiting commands accept the very connection they wait for

Seen: test_the_router_learns_how_long_it_waited failed in 1 of 2 first runs of a set of tests and then in each of 6 alone: the prewarm's connection was established for the front end only, as a full backlog had dropped the last packet of its handshake, and was reset with the first data. Change: FullListener.accept makes room in the backlog first and accepts until the other end of the connection is there; the tests of keys use it too.

--- a/tests/front_end_rig.py
+++ b/tests/front_end_rig.py
@@ -8,7 +8,7 @@
 import tempfile
 import time
 import unittest
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from types import SimpleNamespace
 from unittest.mock import Mock, patch
 
@@ -81,6 +81,33 @@
             self.backlog_clients.append(client)
         test.addCleanup(lambda: [each.close() for each in [self.sock, *self.backlog_clients, *self.accepted]])
 
+    def accept(self, connection, until):
+        """Makes room and accepts connections until that of a worker client is among them; returns its other end.
+
+        `until` runs iterations until its argument returns true.
+        """
+        for client in self.backlog_clients:
+            client.close()
+        self.sock.listen(16)
+        self.sock.setblocking(False)
+        address = connection.sock.getsockname()
+
+        def is_accepted():
+            with suppress(BlockingIOError):
+                self.accepted.append(self.sock.accept()[0])
+            return connection.established and any(peer_name(sock) == address for sock in self.accepted)
+
+        until(is_accepted, "the connection")
+        return next(sock for sock in self.accepted if peer_name(sock) == address)
+
+
+def peer_name(sock):
+    """Returns the address of a connection's other end; None where that has ended."""
+    try:
+        return sock.getpeername()
+    except OSError:
+        return None
+
 
 class FrontEndCase(unittest.TestCase):
     """Base of tests that run the iterations of a front end in their own thread."""
--- a/tests/test_key_windows.py
+++ b/tests/test_key_windows.py
@@ -1,8 +1,6 @@
 """Attempts of keyed requests that wait between their decision and their first byte."""
 
-import time
 import unittest
-from contextlib import suppress
 
 from tests import platform_rig as rig
 from tests.acceptance_rig import LANES, SteppedClockCase, request, settings
@@ -60,24 +58,13 @@
         ]
 
     def establish(self, connection):
-        """Accepts connections of the second worker until this one is established; returns what was sent on all."""
-        for dialled in self.listener.backlog_clients:
-            dialled.close()
-        self.listener.sock.setblocking(False)
-
-        def is_established():
-            with suppress(BlockingIOError):
-                self.listener.accepted.append(self.listener.sock.accept()[0])
-            return connection.established
-
-        self.until(is_established, "the connection")
-        time.sleep(0.05)  # what was sent arrives
-        received = b""
-        for sock in self.listener.accepted:
-            sock.setblocking(False)
-            with suppress(OSError):
-                received += sock.recv(1 << 16)
-        return received
+        """Lets a connection to the second worker be established; returns what arrives on it."""
+        sock = self.listener.accept(connection, self.until)
+        sock.settimeout(0.2)  # what was sent has arrived long before
+        try:
+            return sock.recv(1 << 16)
+        except TimeoutError:
+            return b""
 
     def test_a_connection_established_within_the_window(self):
         """The repeat is sent, as workers still recognize the key."""
--- a/tests/test_prewarms_that_wait.py
+++ b/tests/test_prewarms_that_wait.py
@@ -1,7 +1,6 @@
 """Prewarms that wait for their connection: when they count in the quota, and until when they may be sent."""
 
 import unittest
-from contextlib import suppress
 from unittest.mock import patch
 
 from tests import platform_rig as rig
@@ -72,29 +71,12 @@
         )
         return upstream, command, results
 
-    def establish(self, upstream):
-        """Accepts connections of the worker until that of the prewarm is established."""
-        for dialled in self.listener.backlog_clients:
-            dialled.close()
-        self.listener.sock.setblocking(False)
-        connection = upstream.shared_connection
-
-        def is_established():
-            with suppress(BlockingIOError):
-                self.listener.accepted.append(self.listener.sock.accept()[0])
-            return connection.established or connection.closed
-
-        self.until(is_established, "the connection")
-
     def test_the_router_learns_how_long_it_waited(self):
         upstream, command, results = self.prewarm_waits()
         self.now += MAX_WAIT / 2
-        self.establish(upstream)
+        sock = self.listener.accept(upstream.shared_connection, self.until)
         self.assertTrue(command.send_started)
-        answer = rig.bulk(command.ident, b"ACK", b"units=1", b"")
-        for sock in self.listener.accepted:
-            with suppress(OSError):
-                sock.sendall(answer)
+        sock.sendall(rig.bulk(command.ident, b"ACK", b"units=1", b""))
         self.until(lambda: results.call_args, "the result")
         _, _, outcome, replicas, elapsed, waited = results.call_args.args
         self.assertEqual((outcome, replicas, elapsed, waited), ("ok", 1, MAX_WAIT / 2, MAX_WAIT / 2))
@@ -102,7 +84,7 @@
     def test_it_is_not_sent_after_the_time_by_which_it_must_begin(self):
         upstream, command, _ = self.prewarm_waits()
         self.now += MAX_WAIT
-        self.establish(upstream)
+        self.listener.accept(upstream.shared_connection, self.until)
         self.until(lambda: self.service.coordinator.counts["prewarms_unsent"], "the end of the prewarm")
         self.assertFalse(command.send_started)
 
