--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -627,8 +627,14 @@
         self.front_ends: list[FrontEnd] = []
         self.pools: list[ClientPool] = []
 
-    async def open(self, settings: dict[str, Any], workers: list[Worker], front_ends: int = 1) -> None:
-        """Starts the bus, the workers and the front ends."""
+    async def open(
+        self,
+        settings: dict[str, Any],
+        workers: list[Worker],
+        front_ends: int = 1,
+        limits: dict[str, float] | None = None,
+    ) -> None:
+        """Starts the bus, the workers and the front ends, with these limits."""
         await self.bus.start()
         self.workers = workers
         for worker in workers:
@@ -637,6 +643,7 @@
         for index in range(front_ends):
             mine = {**settings, "instances": front_ends, "self-index": index}
             front_end = FrontEnd(self.record, mine, self.bus, self.folder, f"n{index}")
+            front_end.limits = limits or front_end.limits
             self.front_ends.append(front_end)
             await front_end.start()
             self.pools.append(ClientPool(self.record, front_end.port))
