--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,9 @@
-"""A second copy of an error answer, some milliseconds late, ends the repeat: two attempts are out at once."""
+"""Bad clients fill the memory for clients: usual clients that send several requests at once lose some."""
 
 import asyncio
-import itertools
+import contextlib
 import random
+import struct
 import sys
 from pathlib import Path
 
@@ -10,17 +11,21 @@
 
 import peers_2 as peers
 
-ERROR_SHARE = 0.002  # of the attempts: the site's error_rate
-COPY_SHARE = 0.5  # of the answers that come a second time
-COPY_LATE = (0.004, 0.015)  # s
-RATE = 170.0  # requests per second
-LENGTH = 95.0  # s
-FUNCTIONS = [f"{number:016x}" for number in range(0x7F3A9C21E0B4D600, 0x7F3A9C21E0B4D600 + 24)]
+MEMORY_MB = 64  # of the front end, as in deploy/platform.json; the pages name 32 to 192
+SOCKETS = 1024  # descriptors of the front end: within 256 to 1,024
+HALVES = 220  # bad clients that send half a request; all clients hold under a third of the descriptors
+FLOODS = 60  # bad clients that send as many requests at once as a connection may have open
+FRAME = 24000  # bytes that a bad client's frame is said to have, body and fields
+HALF_SECONDS = 1.5  # after which a bad client closes; the front end's own bound on a frame is 2 s
+BURST = 8  # requests that a usual client sends at once, of 32 that may be open
+BODY = 16 * 1024
+LENGTH = 40.0  # s
+FUNCTIONS = [f"{number:016x}" for number in range(0x7F3A9C21E0B4D600, 0x7F3A9C21E0B4D600 + 6)]
 SETTINGS = peers.platform_settings(
-    lanes=[{"name": "suggest-tags", "repeat": "pure", "aim": 750000, "deadline": 4000000, "gain": 1.0}],
+    lanes=[{"name": "position", "repeat": "pure", "aim": 600000, "deadline": 5000000, "gain": 2.0}],
     limits={
-        "send-cap": 3,
-        "second-copies": False,
+        "send-cap": 5,
+        "second-copies": True,
         "cancelling": True,
         "probing": True,
         "retry-after": False,
@@ -36,61 +41,110 @@
             "load-wait": 10000000,
             "warm-notes": True,
             "says-company": True,
-            "free-loads": 0.0,
-            "load-part": 0.0,
-            "load-window": 0,
+            "free-loads": 6.0,
+            "load-part": 0.2,
+            "load-window": 5000000,
         }
     },
     rules={
-        "cold-from": 0.25,
-        "ramp-time": 14000000,
-        "overload-factor": 3.0,
-        "tip-after": 1500000,
-        "stop-sending-within": 1000000,
+        "cold-from": 0.2,
+        "ramp-time": 18000000,
+        "overload-factor": 2.0,
+        "tip-after": 2000000,
+        "stop-sending-within": 500000,
     },
 )
 
 
+async def half_client(port: int, until: float, record: peers.Record) -> None:
+    """Sends half a request and closes; begins again, also where it is turned away."""
+    half = struct.pack(">i", FRAME) + b"\x80\x01\x00\x01" + bytes(FRAME - 200)
+    await asyncio.sleep(random.random())
+    while record.now() < until:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(half)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HALF_SECONDS):
+                    while await reader.read(4096):
+                        pass
+            writer.close()
+        await asyncio.sleep(0.05)
+
+
+async def flooding_client(port: int, until: float, record: peers.Record) -> None:
+    """Sends 32 requests at once for functions that no worker knows, and the same again."""
+    unwritten = peers.Record(record.path.parent)  # what it sends is in the record as the workers' attempts
+    while record.now() < until:
+        with contextlib.suppress(OSError):
+            client = peers.Client(unwritten, "flood")
+            await client.connect(port)
+            for _ in range(32):
+                client.send("position", f"{random.getrandbits(64):016x}", 5.0, random.randbytes(BODY))
+            await asyncio.wait([call.done for call in client.calls.values()], timeout=3)
+            await client.close()
+        await asyncio.sleep(0.05)
+
+
 async def invoke(worker: peers.Worker, link: peers.Link, attempt: peers.Attempt) -> None:
-    """Runs an attempt; some fail, and some answers are followed by a second copy."""
-    fields = await worker.run(attempt)
-    failed = random.random() < ERROR_SHARE
-    word, body = (b"EIO", b"") if failed else (b"ACK", attempt.body)
-    answer = worker.answer(link, attempt, word, b"-" if failed else fields, body)
-    if peers.TROUBLE and random.random() < COPY_SHARE:
-        await asyncio.sleep(random.uniform(*COPY_LATE))
-        link.write(answer)
-        worker.record.add(worker.name, f"second copy of {attempt.ident.decode()} {word.decode()}")
+    """Serves an attempt; one for a function that the worker does not know is answered with an error."""
+    if attempt.fields["name"] in FUNCTIONS:
+        await worker.serve(link, attempt)
+        return
+    await asyncio.sleep(0.05)
+    worker.answer(link, attempt, b"EIO", b"-")
+
+
+async def usual_client(stage: peers.Stage, calls: list[peers.Call], until: float) -> None:
+    """Sends bursts of requests on one connection, which it makes again where it has ended."""
+    record, port = stage.record, stage.front_ends[0].port
+    client = peers.Client(record, f"client{len(calls)}")
+    while record.now() < until:
+        if not client.connected:
+            await client.close()
+            client = peers.Client(record, client.name)
+            await client.connect(port)
+        burst = [client.send("position", random.choice(FUNCTIONS), 5.0, random.randbytes(BODY)) for _ in range(BURST)]
+        calls += burst  # at once: those of a burst stay together
+        await asyncio.wait([call.done for call in burst], timeout=6)
+        await asyncio.sleep(0.3)
+    await client.close()
 
 
 async def play(stage: peers.Stage) -> list[str]:
-    """Plays the load and returns the requests that had two attempts out at once."""
-    workers = [peers.Worker(f"w{index}", stage.record, work=0.1, on_invoke=invoke) for index in range(11)]
-    await stage.open(SETTINGS, workers)
-    pool = stage.pools[0]
-    began = stage.record.now()
-    for number in range(int(RATE * LENGTH)):
-        await asyncio.sleep(max(0.0, began + number / RATE - stage.record.now()))
-        function = FUNCTIONS[min(int(random.expovariate(0.2)), len(FUNCTIONS) - 1)]
-        await pool.send("suggest-tags", function, 4.0, b"photo %d" % number)
-    await asyncio.wait([call.done for call in pool.calls], timeout=5)
-    await pool.close()
-    words = [word for call in pool.calls for _, word in call.answers]
+    """Plays both kinds of clients and returns the requests of usual ones that were lost."""
+    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+    workers = [peers.Worker(f"w{index}", stage.record, work=0.2, on_invoke=invoke) for index in range(6)]
+    await stage.open(SETTINGS, workers, limits=limits)
+    until = stage.record.now() + LENGTH
+    calls: list[peers.Call] = []
+    port = stage.front_ends[0].port
+    others = [half_client(port, until, stage.record) for _ in range(HALVES if peers.TROUBLE else 0)]
+    others += [flooding_client(port, until, stage.record) for _ in range(FLOODS if peers.TROUBLE else 0)]
+    await asyncio.gather(*others, *(usual_client(stage, calls, until) for _ in range(4)))
+    await asyncio.sleep(0.5)
+    words = [call.answers[0][1] if call.answers else "none" for call in calls]
     stage.record.add("clients", str({word: words.count(word) for word in sorted(set(words))}))
-    return overlaps(stage)
+    return lost(stage, calls)
+
 
+def lost(stage: peers.Stage, calls: list[peers.Call]) -> list[str]:
+    """Returns a line for each request without an answer, sent while an earlier one of its connection was open.
 
-def overlaps(stage: peers.Stage) -> list[str]:
-    """Returns a line for each attempt that came while an earlier one of its request was out."""
-    slack = 0.05  # s; the grace of the protocol's page on each time limit
+    Not counted, as the pages excuse them: requests on a connection of which the front end has sent nothing on, and
+    requests that cross the close of a connection without an open request. So of a burst, an earlier request must have
+    come to a worker, and the connection must have been ended by the front end.
+    """
+    came = set(stage.attempts())
     found = []
-    for ident, attempts in stage.attempts().items():
-        for earlier, later in itertools.pairwise(attempts):
-            if earlier.ended_at is None or earlier.ended_at > later.came_at + slack:
-                found.append(
-                    f"{ident}: an attempt came to {later.worker} at {later.came_at:.3f}, while the one that came to"
-                    f" {earlier.worker} at {earlier.came_at:.3f} was out (its end: {earlier.end or 'none'})"
-                )
+    for begin in range(0, len(calls), BURST):
+        burst = calls[begin : begin + BURST]
+        forwarded = [call.ident in came for call in burst]
+        found += [
+            f"{call.ident}, sent at {call.sent_at:.3f}, has no answer: {call.ended}"
+            for index, call in enumerate(burst)
+            if not call.answers and call.ended and any(forwarded[:index])
+        ]
     return found
 
 
--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -19,10 +19,11 @@
 import tempfile
 import time
 import traceback
+import weakref
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -116,7 +117,7 @@
             self.changed.notify_all()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.closing(writer), contextlib.suppress(OSError, asyncio.IncompleteReadError):
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             last = next(
                 (line.split(":")[1] for line in head.split("\r\n") if line.lower().startswith("last-event")), "0"
@@ -134,7 +135,6 @@
                         await self.changed.wait()
                 except TimeoutError:
                     writer.write(b": \n\n")
-        writer.close()
 
 
 # ---- workers ----
@@ -241,14 +241,16 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         link = Link(writer)
         self.links.append(link)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                self._handle(link, await read_command(reader))
-        for attempt in link.open:
-            attempt.finish(self.record.now(), "given up: its connection ended")
-        if link in self.links:
-            self.links.remove(link)
-        writer.close()
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    self._handle(link, await read_command(reader))
+        finally:
+            for attempt in link.open:
+                attempt.finish(self.record.now(), "given up: its connection ended")
+            if link in self.links:
+                self.links.remove(link)
+            writer.close()
 
     def _handle(self, link: Link, parts: list[bytes]) -> None:
         match parts[0]:
@@ -341,6 +343,11 @@
     return b"\x0b\x0b" + struct.pack(">i", len(fields)) + pairs
 
 
+def dispatch(number: int, fields: dict[str, str], body: bytes) -> bytes:
+    """Returns the frame of a request."""
+    return _message(b"dispatch", number, b"\x0d\x00\x01" + _table(fields) + b"\x0b\x00\x02" + _text(body) + b"\x00")
+
+
 def parse_reply(data: bytes) -> tuple[int, str, bytes]:
     """Returns the number of an answer, its kind as a word, and its body."""
     kind = data[3]
@@ -377,7 +384,10 @@
 class Client:
     """One connection of a client to a front end."""
 
+    made: ClassVar["weakref.WeakSet[Client]"] = weakref.WeakSet()
+
     def __init__(self, record: Record, name: str = "client") -> None:
+        Client.made.add(self)
         self.record = record
         self.name = name
         self.number = 0
@@ -457,8 +467,7 @@
         }
         call = Call(ident, self.record.now(), wait, fields, body, asyncio.get_running_loop().create_future())
         self.calls[self.number] = call
-        args = b"\x0d\x00\x01" + _table(fields) + b"\x0b\x00\x02" + _text(body) + b"\x00"
-        self.writer.write(_message(b"dispatch", self.number, args))
+        self.writer.write(dispatch(self.number, fields, body))
         self.record.add(self.name, f"{ident} sent {lane} {function} d={fields['d']}")
         return call
 
@@ -666,6 +675,9 @@
         for server in [self.bus.server, *(worker.server for worker in self.workers)]:
             if server is not None:
                 server.close()
+        for client in Client.made:
+            if client.writer is not None:
+                client.writer.transport.abort()
         others = asyncio.all_tasks() - {asyncio.current_task()}
         for task in others:
             task.cancel()
