--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -28,6 +28,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 READY_SECONDS = 30.0
+BROKEN = 10  # exit codes, which run.sh turns into those of the review
 COULD_NOT_RUN = 2
 VERSION = 0x80010000
 KINDS = {1: "shed", 2: "fault"}
@@ -269,7 +270,9 @@
                 self._spawn(self._prewarm(link, parts))
             case b"alive" | b"gauges":
                 word = b"AILING" if self.draining else b"READY"
-                held = sum(attempt.ended_at is None for each in self.links for attempt in each.open)
+                for each in self.links:
+                    each.open = [attempt for attempt in each.open if attempt.ended_at is None]
+                held = sum(len(each.open) for each in self.links)
                 link.write(
                     bulk(
                         parts[1],
@@ -392,6 +395,7 @@
         self.name = name
         self.number = 0
         self.calls: dict[int, Call] = {}
+        self.open_calls = 0  # requests without an answer
         self.alive: asyncio.Future[str] | None = None
         self.writer: asyncio.StreamWriter | None = None
         self.reading: asyncio.Task[None] | None = None
@@ -406,11 +410,6 @@
         """Whether the connection stands."""
         return self.reading is not None and not self.reading.done()
 
-    @property
-    def open_calls(self) -> int:
-        """The number of requests without an answer."""
-        return sum(not call.done.done() for call in self.calls.values())
-
     async def _read(self, reader: asyncio.StreamReader) -> None:
         reason = "the front end closed the connection"
         try:
@@ -467,10 +466,15 @@
         }
         call = Call(ident, self.record.now(), wait, fields, body, asyncio.get_running_loop().create_future())
         self.calls[self.number] = call
+        self.open_calls += 1
+        call.done.add_done_callback(self._call_done)
         self.writer.write(dispatch(self.number, fields, body))
         self.record.add(self.name, f"{ident} sent {lane} {function} d={fields['d']}")
         return call
 
+    def _call_done(self, _done: asyncio.Future[str]) -> None:
+        self.open_calls -= 1
+
     def cancel(self, call: Call) -> None:
         """Takes a request back."""
         assert self.writer is not None
@@ -687,6 +691,9 @@
 
 async def _play(play: Play, folder: Path, record: Record, seconds: float) -> list[str]:
     stage = Stage(record, folder)
+    play_task = asyncio.current_task()
+    assert play_task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, play_task.cancel)
     try:
         async with asyncio.timeout(seconds):
             broken = await play(stage)
@@ -697,13 +704,13 @@
 
 
 def main(play: Play, folder: Path, seconds: float = 110.0) -> int:
-    """Runs a play; returns 1 where it found the rule broken, 0 where the rule held, 2 where it could not run."""
+    """Runs a play; returns BROKEN where it found the rule broken, 0 where the rule held, 2 where it could not run."""
     record = Record(folder)
     scratch = Path(tempfile.mkdtemp())
     random.seed(1)
     try:
         broken = asyncio.run(_play(play, scratch, record, seconds))
-    except Exception as error:  # noqa: BLE001 - whatever stopped the play, the rule was not judged
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001 - whatever ended the play, nothing was judged
         traceback.print_exc()
         record.write([f"could not run: {type(error).__name__}: {error}"])
         return COULD_NOT_RUN
@@ -714,4 +721,4 @@
     verdict = broken or ["the rule held"]
     record.write([f"TROUBLE={int(TROUBLE)}", f"broken {len(broken)} times", *verdict])
     print(f"trouble={int(TROUBLE)} broken={len(broken)}", *broken[:5], sep="\n  ", file=sys.stdout)
-    return 1 if broken else 0
+    return BROKEN if broken else 0
