Count client connections ended for lack of memory apart from requests refused

Change: ended_without_memory, unread_without_memory and dropped; no_memory counts refused requests alone.

--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -184,7 +184,7 @@
             self._reject_connection(error.number, str(error))
         self._count_buffers()
         if self.frame_parser.has_partial_frame and self.memory.budget.exceeded and not self.ending:
-            self.server.counts["no_memory"] += 1
+            self.server.counts["ended_without_memory"] += 1
             self._reject_connection(None, "no memory is left for the rest of a frame")
 
     def _count_buffers(self) -> None:
@@ -208,6 +208,8 @@
             return
         if message.method == "cancelRequest":
             self._cancel_request(message.cancelled_number)
+        else:
+            self.server.counts["dropped"] += 1
 
     def _cancel_request(self, number: int) -> None:
         if (pending := self.open_requests.get(number)) is not None:
@@ -310,6 +312,7 @@
             if not fully_sent:
                 self._count_buffers()
                 if self.memory.budget.exceeded:
+                    self.server.counts["unread_without_memory"] += 1
                     raise PeerTooSlowError("no memory is left for an answer that the client does not read")
             if fully_sent and self.ending and not self.open_requests:
                 self.close()
