End the largest incomplete answer, not the one at hand, where memory for answers is short

The commands of a worker that answers well would count as failed and possibly run, so that what may not be repeated fails, while another worker's answer holds the memory. Change: ConnectionPool.reclaim_answers ends the connections with the largest incomplete answers until the rest fits. Test: test_memory_budget.PartialAnswers.test_the_largest_incomplete_answer_gives_way fails before (the small answer, read last, ended as error) and passes now.

--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -320,6 +320,30 @@
         self.assertEqual(self.outcomes(), [(b"9b1f03aa5c7e2d41", "error")])
         self.assertEqual((self.pool.counts["answers_without_memory"], self.pool.partial_answer_bytes), (1, 0))
 
+    def test_the_largest_incomplete_answer_gives_way(self):
+        """Guards against answers that are lost, as possibly run, for the memory that another worker's answer holds."""
+        sizes = {b"a" * 16: 7000, b"b" * 16: 2000}
+        socks = {}
+
+        def respond(worker, sock, parts):
+            socks[parts[1]] = sock
+            body = bytes(sizes[parts[1]])
+            sock.sendall(rig.bulk_with_length(10000, parts[1], b"ACK", b"-", body)[: -len(b"\r\n")])
+            return True
+
+        client = self.make_client(respond)
+        for number, ident in enumerate(sizes, 1):
+            client.send(self.command(ident))
+            self.until(
+                lambda number=number: sum(each.partial_answer_bytes > 0 for each in client.connections) == number
+            )
+        self.pool.answer_capacity = self.pool.partial_answer_bytes
+        socks[b"b" * 16].sendall(bytes(1000))  # this one is read as the capacity is exceeded
+        self.assertEqual(self.outcomes(), [(b"a" * 16, "error")])
+        socks[b"b" * 16].sendall(bytes(7000) + b"\r\n")
+        self.assertEqual(self.outcomes(2)[1], (b"b" * 16, "ok"))
+        self.assertEqual(self.pool.counts["answers_without_memory"], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wickdyke/platform/connection_pool.py
+++ b/wickdyke/platform/connection_pool.py
@@ -2,7 +2,7 @@
 
 import sys
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Protocol
 
 
@@ -23,9 +23,16 @@
     def commands_in_flight(self) -> int:
         """The number of commands assigned to the connection that have not ended."""
 
+    @property
+    def partial_answer_bytes(self) -> int:
+        """The bytes that are kept of an incomplete answer."""
+
     def end(self, reason: str) -> None:
         """Closes the connection; `reason` is the name of its counter."""
 
+    def drop_partial_answer(self) -> None:
+        """Closes the connection in the middle of an answer, to free its memory."""
+
 
 class PooledClient(Protocol):
     """A worker client, as the pool sees it."""
@@ -54,14 +61,27 @@
     def make_room(self) -> bool:
         """Closes the longest idle connection if the pool is full; returns whether one more is allowed."""
         if self.used >= self.capacity:
-            connections = (connection for client in self.worker_clients for connection in client.all_connections())
             idle = [
-                connection for connection in connections if not connection.commands_in_flight and connection.established
+                connection
+                for connection in self._connections()
+                if not connection.commands_in_flight and connection.established
             ]
             if idle:
                 min(idle, key=lambda connection: connection.last_used_at).end("replaced")
         return self.used < self.capacity
 
+    def _connections(self) -> Iterator[PooledConnection]:
+        return (connection for client in self.worker_clients for connection in client.all_connections())
+
+    def reclaim_answers(self) -> None:
+        """Closes the connections with the largest incomplete answers while all together exceed `answer_capacity`."""
+        # Those that are read at that moment may have little: closing them would lose the answers of other workers.
+        while self.partial_answer_bytes > self.answer_capacity:
+            largest = max(self._connections(), key=lambda connection: connection.partial_answer_bytes, default=None)
+            if largest is None or not largest.partial_answer_bytes:
+                return
+            largest.drop_partial_answer()
+
     def sweep(self) -> None:
         """Closes connections to any worker that have been idle too long."""
         for client in list(self.worker_clients):
--- a/wickdyke/platform/worker_connection.py
+++ b/wickdyke/platform/worker_connection.py
@@ -307,10 +307,8 @@
             self._count("invalid_answers")
             self.end(f"invalid answer: {batch.error}", EndCause.INVALID_ANSWER)
             return
-        pool = self.worker_client.pool
-        if self.partial_answer_bytes and pool.partial_answer_bytes > pool.answer_capacity:
-            self._count("answers_without_memory")
-            self.end("no memory is left for the rest of an answer", EndCause.INVALID_ANSWER)
+        self.worker_client.pool.reclaim_answers()
+        if self.state is ConnectionState.CLOSED:
             return
         if self.stale and not self.commands_in_flight:
             self.end("stale")
@@ -322,6 +320,11 @@
         self.worker_client.pool.partial_answer_bytes += size - self.partial_answer_bytes
         self.partial_answer_bytes = size
 
+    def drop_partial_answer(self) -> None:
+        """Closes the connection, on which the largest incomplete answer is, to free its memory."""
+        self._count("answers_without_memory")
+        self.end("no memory is left for the rest of an answer", EndCause.INVALID_ANSWER)
+
     def _handle_answer(self, answer: ReceivedAnswer) -> None:
         command = self.open_commands.get(answer.ident)
         result = answer.result
