Remember the ids of requests that may have run until their time is over

Cause: an id was known only while its request was open. A client that cancels or closes ends its request at once, while the attempt may have run or still runs; an abort does not show that it did not. Change: platform/ended_request_ids.py keeps the id until the time of its request is over (d, at most the deadline of the class), after a cancel, a close, and any answer; a request under it gets an exception and reaches no worker. Classes that may run twice and requests that no attempt may have run keep nothing. Each id counts 256 bytes in the memory of the clients, which bounds them: where none is left, new requests are refused, and no id is forgotten early. Related: the JSON-RPC gateway has no such ids: a client numbers its calls on its own connection.

--- a/wickdyke/gateway/interfaces.py
+++ b/wickdyke/gateway/interfaces.py
@@ -148,6 +148,15 @@
         """Whether the client still waits for an answer, as far as can be determined now."""
         return True
 
+    def may_have_run(self) -> bool:
+        """Whether an attempt was sent that may have run, or may still run."""
+        if self.request is None:
+            return False
+        return any(
+            attempt not in self.commands or self.commands[attempt].send_started
+            for attempt in self.request.may_have_run()
+        )
+
     def released(self) -> None:
         """Called once the request has its answer, or its client has left, and no attempt of it is in flight."""
 
--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -13,6 +13,7 @@
 from wickdyke.gateway.interfaces import RejectionReason
 from wickdyke.platform import thrift
 from wickdyke.platform.client_request import PendingRequest
+from wickdyke.platform.ended_request_ids import EndedRequestIds
 from wickdyke.platform.memory_budget import MemoryAccount, MemoryBudget
 from wickdyke.platform.memory_reclaim import MemoryReclaimer
 from wickdyke.platform.requests import InvalidRequestError, check_request
@@ -44,6 +45,7 @@
     tenants: tuple[str, ...]
     clients: "dict[int, ClientConnection]"  # by number
     open_requests: dict[bytes, PendingRequest]  # by the id that the client has set
+    ended_ids: EndedRequestIds
     budget: MemoryBudget
     reclaimer: MemoryReclaimer
     counts: Counter[str]
@@ -65,6 +67,9 @@
     def count_invalid(self, reason: str) -> None:
         """Counts an invalid request."""
 
+    def request_ended(self, pending: PendingRequest) -> None:
+        """Removes a request from the open ones: it has its answer, or its client has left."""
+
     def limit_time_left(self, time_left: float) -> float:
         """Returns how much of `time_left` (ms) a new request may use before the shutdown; 0 where that is too short."""
 
@@ -316,6 +321,8 @@
                 raise InvalidRequestError(f"{MAX_OPEN_REQUESTS} requests are open on this connection")
             if request.parameters.ident in server.open_requests:
                 raise InvalidRequestError("a request of that id is open")
+            if server.ended_ids.is_known(request.parameters.ident, clock()):
+                raise InvalidRequestError("a request of that id may have run")
         except InvalidRequestError as error:
             server.count_invalid(str(error))
             self.write(thrift.encode_exception("dispatch", message.number, str(error)))
@@ -347,7 +354,7 @@
         if self.open_requests.get(pending.ident) is not pending:
             return False
         del self.open_requests[pending.ident]
-        self.server.open_requests.pop(pending.params.ident, None)
+        self.server.request_ended(pending)
         pending.drop_body()
         self.last_used_at = clock()
         return True
@@ -406,7 +413,7 @@
         self.write_buffer.drop()
         self._record_buffers()
         for pending in pending_requests:
-            server.open_requests.pop(pending.params.ident, None)
+            server.request_ended(pending)
             pending.closed = pending.closed or pending.router_id is None
             pending.drop_body()
         self.open_requests.clear()
--- a/wickdyke/platform/client_server.py
+++ b/wickdyke/platform/client_server.py
@@ -20,10 +20,11 @@
     ClientConnection,
 )
 from wickdyke.platform.client_request import PendingRequest
+from wickdyke.platform.ended_request_ids import EndedRequestIds
 from wickdyke.platform.memory_budget import MemoryBudget
 from wickdyke.platform.memory_reclaim import MemoryReclaimer
 from wickdyke.platform.withdrawals import WithdrawalDetector, has_unread_data
-from wickdyke.routing.model import RequestClass
+from wickdyke.routing.model import Effect, RequestClass
 from wickdyke.transport.event_loop import EventLoop, Handler, Priority, clock
 
 ACCEPTS_PER_EVENT = 64  # maximum number of connections accepted before other sockets are served
@@ -76,6 +77,7 @@
         self.tenants = settings.tenants
         self.budget = settings.budget
         self.reclaimer = MemoryReclaimer()
+        self.ended_ids = EndedRequestIds(settings.budget)
         self.post = post
         self.rejection_reason = rejection_reason
         self.log = log
@@ -146,6 +148,17 @@
         """Returns whether requests are admitted."""
         return self.serving
 
+    def request_ended(self, pending: PendingRequest) -> None:
+        """Removes a request from the open ones: it has its answer, or its client has left."""
+        if self.open_requests.get(pending.params.ident) is pending:
+            del self.open_requests[pending.params.ident]
+        request_class = pending.request_class
+        if request_class.effect is not Effect.IDEMPOTENT and pending.may_have_run():
+            now = clock()
+            received_at = now if pending.received_at is None else pending.received_at
+            until = received_at + min(pending.time_left, request_class.deadline)
+            self.ended_ids.remember(pending.params.ident, until, now)
+
     def limit_time_left(self, time_left: float) -> float:
         """Returns how much of `time_left` (ms) a new request may use before the shutdown; 0 where that is too short."""
         if self.answer_deadline is None:
--- a/wickdyke/platform/memory_budget.py
+++ b/wickdyke/platform/memory_budget.py
@@ -10,6 +10,7 @@
 
 MEGABYTE = 1 << 20  # bytes
 RECORD_BYTES = 8 * 1024  # records of one open request, its attempt and its command, without the body
+ENDED_ID_BYTES = 256  # record of the id of a request that has ended
 BODY_COPIES = 2  # of a body that exist at once: as received, and in a command or an answer that waits to be sent
 PROCESS_BYTES = 17 * MEGABYTE  # of a process that has read its configuration
 WORKER_BYTES = 4 * 1024  # records of one listed worker
@@ -68,7 +69,7 @@
         self.capacity = capacity
         self.request_capacity = int(capacity * REQUEST_FRACTION)
         self.min_request_bytes = min_request_bytes
-        self.requests = 0  # bytes of open requests
+        self.requests = 0  # bytes of open requests, and of the ids of some that have ended
         self.buffers = 0  # bytes of incomplete frames and unsent answers
 
     def resize(self, capacity: int) -> None:
