Begin no attempt for a client whose close may wait behind its unread data

Cause, two gaps: each read counted as a look at the client, so that no look came for 50 ms, although the read had stopped in the middle of the data; and the kernel takes a close only behind all data, so that where a client has sent more than the receive buffer holds, the rest and the close wait at the client, and a look finds neither. Change: a look is due before an attempt whatever was read. A receive buffer over half full since over 100 ms means that the client may have left: what is left is read if it is little, else no attempt begins and the request is rejected. Only a client that sends more than the buffer holds while this process is busy can be refused so.

--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -3,6 +3,7 @@
 A client that violates the protocol gets an application exception or is disconnected; its data never reaches a worker.
 """
 
+import math
 import socket
 from collections import Counter
 from collections.abc import Callable
@@ -17,7 +18,7 @@
 from wickdyke.platform.memory_budget import MemoryAccount, MemoryBudget
 from wickdyke.platform.memory_reclaim import MemoryReclaimer
 from wickdyke.platform.requests import InvalidRequestError, check_request
-from wickdyke.platform.withdrawals import WithdrawalDetector
+from wickdyke.platform.withdrawals import WithdrawalDetector, close_may_be_held_back, unread_bytes
 from wickdyke.routing.model import RequestClass
 from wickdyke.transport.event_loop import EventLoop, Priority, clock
 from wickdyke.transport.sockets import receive
@@ -34,6 +35,7 @@
 MAX_READS_PER_CALL = 8  # consecutive reads of one connection, to get all data that the kernel has received
 # Data that has waited unread for longer than this (ms) may be followed by a cancel or a close: reading continues.
 UNREAD_AGE_THRESHOLD = 20.0
+MAX_HELD_BACK_TIME = 100.0  # ms for which a close may be held back before no attempt begins for the client
 MAX_READ_TIME = 10.0  # ms that consecutive reads may take: other connections wait meanwhile
 
 
@@ -76,6 +78,9 @@
     def read_all(self, client: "ClientConnection") -> None:
         """Reads the data that the client has sent so far, up to a limit."""
 
+    def read_ahead(self, client: "ClientConnection", size: int) -> None:
+        """Reads up to `size` bytes of the client's data ahead of its turn, which comes later for that."""
+
     def release_socket(self, client: "ClientConnection") -> None:
         """Closes the socket of a connection that has ended."""
 
@@ -96,7 +101,9 @@
         self.last_request_number = 0  # number of the last request
         self.waiting_since = clock()  # ms; when the incomplete frame, or the wait for the first one, began
         self.last_used_at = clock()  # ms; when a request last ended
-        self.last_looked_at = clock()  # ms; when it was last seen what the client has sent
+        self.last_looked_at = -math.inf  # ms; when it was last looked for a cancel or a close
+        # ms; since when a close may wait in the client's kernel, behind data for which the receive buffer has no room
+        self.close_held_back_since = math.inf
         self.received_at = clock()  # ms; by when the data last read had certainly arrived
         self.bytes_read = 0
         self.answered = False  # whether anything was written to the client
@@ -138,6 +145,29 @@
         self.last_looked_at = clock()
         if self.server.withdrawal_detector.may_have_withdrawn(self.sock, self.frame_parser.buffer):
             self.server.read_all(self)
+        if self.closed:
+            return
+        self._check_for_held_back_close()
+        if self.may_have_left() and unread_bytes(self.sock) <= READ_SIZE:  # so little may be the rest of a burst
+            self.server.read_ahead(self, READ_SIZE)
+            if not self.closed:
+                self._check_for_held_back_close()
+
+    def may_have_left(self) -> bool:
+        """Returns whether the client may have left long ago, where its close can't be seen yet.
+
+        The kernel takes a close only behind all data. Where a client has sent more than the receive buffer holds, the
+        rest and the close wait at the client until this process has read what is before them.
+        """
+        return clock() - self.close_held_back_since > MAX_HELD_BACK_TIME
+
+    def _check_for_held_back_close(self) -> None:
+        if not close_may_be_held_back(self.sock):
+            self.close_held_back_since = math.inf
+            return
+        now = clock()
+        unread_since = now - self.server.loop.unread_for(self.sock, now)
+        self.close_held_back_since = min(self.close_held_back_since, unread_since)
 
     def idle(self) -> bool:
         """Returns whether no request is open and all answers were written."""
@@ -150,6 +180,8 @@
     def read_until(self, end: int) -> None:
         """Reads frames, or the end of the stream, until `end` bytes of the connection in all were read."""
         started_at = clock()
+        if not self.closed:
+            self._check_for_held_back_close()
         for _ in range(MAX_READS_PER_CALL):
             if not self._read_once() or self.bytes_read >= end or clock() - started_at > MAX_READ_TIME:
                 return
@@ -159,7 +191,6 @@
         if self.closed or self.sock.gettimeout() != 0:  # not yet non-blocking: a read would block
             return False
         now = clock()
-        self.last_looked_at = now
         # If this process was stopped or busy, a request may have waited in the kernel for that time.
         unread_time = self.server.loop.unread_for(self.sock, now)
         self.received_at = now - (unread_time if unread_time > MAX_UNREAD_TIME else 0.0)
--- a/wickdyke/platform/client_request.py
+++ b/wickdyke/platform/client_request.py
@@ -23,6 +23,9 @@
     def read_withdrawals(self) -> None:
         """Reads the data that the client has sent so far, if a cancel or a close may be among it."""
 
+    def may_have_left(self) -> bool:
+        """Returns whether the client may have left long ago, where its close can't be seen yet."""
+
     def release(self, pending: "PendingRequest") -> bool:
         """Removes a request from the open ones; returns False where it was already removed."""
 
@@ -86,7 +89,7 @@
         client = self.client
         if clock() - client.last_looked_at > LOOK_INTERVAL:
             client.read_withdrawals()
-        return client.open_requests.get(self.ident) is self
+        return client.open_requests.get(self.ident) is self and not client.may_have_left()
 
     def _send_answer(self, frame: bytes) -> None:
         if self.client.release(self):
--- a/wickdyke/platform/client_server.py
+++ b/wickdyke/platform/client_server.py
@@ -184,8 +184,12 @@
 
     def read_all(self, client: ClientConnection) -> None:
         """Reads what the kernel may hold of the client's data by now, with at most MAX_READS_PER_CALL calls."""
+        self.read_ahead(client, self.max_unread_bytes)
+
+    def read_ahead(self, client: ClientConnection, size: int) -> None:
+        """Reads up to `size` bytes of the client's data ahead of its turn, which comes later for that."""
         began_at = clock()
-        end = client.bytes_read + self.max_unread_bytes
+        end = client.bytes_read + size
         for _ in range(MAX_READS_PER_CALL):
             before = self.read_count
             self._call(client, partial(client.read_until, end))
--- a/wickdyke/platform/withdrawals.py
+++ b/wickdyke/platform/withdrawals.py
@@ -1,10 +1,17 @@
 """Detects that a client may have closed or sent a cancel, without reading what it has sent."""
 
+import array
+import fcntl
 import select
 import socket
+import struct
+import termios
 
 CANCEL_METHOD = b"cancelRequest"
 LOOK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
+SO_MEMINFO = 55  # socket(7): the memory of a socket
+MEMORY_INFO = struct.Struct("=II")  # its first two values: bytes of the receive queue, with overhead, and their limit
+MAX_OPEN_FRACTION = 0.5  # of that limit up to which the kernel certainly takes more from the client, or its close
 
 
 class WithdrawalDetector:
@@ -40,6 +47,25 @@
         )
 
 
+def close_may_be_held_back(sock: socket.socket) -> bool:
+    """Returns whether so much waits to be read that the kernel may take nothing more: neither data nor a close."""
+    try:
+        used, limit = MEMORY_INFO.unpack(sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMORY_INFO.size))
+    except OSError:  # not supported before Linux 4.12
+        return False
+    return bool(used > MAX_OPEN_FRACTION * limit)
+
+
+def unread_bytes(sock: socket.socket) -> int:
+    """Returns how many bytes wait to be read; 0 where that is not known."""
+    count = array.array("i", [0])
+    try:
+        fcntl.ioctl(sock, termios.FIONREAD, count)
+    except OSError:
+        return 0
+    return count[0]
+
+
 def has_unread_data(sock: socket.socket) -> bool:
     """Returns whether data waits on a socket; False where the peer has closed behind the last of it."""
     try:
