Send no scoped repeat to a process that the endpoint list may not describe yet

Cause: a connection to a worker's address stood for the worker. After all connections had ended, the next one counted as proof that the worker is alive, and the repeat went to the cell that the list still gave. Change: the worker client tells since when another process may listen there, and routing/process_identity.py decides: where the key is shared in a part of the fleet, no repeat goes there, and nothing is repeated that was sent there first, until the list was heard 2 s after it. The first byte is checked as well. An established connection vouches for the process only if the kernel has not seen its end.

--- a/wickdyke/gateway/attempts.py
+++ b/wickdyke/gateway/attempts.py
@@ -18,7 +18,7 @@
 from wickdyke.gateway.worker_registry import WorkerRegistry
 from wickdyke.routing.decisions import Cancel, Forward
 from wickdyke.routing.inputs import AttemptFinished
-from wickdyke.routing.model import Attempt, Outcome, Worker
+from wickdyke.routing.model import Attempt, Outcome
 
 
 class Attempts:
@@ -50,7 +50,7 @@
         deadline = request.deadline if timeout is None else min(request.deadline, now + timeout)
         command = self.protocol.attempt_command(attempt, pending, deadline)
         command.begin_before = attempt.begin_before
-        command.may_begin = partial(self._may_begin, pending, decision.worker)
+        command.may_begin = partial(self._may_begin, pending, attempt)
         pending.commands[attempt] = command
         is_wanted = self._is_wanted(pending)
         client = self.workers.client(decision.worker.endpoint.ident) if is_wanted else None
@@ -71,9 +71,15 @@
         """
         return not pending.closed and pending.is_client_waiting()
 
-    def _may_begin(self, pending: PendingRequest, worker: Worker, now: float) -> bool:
+    def _may_begin(self, pending: PendingRequest, attempt: Attempt, now: float) -> bool:
         """Whether the first byte of an attempt may be sent now; the attempt may have been decided long ago."""
-        return self.context.may_send(worker, now) and self._is_wanted(pending)
+        command = pending.commands.get(attempt)
+        client = None if command is None else command.worker_client
+        return (
+            self.context.may_send(attempt.replica.worker, now)
+            and (client is None or self.context.is_as_decided(attempt, client.process_changed_at))
+            and self._is_wanted(pending)
+        )
 
     # ---- withdrawing ----
 
--- a/wickdyke/gateway/context.py
+++ b/wickdyke/gateway/context.py
@@ -13,7 +13,7 @@
 from wickdyke.gateway.events import Event
 from wickdyke.gateway.interfaces import Log
 from wickdyke.gateway.router_driver import RouterDriver
-from wickdyke.routing.model import Worker
+from wickdyke.routing.model import Attempt, Worker
 from wickdyke.transport.timers import Timers
 
 MS_PER_SECOND = 1000
@@ -50,6 +50,10 @@
         """Returns whether new work may be sent to the worker at `now` (ms), which may be long after the decision."""
         return self.driver.router.may_send(worker, now, self.discovery_seen_at())
 
+    def is_as_decided(self, attempt: Attempt, process_changed_at: float) -> bool:
+        """Returns whether an attempt that begins now goes to the process that it was decided for."""
+        return self.driver.router.is_as_decided(attempt, process_changed_at)
+
     def run_guarded(self, action: Callable[Args, object], *args: Args.args, **options: Args.kwargs) -> None:
         """Calls `action`, and counts and logs an exception: it must not end the thread that all requests depend on."""
         try:
--- a/wickdyke/gateway/coordinator.py
+++ b/wickdyke/gateway/coordinator.py
@@ -240,7 +240,17 @@
 
     # ---- commands ----
 
+    def _report_process(self, client: AnyWorkerClient) -> None:
+        """Tells the router if, by the client's connections, another process may listen at its worker's address."""
+        worker = self.router.workers.get(client.name)
+        if worker is None or worker.process_changed_at == client.process_changed_at:
+            return
+        if self.workers.is_current(client):
+            self.context.apply_input("process_changed", client.name, client.process_changed_at)
+
     def _command_finished(self, event: events.CommandFinished) -> None:
+        if event.worker_client is not None:
+            self._report_process(event.worker_client)
         result = self.protocol.result_of(event.command, event.outcome, event.answer, event.data)
         match event.command.key:
             case Attempt() as attempt:
--- a/wickdyke/gateway/interfaces.py
+++ b/wickdyke/gateway/interfaces.py
@@ -259,9 +259,14 @@
 
 
 class WorkerClient(Protocol[CommandT_contra]):
-    """The connections to one worker. Posts one `CommandFinished` for each command."""
+    """The connections to one worker. Posts one `CommandFinished` for each command.
+
+    `process_changed_at` is the time (monotonic ms) since which another process may listen at the worker's address, of
+    which the endpoint list may know nothing: infinite from the end of the last connection until one is established.
+    """
 
     name: str
+    process_changed_at: float
 
     def send(self, command: CommandT_contra, /) -> None:
         """Sends a command, or queues it until a connection is established."""
--- a/wickdyke/jsonrpc/worker_client.py
+++ b/wickdyke/jsonrpc/worker_client.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import errno
+import math
 import socket
 import threading
 import time
@@ -76,6 +77,7 @@
         self, name: str, address: str, settings: WorkerClientSettings, notify: Callable[[Event], None]
     ) -> None:
         self.name = name
+        self.process_changed_at = -math.inf  # each connection begins with a hello that tells the worker's start
         self.address = address
         self.settings = settings
         self.notify = notify
--- a/wickdyke/platform/worker_client.py
+++ b/wickdyke/platform/worker_client.py
@@ -69,6 +69,7 @@
         self.probe = LivenessProbe(self._connect_probe, self._finish_lost)
         self.process_may_be_new = False  # a connection was refused or reset, and none was established since
         self.same_process_since = -math.inf  # ms; earliest time since which connections showed no restart
+        self.process_changed_at = -math.inf  # ms; infinite while `process_may_be_new`
         self.draining = False
         self.closed = False
 
@@ -209,7 +210,7 @@
         """Records that a connection was established."""
         if self.process_may_be_new:
             self.process_may_be_new = False
-            self.same_process_since = clock()
+            self.same_process_since = self.process_changed_at = clock()
         self.reachability.connected()
         self.settle_unresolved(Liveness.ALIVE)
 
@@ -217,8 +218,10 @@
         """Records that a connection was reset or refused: unless another is established, the process may have ended."""
         # A process that dies resets all its connections. Mistaking a single reset for a restart costs less than missing
         # a restart, after which the worker would not be known to be warming up.
-        if not any(connection.established for connection in self.all_connections()):
+        # One that the worker's system has reset as well stands until it is read.
+        if not any(connection.established and connection.alive() for connection in self.all_connections()):
             self.process_may_be_new = True
+            self.process_changed_at = math.inf
 
     def settle_unresolved(self, liveness: Liveness) -> None:
         """Resolves commands whose answers were lost, after a connection was established or failed."""
--- a/wickdyke/routing/dispatcher.py
+++ b/wickdyke/routing/dispatcher.py
@@ -29,6 +29,7 @@
 from wickdyke.routing.periods import TICK_INTERVAL
 from wickdyke.routing.placement import FILL_UTILIZATION
 from wickdyke.routing.prewarming import Prewarmer, PrewarmLimiter, PrewarmPlan
+from wickdyke.routing.process_identity import is_listed_process, may_repeat_at
 from wickdyke.routing.readiness import Readiness
 from wickdyke.routing.retries import (
     attempts_allowed,
@@ -201,6 +202,7 @@
                 and not (worker.ejections and (worker.in_flight or worker.failed_checks))
                 and self.slow_start.admits(worker, request, now)
                 and may_attempt_at(request, worker, allowed, now)
+                and may_repeat_at(request, worker, self.readiness.discovery_heard_at)
             )
 
         return can_serve
@@ -265,6 +267,8 @@
         )
         if request.request_class.effect == Effect.KEYED:
             attempt.begin_before = must_begin_before(request, now)
+            attempt.process_changed_at = worker.process_changed_at
+            attempt.to_listed_process = is_listed_process(worker, self.readiness.discovery_heard_at)
         begin_attempt(attempt)
         self.global_concurrency.in_flight.append(attempt)
         if expected_loaded:
--- a/wickdyke/routing/model.py
+++ b/wickdyke/routing/model.py
@@ -237,6 +237,8 @@
     ready_at: float = float("-inf")  # send time of the latest work or health check that showed it ready
     not_ready_since: float | None = None  # time since which it is known as not ready, or its process as ended
     same_process_since: float = float("-inf")  # earliest time since which its connections show the same process
+    # Time (ms) since which another process may listen at its address; infinite while none is known to listen there.
+    process_changed_at: float = float("-inf")
     limit_lowered_at: float = 0.0
     utilization: float = 0.0
     sampled_latency: float = 0.0
@@ -375,7 +377,8 @@
 
     `expected_loaded`: whether a loaded replica was expected. `active_at_worker` and `active_in_total` are the numbers
     of this front end's attempts that were active when this one was sent. `begin_before` is the time (ms) before which
-    the host must send its first byte, or not send it at all.
+    the host must send its first byte, or not send it at all. `process_changed_at` is that of the worker when it was
+    decided, and `to_listed_process` whether the endpoint list described the process there.
     """
 
     request: Request
@@ -390,6 +393,8 @@
     outcome: Outcome | None = None
     withdrawn: bool = False  # cancelled in favour of another worker
     begin_before: float = math.inf
+    process_changed_at: float = -math.inf
+    to_listed_process: bool = True
 
 
 class OverdueEntry(NamedTuple):
--- a/wickdyke/routing/retries.py
+++ b/wickdyke/routing/retries.py
@@ -38,6 +38,12 @@
     return min(limits.attempts, request.route_policy.attempts)
 
 
+def is_bound_to_scope(request: Request) -> bool:
+    """Returns whether the request's key is recognized in a part of the fleet only."""
+    request_class = request.request_class
+    return request_class.effect == Effect.KEYED and request_class.scope != Scope.ALL
+
+
 def key_expires_at(request: Request) -> float:
     """Returns when workers no longer recognize the key of a repeat (ms); infinity where that binds no attempt."""
     request_class = request.request_class
--- a/wickdyke/routing/router.py
+++ b/wickdyke/routing/router.py
@@ -26,6 +26,7 @@
     is_overdue,
 )
 from wickdyke.routing.model import (
+    Attempt,
     Endpoint,
     Function,
     Outcome,
@@ -38,6 +39,7 @@
 from wickdyke.routing.placement import Placement
 from wickdyke.routing.placement_schedule import PlacementSchedule
 from wickdyke.routing.prewarming import Prewarmer, PrewarmLimiter, PrewarmPlan
+from wickdyke.routing.process_identity import is_as_decided
 from wickdyke.routing.readiness import Readiness
 from wickdyke.routing.results import ResultRecorder
 from wickdyke.routing.retries import RetryBudgets, schedule_retry
@@ -175,12 +177,23 @@
             self.outliers.remove_worker(worker)
             self.readiness.remove_worker(worker)
             self.prewarmer.release(worker)
-            self.slow_start.carry_over(worker, self.workers.get(worker.endpoint.ident))
+            successor = self.workers.get(worker.endpoint.ident)
+            self.slow_start.carry_over(worker, successor)
+            if successor is not None:
+                successor.process_changed_at = worker.process_changed_at
         for cell in changes.cells:
             self.health_checker.set_rotation(cell.ready_workers)
             cell.placement.scope.invalidate()  # the same workers may have new sizes
             cell.placement.scope.update(self.now)
 
+    def process_changed(self, ident: str, at: float) -> None:
+        """Records that since `at` (ms) another process may listen at the worker's address.
+
+        `at` is infinite while no connection to it was established after all earlier ones had ended.
+        """
+        if worker := self.workers.get(ident):
+            worker.process_changed_at = at
+
     def discovery_heard(self, at: float) -> None:
         """Records that the endpoint list was complete at `at` (ms); -inf where its age is unknown.
 
@@ -365,6 +378,13 @@
         """
         return self.readiness.view_is_current(discovery_seen_at, now) and self.readiness.may_send(worker, now)
 
+    def is_as_decided(self, attempt: Attempt, process_changed_at: float) -> bool:
+        """Returns whether an attempt that begins now goes to the process that it was decided for.
+
+        `process_changed_at` is what the host would pass to `process_changed` now.
+        """
+        return is_as_decided(attempt, process_changed_at)
+
     def _check_silent_workers(self, now: float) -> None:
         # No attempt outside this list can be overdue yet.
         suspects = [
