Count exceptions by place, closes by reason and liveness answers; log the system's facts

Cause: a front end that never became ready left no trace of why: one line for each exception without a count, no reason of a closed client connection, and nothing that told that no alive had been answered.

No decision changes.

--- a/wickdyke/gateway/context.py
+++ b/wickdyke/gateway/context.py
@@ -1,9 +1,7 @@
 """The state that the coordinator shares with its parts."""
 
 import math
-import os
 import time
-import traceback
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -11,6 +9,7 @@
 
 from wickdyke.gateway.config import CoordinatorConfig
 from wickdyke.gateway.events import Event
+from wickdyke.gateway.exception_log import ExceptionLog
 from wickdyke.gateway.interfaces import Log
 from wickdyke.gateway.router_driver import RouterDriver
 from wickdyke.routing.model import Attempt, Worker
@@ -31,6 +30,7 @@
 
     config: CoordinatorConfig
     log: Log
+    exceptions: ExceptionLog
     driver: RouterDriver
     post: Callable[[Event], None]
     timers: Timers = field(default_factory=Timers)
@@ -60,8 +60,4 @@
             action(*args, **options)
         except Exception as error:  # noqa: BLE001 - no exception may affect the other requests
             self.counts["faults"] += 1
-            last = traceback.extract_tb(error.__traceback__)[-1]
-            location = f"{os.path.basename(last.filename)}:{last.lineno}"
-            self.log.error(
-                "unhandled exception in the coordinator", reason=f"{type(error).__name__}: {error}", where=location
-            )
+            self.exceptions.record("unhandled exception in the coordinator", error)
--- a/wickdyke/gateway/coordinator.py
+++ b/wickdyke/gateway/coordinator.py
@@ -19,6 +19,7 @@
 from wickdyke.gateway.config import CoordinatorConfig
 from wickdyke.gateway.context import Context, clock
 from wickdyke.gateway.events import Event
+from wickdyke.gateway.exception_log import ExceptionLog
 from wickdyke.gateway.interfaces import (
     AnswerReason,
     AnyEndpointList,
@@ -67,7 +68,7 @@
         self.isolation = isolation or NoIsolation()
         self.events: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
         self.driver = RouterDriver(clock(), seed, config.request_classes, settings_of(config), recorder)
-        self.context = Context(config, log, self.driver, self.post)
+        self.context = Context(config, log, ExceptionLog(log), self.driver, self.post)
         self.requests = PendingRequests(self.context, self.isolation)
         self.workers = WorkerRegistry(protocol, endpoints, self.post, self._endpoints_changed, log)
         self.isolation.attach(self.context, self.workers)
--- a/wickdyke/gateway/log.py
+++ b/wickdyke/gateway/log.py
@@ -23,6 +23,11 @@
 CLOSE_TIMEOUT = 1.0  # s; the maximum time to write the last lines
 
 
+def is_power_of_ten(count: int) -> bool:
+    """Returns whether an event that repeats is logged: the first, the tenth, the hundredth and so on."""
+    return str(count).strip("0") == "1"
+
+
 class DeferredFile(io.TextIOBase):
     """A file for appending that could not be opened at first; a LogWriter writes to its descriptor.
 
--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -13,6 +13,7 @@
 from wickdyke.gateway.events import ClientClosed, Event, RequestCancelled, RequestReceived
 from wickdyke.gateway.interfaces import RejectionReason
 from wickdyke.platform import thrift
+from wickdyke.platform.client_close import CloseReason
 from wickdyke.platform.client_request import PendingRequest
 from wickdyke.platform.ended_request_ids import EndedRequestIds
 from wickdyke.platform.memory_budget import MemoryAccount, MemoryBudget
@@ -200,7 +201,7 @@
             self.bytes_read += len(data)
             self._handle_data(data)
         elif data is not None:
-            self.close()
+            self.close(CloseReason.CLIENT_CLOSED)
         return bool(data) and unread_time > UNREAD_AGE_THRESHOLD
 
     def _handle_data(self, data: bytes) -> None:
@@ -269,7 +270,7 @@
         """Closes the connection, whose client does not read its answers, to free their memory."""
         self.server.counts["unread"] += 1
         self.server.counts["unread_without_memory"] += 1
-        self.close()
+        self.close(CloseReason.UNREAD)
 
     def _read_cancels(self, data: bytes) -> None:
         """Handles only cancels, after an error: open requests are still answered unless the client cancels them."""
@@ -304,7 +305,7 @@
                 pending.closed = True
             self.server.post(RequestCancelled(pending))
         if self.ending and self.idle():
-            self.close()
+            self.close(CloseReason.ANSWERED)
 
     def _reject_connection(self, number: int | None, reason: str) -> None:
         """Sends an error, with the message number if known, then ends the connection: later data can't be parsed."""
@@ -326,7 +327,9 @@
 
     def _handle_message(self, message: thrift.Message) -> None:
         if message.method == "alive":
-            self.write(thrift.encode_answer("alive", message.number, b"", self.server.is_serving()))
+            is_serving = self.server.is_serving()
+            self.server.counts["alive_good" if is_serving else "alive_bad"] += 1
+            self.write(thrift.encode_answer("alive", message.number, b"", is_serving))
         elif message.method == "cancelRequest":
             self._cancel_request(message.cancelled_number)
         elif message.method != "dispatch":
@@ -400,44 +403,46 @@
             if not fully_sent:
                 self._count_buffers()
             if fully_sent and self.ending and not self.open_requests:
-                self.close()
+                self.close(CloseReason.ANSWERED)
         except (PeerTooSlowError, OSError):
             self.server.counts["unread"] += 1
-            self.close()
+            self.close(CloseReason.UNREAD)
 
     def writable(self) -> None:
         """Writes the data that waits."""
         try:
             self.write_buffer.send_waiting()
         except OSError:
-            self.close()
+            self.close(CloseReason.WRITE_FAILED)
             return
         self._count_buffers()
         if self.ending and not self.open_requests and self.write_buffer.empty():
-            self.close()
+            self.close(CloseReason.ANSWERED)
 
     def broken(self) -> None:
         """Ends the connection after its handler raised an exception: once answered, or at once the second time."""
         if self.ending:
-            self.close()
+            self.close(CloseReason.FAULT)
         else:
-            self.end()
+            self.end(CloseReason.FAULT)
 
-    def end(self) -> None:
+    def end(self, reason: CloseReason = CloseReason.ANSWERED) -> None:
         """Accepts no more requests; closes once the open ones are answered, or when the client closes."""
         if self.closed or self.ending:
             return
         self.ending = True
         self.waiting_since = clock()
         if self.idle():
-            self.close()
+            self.close(reason)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason = CloseReason.SHUTDOWN) -> None:
         """Closes the connection immediately; its open requests get no answer."""
         if self.closed:
             return
         self.closed = True
         server = self.server
+        server.counts[f"closed_{reason}"] += 1
+        server.counts["closed_unanswered"] += len(self.open_requests)
         pending_requests = list(self.open_requests.values())
         server.clients.pop(self.number, None)
         server.release_socket(self)
--- a/wickdyke/platform/client_server.py
+++ b/wickdyke/platform/client_server.py
@@ -12,6 +12,8 @@
 
 from wickdyke.gateway.events import Event
 from wickdyke.gateway.interfaces import Log, RejectionReason
+from wickdyke.gateway.log import is_power_of_ten
+from wickdyke.platform.client_close import CloseReason
 from wickdyke.platform.client_connection import (
     MAX_READS_PER_CALL,
     NEW_CONNECTION_TIME,
@@ -141,7 +143,7 @@
     def count_invalid(self, reason: str) -> None:
         """Counts an invalid request; logs the first, the tenth, the hundredth and so on."""
         self.counts["invalid"] += 1
-        if str(self.counts["invalid"]).strip("0") == "1":
+        if is_power_of_ten(self.counts["invalid"]):
             self.log.warning("request unusable", reason=reason, so_far=self.counts["invalid"])
 
     def is_serving(self) -> bool:
@@ -312,7 +314,7 @@
             # A request that the kernel has received and that was not read yet would be lost with the connection.
             self.read_all(candidate)
             if candidate.closed or self._can_be_closed(candidate):
-                candidate.close()
+                candidate.close(CloseReason.IDLE)
                 self.counts["made_room"] += 1
                 return True
         return False
@@ -330,9 +332,9 @@
             if self._overdue(client, now) and (client.ending or not has_unread_data(client.sock)):
                 self.counts["silent"] += 1
                 if client.open_requests:  # an incomplete frame after complete requests: those are answered first
-                    client.end()
+                    client.end(CloseReason.SILENT)
                 else:
-                    client.close()
+                    client.close(CloseReason.SILENT)
 
     def _overdue(self, client: ClientConnection, now: float) -> bool:
         # Clients that send nothing or an incomplete frame, or never read, could use up all descriptors. The cost: a
--- a/wickdyke/platform/service.py
+++ b/wickdyke/platform/service.py
@@ -6,7 +6,6 @@
 import signal
 import sys
 import time
-import traceback
 from contextlib import suppress
 from types import FrameType
 
@@ -25,6 +24,7 @@
 from wickdyke.platform.worker_protocol import PlatformWorkerProtocol
 from wickdyke.transport.allocator import own_memory, return_freed_memory
 from wickdyke.transport.event_loop import EventLoop
+from wickdyke.transport.system_facts import probe
 
 GRACE_PERIOD = 750.0  # ms after SIGTERM for which requests are still admitted, if the shutdown has so much time
 # SIGKILL may follow SIGTERM after the longest deadline, at most MAX_KILL_DEADLINE, plus KILL_DELAY (all in ms).
@@ -111,6 +111,7 @@
         self.coordinator.catch_up = self._catch_up
         self.coordinator.context.discovery_seen_at = lambda: self.loop.first_served_at
         self.shutdown_requested_at: float | None = None  # ms
+        self.serving_since = 0.0  # ms; since when `alive` is answered
         self.reload_requested = False  # set by SIGHUP until the reload starts
         self.reload_pending = False  # set while the file can't be read
         self.stopping = False
@@ -120,12 +121,7 @@
         self.shutdown_timeout = longest_deadline + KILL_DELAY - KILL_MARGIN  # ms after SIGTERM
 
     def _log_exception(self, error: Exception) -> None:
-        last = traceback.extract_tb(error.__traceback__)[-1]
-        self.log.error(
-            "unhandled exception in the event loop",
-            reason=f"{type(error).__name__}: {error}"[:200],
-            where=f"{os.path.basename(last.filename)}:{last.lineno}",
-        )
+        self.coordinator.context.exceptions.record("unhandled exception in the event loop", error)
 
     def _apply_events(self, events: list[Event]) -> None:
         # In the queue the events would wait while commands that waited for a connection are sent to a draining worker.
@@ -168,18 +164,46 @@
         self.discovery.open()
         self.client_server.listen()
         self.client_server.serving = True
+        self.serving_since = clock()
         self.log.info(
             "serving",
             listen=":".join(map(str, self.configuration.listen)),
             workers=len(self.endpoints),
             sockets=self.configuration.sockets,
         )
+        self._log_system_facts()
         self._log_counts()
         self.loop.call_every(SWEEP_INTERVAL, self.protocol.pool.sweep)
-        self.loop.call_every(LOG_COUNTS_INTERVAL, self._log_counts)
+        self.loop.call_every(LOG_COUNTS_INTERVAL, self._log_periodically)
         gc.collect()
         gc.freeze()
 
+    def _log_system_facts(self) -> None:
+        facts = probe()
+        self.log.info(
+            "system facts",
+            close_behind_data=facts.close_behind_data,
+            peek=facts.peek,
+            receive_buffer=facts.receive_buffer,
+            process_memory=facts.process_memory,
+        )
+
+    def _log_readiness(self) -> None:
+        """Warns where the process has served for some time and answered no liveness check: it gets no clients then."""
+        counts = self.client_server.counts
+        if counts["alive_good"] or self.shutdown_requested_at is not None:
+            return
+        self.log.warning(
+            "no liveness check answered yet",
+            serving_ms=round(clock() - self.serving_since),
+            accepted=counts["accepted"],
+            exceptions=self.coordinator.context.exceptions.counts.total(),
+        )
+
+    def _log_periodically(self) -> None:
+        self._log_readiness()
+        self._log_counts()
+
     def _log_counts(self) -> None:
         self._divide_memory()  # what was held beyond a share that has shrunk may have been released
         self.log.info(
@@ -195,6 +219,7 @@
             **self.client_server.counts,
             **self.protocol.pool.counts,
             **{f"bus_{name}": count for name, count in self.discovery.counts.items()},
+            **{f"exceptions_{place}": count for place, count in self.coordinator.context.exceptions.counts.items()},
         )
 
     def _memory_counts(self) -> dict[str, int | None]:
