--- a/tests/test_clients_behind_unread_data.py
+++ b/tests/test_clients_behind_unread_data.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import select
+import socket
 import unittest
 from unittest.mock import patch
 
 from tests import platform_rig as rig
 from tests.acceptance_rig import SteppedClockCase, request
 from wickdyke.platform import client_connection
+from wickdyke.platform.client_connection import MAX_OPEN_REQUESTS
 
 BUSY_TIME = 300.0  # ms for which the front end reads no client
 REQUESTS = 16
@@ -52,6 +54,32 @@
         self.discovery_heard()
         self.assert_no_attempt(worker, LARGE_BODY)
 
+    def test_a_close_that_is_held_back_after_a_read(self):
+        """Guards against attempts for a client whose last data, and close, come only after room was made (issue 65).
+
+        Each case: bytes of the bodies. The requests come one by one and exceed what the kernel takes by little.
+        """
+        for size in range(3000, 4001, 100):
+            with self.subTest(size=size):
+                worker = self.worker()
+                self.front_end(worker.address)
+                self.discovery_heard()
+                client = self.client()
+                client.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                client.send(request(1))
+                self.assertEqual(self.answer(client)[1], "answer")
+                (connection,) = self.service.client_server.clients.values()
+                for number in range(2, MAX_OPEN_REQUESTS + 1):
+                    client.send(request(number, body=bytes(size)))
+                client.close()
+                self.assertTrue(select.select([connection.sock], [], [], rig.TIMEOUT)[0])
+                self.now += BUSY_TIME
+                with patch.object(client_connection, "MAX_READ_TIME", -1.0):  # each turn ends after one read
+                    self.until(lambda: not self.service.client_server.clients, "the close")
+                self.advance(500.0, 20.0, settle=True)
+                self.assertEqual(len(worker.received(b"invoke")), 1)
+                self.close_front_end()
+
     def test_a_burst_beyond_a_receive_buffer_is_served(self):
         """A client that stays is served, also where its burst waited while the front end was busy."""
         for busy_time in (0.0, BUSY_TIME):
