Begin attempts under a lease on the client's presence, without asking for SO_MEMINFO

What callers saw: a front end that never became ready. Cause: each read of each client connection asked getsockopt(SO_MEMINFO) and unpacked 8 bytes from its answer; an answer of 0 or 4 bytes raises struct.error, which is no OSError, so each connection, those of alive included, was closed at its first read (withdrawals.py:53). The fact only improved one decision. It was also wrong where it was given: once a read has made room, the queue is under half full while the last data and the close are still with the client's kernel; and where it was refused, nothing stood in for it.

Class: a hint of the system that only improves a decision stands on the path without which nothing works, trusted in shape and value.

Change: SO_MEMINFO and FIONREAD are gone. A lease on the client's presence (platform/client_presence.py, 100 ms) is renewed only when it is seen that nothing waits on the connection; an attempt begins only under it. A look first copies the data; only behind data is poll asked for a close, and None (not known) decides nothing: the lease does (transport/system_facts.py, which never raises). Where data can't be looked at, up to 32 KiB are read ahead. Refused attempts are counted (presence_unknown). What a client pays: one that sends more than is read for over 100 ms is refused, as before.

--- a/tests/test_clients_behind_unread_data.py
+++ b/tests/test_clients_behind_unread_data.py
@@ -8,8 +8,9 @@
 
 from tests import platform_rig as rig
 from tests.acceptance_rig import SteppedClockCase, request
-from wickdyke.platform import client_connection
+from wickdyke.platform import client_connection, withdrawals
 from wickdyke.platform.client_connection import MAX_OPEN_REQUESTS
+from wickdyke.transport.system_facts import Look, LookResult
 
 BUSY_TIME = 300.0  # ms for which the front end reads no client
 REQUESTS = 16
@@ -116,5 +117,21 @@
         self.assertLessEqual({word for _, word, _ in answers}, {"shed", "exception"})
 
 
+class UnreadClosesNotReported(UnreadCloses):
+    """The same where the system does not tell that a close has arrived behind unread data."""
+
+    def setUp(self):
+        super().setUp()
+        patch.object(withdrawals, "close_reported", lambda sock: None).start()
+
+
+class UnreadClosesWithoutLooks(UnreadClosesNotReported):
+    """The same where, besides, data can't be looked at without being read."""
+
+    def setUp(self):
+        super().setUp()
+        patch.object(withdrawals, "look", lambda sock, buffer: LookResult(Look.UNKNOWN)).start()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -14,12 +14,13 @@
 from wickdyke.gateway.interfaces import RejectionReason
 from wickdyke.platform import thrift
 from wickdyke.platform.client_close import CloseReason
+from wickdyke.platform.client_presence import PresenceLease
 from wickdyke.platform.client_request import PendingRequest
 from wickdyke.platform.ended_request_ids import EndedRequestIds
 from wickdyke.platform.memory_budget import MemoryAccount, MemoryBudget
 from wickdyke.platform.memory_reclaim import MemoryReclaimer
 from wickdyke.platform.requests import InvalidRequestError, check_request
-from wickdyke.platform.withdrawals import WithdrawalDetector, close_may_be_held_back, unread_bytes
+from wickdyke.platform.withdrawals import ClientState, WithdrawalDetector
 from wickdyke.routing.model import RequestClass
 from wickdyke.transport.event_loop import EventLoop, Priority, clock
 from wickdyke.transport.sockets import receive
@@ -36,7 +37,6 @@
 MAX_READS_PER_CALL = 8  # consecutive reads of one connection, to get all data that the kernel has received
 # Data that has waited unread for longer than this (ms) may be followed by a cancel or a close: reading continues.
 UNREAD_AGE_THRESHOLD = 20.0
-MAX_HELD_BACK_TIME = 100.0  # ms for which a close may be held back before no attempt begins for the client
 MAX_READ_TIME = 10.0  # ms that consecutive reads may take: other connections wait meanwhile
 
 
@@ -103,8 +103,7 @@
         self.waiting_since = clock()  # ms; when the incomplete frame, or the wait for the first one, began
         self.last_used_at = clock()  # ms; when a request last ended
         self.last_looked_at = -math.inf  # ms; when it was last looked for a cancel or a close
-        # ms; since when a close may wait in the client's kernel, behind data for which the receive buffer has no room
-        self.close_held_back_since = math.inf
+        self.presence = PresenceLease()
         self.received_at = clock()  # ms; by when the data last read had certainly arrived
         self.bytes_read = 0
         self.answered = False  # whether anything was written to the client
@@ -139,36 +138,42 @@
             self.frame_parser.has_partial_frame or not self.answered
         ) and clock() - self.waiting_since < NEW_CONNECTION_TIME
 
-    def read_withdrawals(self) -> None:
-        """Reads the data that the client has sent so far, if a cancel or a close may be among it."""
+    def look_for_withdrawals(self) -> None:
+        """Looks for a cancel or a close, and reads the client's data where one may be among it.
+
+        Where the lease on its presence has expired and little data waits, that is read too: it may be the rest of a
+        burst, whose end shows whether the client is there.
+        """
         if self.closed:
             return
         self.last_looked_at = clock()
-        if self.server.withdrawal_detector.may_have_withdrawn(self.sock, self.frame_parser.buffer):
+        state = self._look()
+        if state is ClientState.MAY_HAVE_WITHDRAWN:
             self.server.read_all(self)
-        if self.closed:
+            state = self._look()
+        if state in (ClientState.PRESENT, ClientState.MAY_HAVE_WITHDRAWN) or self.is_present():
             return
-        self._check_for_held_back_close()
-        if self.may_have_left() and unread_bytes(self.sock) <= READ_SIZE:  # so little may be the rest of a burst
+        if state is ClientState.UNKNOWN or self.server.withdrawal_detector.unread_bytes <= READ_SIZE:
             self.server.read_ahead(self, READ_SIZE)
-            if not self.closed:
-                self._check_for_held_back_close()
+            self._look()
 
-    def may_have_left(self) -> bool:
-        """Returns whether the client may have left long ago, where its close can't be seen yet.
+    def _look(self) -> ClientState:
+        """Returns what a look at the client has shown; renews the lease on its presence where it has."""
+        if self.closed:
+            return ClientState.MAY_HAVE_WITHDRAWN
+        looked_at = clock()
+        state = self.server.withdrawal_detector.state_of(self.sock, self.frame_parser.buffer)
+        if state is ClientState.PRESENT:
+            self.presence.renew(looked_at)
+        return state
 
-        The kernel takes a close only behind all data. Where a client has sent more than the receive buffer holds, the
-        rest and the close wait at the client until this process has read what is before them.
-        """
-        return clock() - self.close_held_back_since > MAX_HELD_BACK_TIME
+    def is_present(self) -> bool:
+        """Returns whether the client counts as present: an attempt may begin for it."""
+        return self.presence.is_valid(clock())
 
-    def _check_for_held_back_close(self) -> None:
-        if not close_may_be_held_back(self.sock):
-            self.close_held_back_since = math.inf
-            return
-        now = clock()
-        unread_since = now - self.server.loop.unread_for(self.sock, now)
-        self.close_held_back_since = min(self.close_held_back_since, unread_since)
+    def count_refused_absent(self) -> None:
+        """Counts an attempt that does not begin, as it is not known whether the client is still there."""
+        self.server.counts["presence_unknown"] += 1
 
     def idle(self) -> bool:
         """Returns whether no request is open and all answers were written."""
@@ -181,8 +186,6 @@
     def read_until(self, end: int) -> None:
         """Reads frames, or the end of the stream, until `end` bytes of the connection in all were read."""
         started_at = clock()
-        if not self.closed:
-            self._check_for_held_back_close()
         for _ in range(MAX_READS_PER_CALL):
             if not self._read_once() or self.bytes_read >= end or clock() - started_at > MAX_READ_TIME:
                 return
@@ -194,10 +197,15 @@
         now = clock()
         # If this process was stopped or busy, a request may have waited in the kernel for that time.
         unread_time = self.server.loop.unread_for(self.sock, now)
+        self.presence.nothing_waited(now - unread_time)
         self.received_at = now - (unread_time if unread_time > MAX_UNREAD_TIME else 0.0)
-        data = receive(self.sock, READ_SIZE)
+        received = receive(self.sock, READ_SIZE)
+        data = received.data
+        if received.nothing_waited:
+            self.presence.renew(now)
         self.server.loop.data_read(self.sock, data is not None and len(data) == READ_SIZE)
         if data:
+            self.presence.data_read(now)
             self.bytes_read += len(data)
             self._handle_data(data)
         elif data is not None:
--- a/wickdyke/platform/client_request.py
+++ b/wickdyke/platform/client_request.py
@@ -20,11 +20,14 @@
     last_looked_at: float  # ms
     open_requests: "dict[int, PendingRequest]"  # by the number of the message
 
-    def read_withdrawals(self) -> None:
-        """Reads the data that the client has sent so far, if a cancel or a close may be among it."""
+    def look_for_withdrawals(self) -> None:
+        """Looks for a cancel or a close, and reads the client's data where one may be among it."""
 
-    def may_have_left(self) -> bool:
-        """Returns whether the client may have left long ago, where its close can't be seen yet."""
+    def is_present(self) -> bool:
+        """Returns whether the client counts as present: an attempt may begin for it."""
+
+    def count_refused_absent(self) -> None:
+        """Counts an attempt that does not begin, as it is not known whether the client is still there."""
 
     def release(self, pending: "PendingRequest") -> bool:
         """Removes a request from the open ones; returns False where it was already removed."""
@@ -88,8 +91,13 @@
         # On a busy machine a cancel or a close may wait in the kernel while a retry or a hedge is decided.
         client = self.client
         if clock() - client.last_looked_at > LOOK_INTERVAL:
-            client.read_withdrawals()
-        return client.open_requests.get(self.ident) is self and not client.may_have_left()
+            client.look_for_withdrawals()
+        if client.open_requests.get(self.ident) is not self:
+            return False
+        if not client.is_present():
+            client.count_refused_absent()
+            return False
+        return True
 
     def _send_answer(self, frame: bytes) -> None:
         if self.client.release(self):
--- a/wickdyke/platform/discovery.py
+++ b/wickdyke/platform/discovery.py
@@ -279,7 +279,7 @@
 
     def _read_once(self, sock: socket.socket) -> bool:
         """Reads once; returns whether the socket was readable."""
-        data = receive(sock, READ_SIZE)
+        data = receive(sock, READ_SIZE).data
         self.loop.data_read(sock, data is not None and len(data) == READ_SIZE)
         if data is None:
             return False
--- a/wickdyke/platform/withdrawals.py
+++ b/wickdyke/platform/withdrawals.py
@@ -1,17 +1,20 @@
 """Detects that a client may have closed or sent a cancel, without reading what it has sent."""
 
-import array
-import fcntl
-import select
 import socket
-import struct
-import termios
+from enum import Enum, auto
+
+from wickdyke.transport.system_facts import Look, close_reported, look
 
 CANCEL_METHOD = b"cancelRequest"
-LOOK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
-SO_MEMINFO = 55  # socket(7): the memory of a socket
-MEMORY_INFO = struct.Struct("=II")  # its first two values: bytes of the receive queue, with overhead, and their limit
-MAX_OPEN_FRACTION = 0.5  # of that limit up to which the kernel certainly takes more from the client, or its close
+
+
+class ClientState(Enum):
+    """What a look at a client's connection has shown."""
+
+    PRESENT = auto()  # nothing waits, and it has not closed
+    UNREAD_DATA = auto()  # without a cancel; a close may follow that can't be seen yet
+    MAY_HAVE_WITHDRAWN = auto()  # it has closed, or a cancel may be among the data
+    UNKNOWN = auto()  # the data can only be read
 
 
 class WithdrawalDetector:
@@ -23,20 +26,23 @@
 
     def __init__(self, size: int) -> None:
         self.buffer = bytearray(size)
-
-    def may_have_withdrawn(self, sock: socket.socket, partial_frame: bytes) -> bool:
-        """Returns whether the client has closed, or a cancel may be among `partial_frame` and the data that waits."""
-        poll = select.poll()
-        poll.register(sock, select.POLLRDHUP)
-        if poll.poll(0):
-            return True
-        try:
-            length = sock.recv_into(self.buffer, 0, LOOK_FLAGS)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return length == 0 or self._contains_cancel(partial_frame, length)
+        self.unread_bytes = 0  # that the last look has found, up to `size`
+
+    def state_of(self, sock: socket.socket, partial_frame: bytes) -> ClientState:
+        """Returns the state of a client, of whose data `partial_frame` was read already."""
+        result = look(sock, self.buffer)
+        self.unread_bytes = result.length
+        match result.state:
+            case Look.EMPTY:
+                # A frame that was read in part may be a cancel; it is complete only with data that has not come yet.
+                return ClientState.PRESENT
+            case Look.UNKNOWN:
+                return ClientState.UNKNOWN
+            case Look.ENDED:
+                return ClientState.MAY_HAVE_WITHDRAWN
+        if close_reported(sock) or self._contains_cancel(partial_frame, result.length):
+            return ClientState.MAY_HAVE_WITHDRAWN
+        return ClientState.UNREAD_DATA
 
     def _contains_cancel(self, partial_frame: bytes, length: int) -> bool:
         boundary = partial_frame[-len(CANCEL_METHOD) :] + self.buffer[: min(length, len(CANCEL_METHOD))]
@@ -47,28 +53,6 @@
         )
 
 
-def close_may_be_held_back(sock: socket.socket) -> bool:
-    """Returns whether so much waits to be read that the kernel may take nothing more: neither data nor a close."""
-    try:
-        used, limit = MEMORY_INFO.unpack(sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMORY_INFO.size))
-    except OSError:  # not supported before Linux 4.12
-        return False
-    return bool(used > MAX_OPEN_FRACTION * limit)
-
-
-def unread_bytes(sock: socket.socket) -> int:
-    """Returns how many bytes wait to be read; 0 where that is not known."""
-    count = array.array("i", [0])
-    try:
-        fcntl.ioctl(sock, termios.FIONREAD, count)
-    except OSError:
-        return 0
-    return count[0]
-
-
 def has_unread_data(sock: socket.socket) -> bool:
     """Returns whether data waits on a socket; False where the peer has closed behind the last of it."""
-    try:
-        return bool(sock.recv(1, LOOK_FLAGS))
-    except OSError:
-        return False
+    return look(sock, bytearray(1)).state is Look.DATA
--- a/wickdyke/transport/sockets.py
+++ b/wickdyke/transport/sockets.py
@@ -51,13 +51,22 @@
     return errno.errorcode.get(code or 0, str(code))
 
 
-def receive(sock: socket.socket, size: int) -> bytes | None:
-    """Returns up to `size` bytes from a non-blocking socket: None if none are available, empty if it has ended."""
+class Received(NamedTuple):
+    """The result of `receive`: None for data where none could be read now, empty data where the stream has ended."""
+
+    data: bytes | None
+    nothing_waited: bool = False  # the stream has not ended, and all that has arrived was read before
+
+
+def receive(sock: socket.socket, size: int) -> Received:
+    """Reads up to `size` bytes from a non-blocking socket."""
     try:
-        return sock.recv(size)
-    except (BlockingIOError, InterruptedError):
-        return None
+        return Received(sock.recv(size))
+    except BlockingIOError:
+        return Received(None, nothing_waited=True)
+    except InterruptedError:
+        return Received(None)
     except OSError as error:
         # On lack of memory the data stays in the kernel and can be read later, while ending the connection would lose
         # the requests on it. The cost is one recv(2) per iteration until memory is available.
-        return None if error.errno in (errno.ENOMEM, errno.ENOBUFS) else b""
+        return Received(None if error.errno in (errno.ENOMEM, errno.ENOBUFS) else b"")
--- a/wickdyke/transport/system_facts.py
+++ b/wickdyke/transport/system_facts.py
@@ -1,25 +1,51 @@
-"""Which facts the system tells beyond what a server needs. Each may be missing, refused or implausible."""
+"""What the system tells of a socket or this process beyond what a server needs.
+
+Each fact may be missing, refused or implausible, also after it was given before. No function here raises; None stands
+for what is not known. Whatever is decided by a fact has to hold without it.
+"""
 
 import errno
 import select
 import socket
-from contextlib import suppress
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from wickdyke.transport.allocator import own_memory
 
-# Errors of a call that the system does not offer, or does not allow this process.
-REFUSALS = (errno.ENOSYS, errno.EPERM, errno.EACCES, errno.EINVAL, errno.EOPNOTSUPP, errno.ENOPROTOOPT)
+LOOK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
+CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+# Errors of a call that the system does not offer, does not allow this process, or has no memory for.
+REFUSALS = (
+    errno.ENOSYS,
+    errno.EPERM,
+    errno.EACCES,
+    errno.EINVAL,
+    errno.EOPNOTSUPP,
+    errno.ENOPROTOOPT,
+    errno.EBADF,
+    errno.ENOTTY,
+    errno.ENOMEM,
+    errno.ENOBUFS,
+)
+
+
+class Look(Enum):
+    """What a look at the data that waits on a socket has shown, without reading it."""
+
+    EMPTY = auto()  # nothing waits, and the peer has not closed
+    DATA = auto()  # the peer may have closed behind it
+    ENDED = auto()  # the peer has closed, and nothing waits before that; or the connection has failed
+    UNKNOWN = auto()
 
 
 @dataclass(slots=True, frozen=True)
 class SystemFacts:
     """Which optional facts the system tells this process."""
 
-    close_behind_data: bool  # poll(2) with POLLRDHUP
-    peek: bool  # recv(2) with MSG_PEEK
-    receive_buffer: int | None  # bytes; SO_RCVBUF of a new socket
-    process_memory: bool  # proc(5)
+    close_behind_data: bool
+    peek: bool
+    receive_buffer: int | None  # bytes
+    process_memory: bool
 
 
 def probe() -> SystemFacts:
@@ -29,28 +55,51 @@
     except OSError:
         return SystemFacts(False, False, None, own_memory() is not None)
     with sock:
-        return SystemFacts(_polls(sock), _peeks(sock), _receive_buffer(sock), own_memory() is not None)
+        return SystemFacts(
+            close_behind_data=close_reported(sock) is not None,
+            peek=look(sock, bytearray(1)).state is not Look.UNKNOWN,
+            receive_buffer=_buffer_size(sock),
+            process_memory=own_memory() is not None,
+        )
 
 
-def _polls(sock: socket.socket) -> bool:
-    try:
-        poll = select.poll()
-        poll.register(sock, select.POLLRDHUP)
-        poll.poll(0)
-    except (OSError, ValueError):
-        return False
-    return True
+@dataclass(slots=True, frozen=True)
+class LookResult:
+    """The state of a socket's data, and how many bytes of it were copied."""
 
+    state: Look
+    length: int = 0
 
-def _peeks(sock: socket.socket) -> bool:
+
+def look(sock: socket.socket, buffer: bytearray) -> LookResult:
+    """Copies data that waits on the socket to `buffer`, which must not be empty, and leaves it there (MSG_PEEK)."""
     try:
-        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        length = sock.recv_into(buffer, 0, LOOK_FLAGS)
+    except (BlockingIOError, InterruptedError):
+        return LookResult(Look.EMPTY)
     except OSError as error:
-        return error.errno not in REFUSALS  # ENOTCONN is what the call says here
+        return LookResult(Look.UNKNOWN if error.errno in REFUSALS else Look.ENDED)
+    return LookResult(Look.DATA, length) if length else LookResult(Look.ENDED)
+
+
+def close_reported(sock: socket.socket) -> bool | None:
+    """Returns whether the peer's close has arrived, also behind unread data (poll with POLLRDHUP)."""
+    poll = select.poll()
+    try:
+        poll.register(sock, select.POLLRDHUP)
+        events = poll.poll(0)
+    except (OSError, ValueError):  # ValueError: the socket is closed
+        return None
+    if not events:
+        return False
+    (_, reported), *_ = events
+    if reported & select.POLLNVAL or not reported & CLOSE_EVENTS:
+        return None
     return True
 
 
-def _receive_buffer(sock: socket.socket) -> int | None:
-    with suppress(OSError):
+def _buffer_size(sock: socket.socket) -> int | None:
+    try:
         return sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
-    return None
+    except OSError:
+        return None
