Serve workers and discovery where poll(2) is refused: a connection not known to stand vouches not

What callers saw: where poll is refused, no request of 72 served, exceptions for each (worker_connection.py:147, at also withdrawals.py:31).

Cause: stands() and the event loop's catch_up called poll on paths with no handler for its failure; only a hint was asked for.

Change: stands() and alive() ask transport/system_facts.py, where a refused or implausible poll (POLLNVAL) falls back to a look at the data and to 'not known', which vouches for no process. catch_up asks the epoll that the loop needs anyway. The test of receive() now also holds that EAGAIN alone shows an empty stream.

--- a/tests/test_event_loop_faults.py
+++ b/tests/test_event_loop_faults.py
@@ -264,7 +264,8 @@
             (errno.ENOTCONN, b""),
         ):
             with self.subTest(errno.errorcode[code]):
-                self.assertEqual(sockets.receive(Mock(recv=Mock(side_effect=os_error(code))), 100), expected)
+                received = sockets.receive(Mock(recv=Mock(side_effect=os_error(code))), 100)
+                self.assertEqual((received.data, received.nothing_waited), (expected, code == errno.EAGAIN))
 
 
 class DialFaults(unittest.TestCase):
--- a/wickdyke/platform/worker_connection.py
+++ b/wickdyke/platform/worker_connection.py
@@ -1,7 +1,6 @@
 """One connection to a worker: sends commands, reads answers, and reports the outcome of each to its owner."""
 
 import errno
-import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 from wickdyke.routing.model import Outcome
 from wickdyke.transport.event_loop import Priority, clock
 from wickdyke.transport.sockets import dial, error_name
+from wickdyke.transport.system_facts import has_ended, peer_has_closed
 from wickdyke.transport.write_buffer import (
     OUT_OF_MEMORY_ERRORS,
     MessageExpiredError,
@@ -131,20 +131,14 @@
 
         A request that can't be retried would be lost on a connection that was closed while idle.
         """
-        try:
-            return self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError as error:
-            return error.errno in OUT_OF_MEMORY_ERRORS
+        return has_ended(self.sock) is False
 
     def stands(self) -> bool:
-        """Returns whether the connection is established and its end has not come, not even behind unread data."""
-        if self.state is not ConnectionState.ESTABLISHED:
-            return False
-        poll = select.poll()
-        poll.register(self.sock, select.POLLRDHUP)
-        return not poll.poll(0)  # POLLERR and POLLHUP are always reported
+        """Returns whether the connection is established and its end has not come, not even behind unread data.
+
+        Where that is not known it is taken to have ended: it vouches for no process then.
+        """
+        return self.state is ConnectionState.ESTABLISHED and peer_has_closed(self.sock) is False
 
     def send(self, command: Command) -> None:
         """Sends a command, or queues it until the connection is established."""
--- a/wickdyke/transport/event_loop.py
+++ b/wickdyke/transport/event_loop.py
@@ -260,12 +260,9 @@
         now = clock()
         if now - self.first_served_at <= MAX_POLL_OVERRUN:
             return
-        handlers = {fd: handler for fd, handler in self.handlers.items() if handler.priority is Priority.FIRST}
-        poll = select.poll()
-        for fd in handlers:
-            poll.register(fd, _event_mask(write=True, read=True))
-        for fd, events in poll.poll(0):
-            self.serve(fd, handlers[fd], events)
+        for ready in self._with_handlers(self.epoll.poll(0, max(1, len(self.handlers)))):
+            if ready.handler.priority is Priority.FIRST:
+                self.serve(ready.fd, ready.handler, ready.events)
         self.first_served_at = now
         self._report_stall(self.unread_times.checked_at)
 
--- a/wickdyke/transport/system_facts.py
+++ b/wickdyke/transport/system_facts.py
@@ -98,6 +98,20 @@
     return True
 
 
+def peer_has_closed(sock: socket.socket) -> bool | None:
+    """Returns whether the peer has closed, by what the system reports, else by a look at the data."""
+    reported = close_reported(sock)
+    if reported is not None:
+        return reported
+    return {Look.EMPTY: False, Look.ENDED: True}.get(look(sock, bytearray(1)).state)
+
+
+def has_ended(sock: socket.socket) -> bool | None:
+    """Returns whether nothing more can be read from a connection; None where that is not known."""
+    state = look(sock, bytearray(1)).state
+    return close_reported(sock) if state is Look.UNKNOWN else state is Look.ENDED
+
+
 def _buffer_size(sock: socket.socket) -> int | None:
     try:
         return sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
