Take the size of a receive buffer only where it is plausible

What callers saw: with SO_RCVBUF answered as -1 the process ended with exit code 1 and a traceback before it served: a buffer of that size was to be allocated. A huge answer would take all memory.

Cause: the size that is read back was trusted in value. Change: it counts from the size that was set to four times that (Linux doubles it); else the bound without it stays.

--- a/tests/test_system_facts.py
+++ b/tests/test_system_facts.py
@@ -127,6 +127,15 @@
         self.assertIs(system_facts.close_reported(sock), None)
         self.assertIs(system_facts.has_ended(sock), None)
 
+    def test_implausible_sizes_of_a_receive_buffer(self):
+        """Guards against a front end that ends at its start, or takes all memory, by that size (issue 65)."""
+        for value, expected in ((-1, None), (0, None), (1 << 40, None), (1 << 12, None), (1 << 17, 1 << 17)):
+            with self.subTest(value=value):
+                sock, _ = self.connection(option_value=value)
+                self.assertEqual(system_facts.receive_buffer_size(sock, 1 << 16), expected)
+        sock, _ = self.connection(refused=("getsockopt",))
+        self.assertIsNone(system_facts.receive_buffer_size(sock, 1 << 16))
+
 
 class Probe(unittest.TestCase):
     """The facts that are logged at the start."""
--- a/wickdyke/platform/client_server.py
+++ b/wickdyke/platform/client_server.py
@@ -28,6 +28,7 @@
 from wickdyke.platform.withdrawals import WithdrawalDetector, has_unread_data
 from wickdyke.routing.model import Effect, RequestClass
 from wickdyke.transport.event_loop import EventLoop, Handler, Priority, clock
+from wickdyke.transport.system_facts import receive_buffer_size
 
 ACCEPTS_PER_EVENT = 64  # maximum number of connections accepted before other sockets are served
 BACKLOG = 512  # connections that the kernel queues for accept
@@ -121,8 +122,10 @@
         # been there at its beginning.
         with suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_SIZE)
-            self.max_unread_bytes = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
-            self.withdrawal_detector = WithdrawalDetector(self.max_unread_bytes)
+            size = receive_buffer_size(sock, RECEIVE_BUFFER_SIZE)
+            if size is not None:
+                self.max_unread_bytes = size
+                self.withdrawal_detector = WithdrawalDetector(size)
 
     def _register_listener(self) -> None:
         if self.sock is None or self.listener_closed:
--- a/wickdyke/transport/system_facts.py
+++ b/wickdyke/transport/system_facts.py
@@ -13,6 +13,7 @@
 from wickdyke.transport.allocator import own_memory
 
 LOOK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
+MAX_BUFFER_FACTOR = 4  # of the receive buffer that was set, at most, to what the system makes of it; Linux doubles it
 CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 # Errors of a call that the system does not offer, does not allow this process, or has no memory for.
 REFUSALS = (
@@ -112,6 +113,12 @@
     return close_reported(sock) if state is Look.UNKNOWN else state is Look.ENDED
 
 
+def receive_buffer_size(sock: socket.socket, size_set: int) -> int | None:
+    """Returns the bytes of the receive buffer where that is plausible for a socket whose buffer was set to a size."""
+    size = _buffer_size(sock)
+    return size if size is not None and size_set <= size <= MAX_BUFFER_FACTOR * size_set else None
+
+
 def _buffer_size(sock: socket.socket) -> int | None:
     try:
         return sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
