Learn the result of a connect without SO_ERROR where that is refused or no errno

What callers saw: with SO_ERROR refused no connection to a worker or to discovery ever came up, and each connect was repeated for ever.

Cause: discovery and worker connections took a refused getsockopt for a failed connect. Change: transport/system_facts.connect_error asks getpeername, and for the error a look at the data, where SO_ERROR is refused or its value is no errno. For lack of memory the connect is tried again as before (tests.test_discovery_faults holds that), so ENOBUFS for ever is no cell of that call.

--- a/tests/test_faulty_system.py
+++ b/tests/test_faulty_system.py
@@ -4,14 +4,13 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from tests.faulty_system.cells import CLOCK_CALL, SET_NON_BLOCKING, Cell, draw_cells, refused
+from tests.faulty_system.cells import CLOCK_CALL, CONNECT_RESULT, SET_NON_BLOCKING, Cell, draw_cells, refused
 from tests.faulty_system.play import met_calls, play_cell, play_true_system
 
 JOBS = 4  # plays at once
 SEED = 65
 DRAWN_CELLS = 16
 MEMORY_OF_A_SOCKET = "getsockopt 1/55"  # SO_MEMINFO
-CONNECT_RESULT = "getsockopt 1/4"  # SO_ERROR
 RECEIVE_BUFFER = "getsockopt 1/8"  # SO_RCVBUF
 CLOSE_BEHIND_DATA = "poll 8192"  # POLLRDHUP
 PEEK = "recv 66"  # MSG_PEEK | MSG_DONTWAIT
--- a/tests/test_system_facts.py
+++ b/tests/test_system_facts.py
@@ -137,6 +137,32 @@
         self.assertIsNone(system_facts.receive_buffer_size(sock, 1 << 16))
 
 
+class ConnectErrors(ConnectionCase):
+    """The result of a non-blocking connect, also where SO_ERROR is refused or implausible."""
+
+    def connecting(self, address, **faults):
+        """Returns a socket whose connect to that address has ended."""
+        plain = socket.socket()
+        plain.setblocking(False)
+        plain.connect_ex(address)
+        sock = RefusingSocket(plain, **faults)
+        self.addCleanup(sock.close)
+        self.wait_for_event(sock, select.POLLOUT)
+        return sock
+
+    def test_each_answer(self):
+        """Guards against connections to workers and discovery that are never up for want of SO_ERROR (issue 65)."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = listener.getsockname()
+            for faults in ({}, {"refused": ("getsockopt",)}, {"option_value": -1}):
+                with self.subTest(faults=faults):
+                    self.assertEqual(system_facts.connect_error(self.connecting(address, **faults)), 0)
+        for faults in ({}, {"refused": ("getsockopt",)}, {"option_value": 1 << 20}):
+            with self.subTest(faults=faults):
+                code = system_facts.connect_error(self.connecting(address, **faults))
+                self.assertEqual(code, errno.ECONNREFUSED)
+
+
 class Probe(unittest.TestCase):
     """The facts that are logged at the start."""
 
--- a/wickdyke/platform/worker_connection.py
+++ b/wickdyke/platform/worker_connection.py
@@ -16,7 +16,7 @@
 from wickdyke.routing.model import Outcome
 from wickdyke.transport.event_loop import Priority, clock
 from wickdyke.transport.sockets import dial, error_name
-from wickdyke.transport.system_facts import has_ended, peer_has_closed
+from wickdyke.transport.system_facts import connect_error, has_ended, peer_has_closed
 from wickdyke.transport.write_buffer import (
     OUT_OF_MEMORY_ERRORS,
     MessageExpiredError,
@@ -255,12 +255,7 @@
             self.end(f"{type(error).__name__}: {error}")
 
     def _connect_done(self) -> None:
-        try:
-            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        except OSError as error:
-            self.end(f"getsockopt: {error_name(error.errno)}", EndCause.INCONCLUSIVE)
-            return
-        if code:
+        if code := connect_error(self.sock):
             if code == errno.ECONNREFUSED:
                 self.worker_client.process_ended()
             self.end(f"connect: {error_name(code)}", self._connect_failure_cause(code))
--- a/wickdyke/transport/system_facts.py
+++ b/wickdyke/transport/system_facts.py
@@ -15,6 +15,7 @@
 LOOK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
 MAX_BUFFER_FACTOR = 4  # of the receive buffer that was set, at most, to what the system makes of it; Linux doubles it
 CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+OUT_OF_MEMORY_ERRORS = (errno.ENOMEM, errno.ENOBUFS)
 # Errors of a call that the system does not offer, does not allow this process, or has no memory for.
 REFUSALS = (
     errno.ENOSYS,
@@ -25,8 +26,7 @@
     errno.ENOPROTOOPT,
     errno.EBADF,
     errno.ENOTTY,
-    errno.ENOMEM,
-    errno.ENOBUFS,
+    *OUT_OF_MEMORY_ERRORS,
 )
 
 
@@ -113,6 +113,30 @@
     return close_reported(sock) if state is Look.UNKNOWN else state is Look.ENDED
 
 
+def connect_error(sock: socket.socket) -> int:
+    """Returns the errno of a non-blocking connect that has ended, 0 where it succeeded."""
+    try:
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except OSError as error:
+        if error.errno in OUT_OF_MEMORY_ERRORS:  # temporary: the connect is tried again
+            return error.errno
+        code = -1
+    return code if code == 0 or code in errno.errorcode else _error_of_connection(sock)
+
+
+def _error_of_connection(sock: socket.socket) -> int:
+    """Returns the errno of an unconnected socket, 0 where it is connected, without asking for SO_ERROR."""
+    try:
+        sock.getpeername()
+    except OSError as unconnected:
+        try:
+            sock.recv(1, LOOK_FLAGS)  # reports the error of the connect
+        except OSError as error:
+            return error.errno or errno.EIO
+        return unconnected.errno or errno.EIO
+    return 0
+
+
 def receive_buffer_size(sock: socket.socket, size_set: int) -> int | None:
     """Returns the bytes of the receive buffer where that is plausible for a socket whose buffer was set to a size."""
     size = _buffer_size(sock)
