Refuse to start, in one line, where sockets can't be made non-blocking or waited for

What callers saw: a process that ran, logged and never served, or ended with lines of its log and a misleading reason (the address), where the system refuses ioctl(FIONBIO).

Cause: nothing checked the calls without which no server exists. Change: they are tried before the service is made; a refusal gives one line and exit code 2; a lack of descriptors or memory does not. tests.test_architecture now holds that gateways ask the system only through transport/.

--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -11,6 +11,8 @@
 PACKAGE = "wickdyke"
 ARCHITECTURE_PAGE = ROOT / "docs" / "architecture.md"
 TABLE_ROW = re.compile(r"^\| `(\w+)/` \|", re.MULTILINE)
+GATEWAY_PACKAGES = ("platform", "jsonrpc", "gateway", "routing", "config")
+SYSTEM_FACTS = {"getsockopt", "ioctl", "fcntl", "MSG_PEEK", "POLLRDHUP", "poll", "recvmsg", "ctypes", "resource"}
 STANDARD_LIBRARY_ONLY = ("routing", "simulator")
 
 
@@ -76,6 +78,17 @@
         except CycleError as error:
             self.fail(f"import cycle: {' -> '.join(error.args[1])}")
 
+    def test_facts_of_the_system_are_asked_for_below_the_gateways(self) -> None:
+        """Gateways take what the system tells from `transport`, where each fact may be missing (issue 65)."""
+        asking = []
+        for package in GATEWAY_PACKAGES:
+            for path in sorted((ROOT / PACKAGE / package).rglob("*.py")):
+                tree = ast.parse(path.read_text(encoding="utf-8"))
+                names = {node.attr for node in ast.walk(tree) if isinstance(node, ast.Attribute)}
+                names |= {alias.name for node in ast.walk(tree) if isinstance(node, ast.Import) for alias in node.names}
+                asking += [f"{path.name}: {name}" for name in sorted(names & SYSTEM_FACTS)]
+        self.assertEqual(asking, [])
+
     def test_the_deploy_file_names_every_routing_module(self) -> None:
         """`policy` lists the modules that the simulator and the gateways share."""
         policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["policy"]
--- a/tests/test_system_facts.py
+++ b/tests/test_system_facts.py
@@ -175,6 +175,20 @@
         ):
             self.assertEqual(system_facts.probe(), system_facts.SystemFacts(False, False, None, False))
 
+    def test_a_call_without_which_there_is_no_server(self):
+        """Guards against a process that runs and serves nobody, or ends with a traceback (issue 65)."""
+        system_facts.require_server_calls()
+        for code, message in ((errno.ENOSYS, "epoll_create is refused (Function not"), (errno.EMFILE, None)):
+            with self.subTest(code=code):
+                refusing = SimpleNamespace(**{**vars(select), "epoll": Mock(side_effect=OSError(code, "Function not"))})
+                with patch.object(system_facts, "select", refusing):
+                    if message is None:
+                        system_facts.require_server_calls()
+                    else:
+                        with self.assertRaises(system_facts.MissingCallError) as raised:
+                            system_facts.require_server_calls()
+                        self.assertIn(message, str(raised.exception))
+
     def test_no_descriptor(self):
         with patch.object(system_facts.socket, "socket", side_effect=OSError(errno.EMFILE, "Too many open files")):
             self.assertIsNone(system_facts.probe().receive_buffer)
--- a/wickdyke/platform/service.py
+++ b/wickdyke/platform/service.py
@@ -24,7 +24,7 @@
 from wickdyke.platform.worker_protocol import PlatformWorkerProtocol
 from wickdyke.transport.allocator import own_memory, return_freed_memory
 from wickdyke.transport.event_loop import EventLoop
-from wickdyke.transport.system_facts import probe
+from wickdyke.transport.system_facts import MissingCallError, probe, require_server_calls
 
 GRACE_PERIOD = 750.0  # ms after SIGTERM for which requests are still admitted, if the shutdown has so much time
 # SIGKILL may follow SIGTERM after the longest deadline, at most MAX_KILL_DEADLINE, plus KILL_DELAY (all in ms).
@@ -345,7 +345,8 @@
     try:
         path = configurations.config_path()
         configuration = configurations.read(path, os.environ.get("GW_LISTEN"), os.environ.get("GW_NAME"), own_memory())
-    except ConfigurationError as error:
+        require_server_calls()
+    except (ConfigurationError, MissingCallError) as error:
         print(f"wickdyke.platform: {error}", file=sys.stderr)
         return 2
     log, log_writer = logs.logger(sys.stderr, False)
--- a/wickdyke/transport/system_facts.py
+++ b/wickdyke/transport/system_facts.py
@@ -1,12 +1,13 @@
 """What the system tells of a socket or this process beyond what a server needs.
 
-Each fact may be missing, refused or implausible, also after it was given before. No function here raises; None stands
-for what is not known. Whatever is decided by a fact has to hold without it.
+Each fact may be missing, refused or implausible, also after it was given before. No function here raises, but for
+`require_server_calls`; None stands for what is not known. Whatever is decided by a fact has to hold without it.
 """
 
 import errno
 import select
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -30,6 +31,10 @@
 )
 
 
+class MissingCallError(Exception):
+    """The system refuses a call without which no server exists; the message states the call and the error."""
+
+
 class Look(Enum):
     """What a look at the data that waits on a socket has shown, without reading it."""
 
@@ -49,6 +54,28 @@
     process_memory: bool
 
 
+def require_server_calls() -> None:
+    """Raises MissingCallError where sockets can't be made non-blocking, or not be waited for.
+
+    Sockets that can't be made, for lack of descriptors or memory, say nothing: that may pass.
+    """
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:
+        return
+    with sock:
+        _require("ioctl FIONBIO", lambda: sock.setblocking(False))
+    _require("epoll_create", lambda: select.epoll().close())
+
+
+def _require(call: str, use: Callable[[], None]) -> None:
+    try:
+        use()
+    except OSError as error:
+        if error.errno in REFUSALS and error.errno not in OUT_OF_MEMORY_ERRORS:
+            raise MissingCallError(f"{call} is refused ({error.strerror}), expected a system that offers it") from error
+
+
 def probe() -> SystemFacts:
     """Asks for each fact once, on a socket that is neither bound nor connected."""
     try:
