Worker: start replicas where the size for their memory limit is not told, or the limit refused

What callers would see: no replica ever starts, where /proc/self/status is missing, has another form, or setrlimit is refused.

Change: without the fact, or where refused, the replica starts without that limit; the worker measures its memory as before.

--- a/tests/faulty_system/cells.py
+++ b/tests/faulty_system/cells.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 REFUSALS = (errno.ENOSYS, errno.EPERM, errno.EINVAL, errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.ENOBUFS, errno.EBADF)
-# Answers that no system gives for ever. A connect whose result the kernel has no memory for is tried again: the tests of
-# faults that pass hold that. EBADF is said of a descriptor that is closed; Python closes the socket then.
+# Answers that no system gives for ever. A connect whose result the kernel has no memory for is tried again: the tests
+# of faults that pass hold that. EBADF is said of a descriptor that is closed; Python closes the socket then.
 CONNECT_RESULT = "getsockopt 1/4"  # SO_ERROR
 IMPOSSIBLE = ((CONNECT_RESULT, errno.ENOBUFS), ("getsockname", errno.EBADF))
 FIRST_CALLS = (1, 4)  # the odd answers begin with the first call of a kind, or once some were answered truly
--- a/wickdyke/worker/replica_server.py
+++ b/wickdyke/worker/replica_server.py
@@ -1,5 +1,6 @@
 """The code of a replica's process: slots, each a thread that calls the package's function, and their messages."""
 
+import contextlib
 import ctypes
 import importlib
 import os
@@ -187,14 +188,27 @@
 def _limit_memory(start_message: StartReplica) -> None:
     """Limits the replica's data size in the kernel.
 
-    The limit takes effect where a replica grows far beyond its manifest before the worker measures it.
+    The limit takes effect where a replica grows far beyond its manifest before the worker measures it. Where the
+    system does not tell the present size, or refuses the limit, there is none.
     """
-    with open("/proc/self/status") as source:
-        data_bytes = next(int(line.split()[1]) * 1024 for line in source if line.startswith("VmData"))
+    with contextlib.suppress(OSError, ValueError):
+        resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+    data_bytes = _data_bytes()
+    if data_bytes is None:
+        return
     stack_bytes = start_message.concurrency * STACK_BYTES
     limit = int(data_bytes + start_message.memory_mb * MB * MEMORY_FACTOR + MEMORY_MARGIN_BYTES + stack_bytes)
-    resource.setrlimit(resource.RLIMIT_DATA, (limit, limit))
-    resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+    with contextlib.suppress(OSError, ValueError):
+        resource.setrlimit(resource.RLIMIT_DATA, (limit, limit))
+
+
+def _data_bytes() -> int | None:
+    """Returns the data size of this process in bytes, None where the system does not tell it."""
+    try:
+        with open("/proc/self/status") as source:
+            return next(int(line.split()[1]) * 1024 for line in source if line.startswith("VmData"))
+    except (OSError, ValueError, IndexError, StopIteration):
+        return None
 
 
 def run(sock: socket.socket, start_message: StartReplica) -> None:
