Start at once, or refuse in one line, whatever limits of descriptors and memory are stated

What callers saw (trial): with limits.sockets of 50,000,000 or 1e300 no readiness within 5 s and no line; with an infinite limit of sockets or memory exit code 1 and a traceback.

Cause: a limit was checked from below only, and each descriptor below it looked at. Change: a limit has to be finite, else one line and exit code 2; the first 65,536 descriptors are looked at.

--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -1,6 +1,8 @@
 """The platform's configuration, and its front end as a process."""
 
+import errno
 import json
+import math
 import os
 import signal
 import socket
@@ -10,9 +12,10 @@
 import time
 import unittest
 from types import SimpleNamespace
+from unittest.mock import Mock, patch
 
 from tests import platform_rig as rig
-from wickdyke.platform import configuration
+from wickdyke.platform import configuration, service
 
 
 class ConfigurationTest(unittest.TestCase):
@@ -32,6 +35,12 @@
                 ("port", {**valid, "listen": "127.0.0.1:99999"}, "listen is"),
                 ("seed", {**valid, "seed": "xyz"}, "seed is 'xyz', expected hex digits"),
                 ("limit", {**valid, "limits": {"memory_mb": "64"}}, "limits.memory_mb is '64'"),
+                (
+                    "infinite memory",
+                    {**valid, "limits": {**valid["limits"], "memory_mb": math.inf}},
+                    "memory_mb is inf",
+                ),
+                ("infinite sockets", {**valid, "limits": {**valid["limits"], "sockets": math.inf}}, "sockets is inf"),
                 ("settings", {**valid, "settings": []}, "settings is list"),
                 ("known", {**valid, "known": {}}, "known.batch is None"),
                 ("event", {**valid, "known": {"batch": [7]}}, "known.batch has"),
@@ -56,6 +65,13 @@
                     self.assertEqual((process.returncode, process.stderr.count("\n")), (2, 1), process.stderr)
                     self.assertIn(expected, process.stderr)
 
+    def test_a_large_limit_of_descriptors_does_not_hold_up_the_start(self):
+        """Guards against a start that looks at each descriptor below a limit of millions (issue 65)."""
+        looks = Mock(side_effect=OSError(errno.EBADF, "Bad file descriptor"))
+        with patch.object(service.os, "fstat", looks):
+            self.assertEqual(service.open_descriptors(1 << 40), 0)
+        self.assertEqual(looks.call_count, service.MAX_DESCRIPTORS_LOOKED_AT)
+
     def test_values_of_a_valid_configuration(self):
         with tempfile.TemporaryDirectory() as folder:
             path = os.path.join(folder, "config.json")
--- a/wickdyke/platform/configuration.py
+++ b/wickdyke/platform/configuration.py
@@ -1,6 +1,7 @@
 """Reads and validates the configuration of the platform's front end."""
 
 import json
+import math
 import os
 from dataclasses import dataclass, fields
 from typing import Any
@@ -108,7 +109,7 @@
 def _limit(document: dict[str, Any], path: str, name: str, minimum: float) -> float:
     limits = document.get("limits")
     value = limits.get(name) if isinstance(limits, dict) else None
-    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= minimum:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not minimum <= value < math.inf:
         raise ConfigurationError(f"{path}: limits.{name} is {value!r}, expected a number of at least {minimum:g}")
     return value
 
--- a/wickdyke/platform/service.py
+++ b/wickdyke/platform/service.py
@@ -39,13 +39,14 @@
 DISCOVERY_RETRY_FRACTION = 0.4  # part of the grace period for drains within which discovery is retried
 MAX_DISCOVERY_RETRY = 400.0  # ms between two connects to discovery, at most
 IDLE_TIMEOUT_FRACTION = 0.7  # part of a worker's idle timeout after which this side closes an idle connection
+MAX_DESCRIPTORS_LOOKED_AT = 1 << 16  # the system gives the lowest free numbers first
 RESERVED_DESCRIPTORS = 12  # for discovery's old and new connection, an accept, a file being read and others
 
 
 def open_descriptors(limit: int) -> int:
-    """Returns the number of open descriptors below `limit` of this process."""
+    """Returns the number of open descriptors below `limit` of this process, which has just begun."""
     count = 0
-    for number in range(limit):
+    for number in range(min(limit, MAX_DESCRIPTORS_LOOKED_AT)):
         with suppress(OSError):
             os.fstat(number)
             count += 1
