Refuse to start at any error of FIONBIO that is no shortage

Cause: errors of lack of memory were let pass for every required call. Change: only lacks of descriptors and memory that the calls' manual pages name (EMFILE, ENFILE, ENOMEM).

--- a/tests/test_system_facts.py
+++ b/tests/test_system_facts.py
@@ -178,7 +178,12 @@
     def test_a_call_without_which_there_is_no_server(self):
         """Guards against a process that runs and serves nobody, or ends with a traceback (issue 65)."""
         system_facts.require_server_calls()
-        for code, message in ((errno.ENOSYS, "epoll_create is refused (Function not"), (errno.EMFILE, None)):
+        for code, message in (
+            (errno.ENOSYS, "epoll_create is refused (Function not"),
+            (errno.ENOBUFS, "epoll_create is refused (Function not"),
+            (errno.EMFILE, None),
+            (errno.ENOMEM, None),
+        ):
             with self.subTest(code=code):
                 refusing = SimpleNamespace(**{**vars(select), "epoll": Mock(side_effect=OSError(code, "Function not"))})
                 with patch.object(system_facts, "select", refusing):
--- a/wickdyke/transport/system_facts.py
+++ b/wickdyke/transport/system_facts.py
@@ -16,6 +16,7 @@
 LOOK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
 MAX_BUFFER_FACTOR = 4  # of the receive buffer that was set, at most, to what the system makes of it; Linux doubles it
 CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOMEM)  # of descriptors or memory, which may pass
 OUT_OF_MEMORY_ERRORS = (errno.ENOMEM, errno.ENOBUFS)
 # Errors of a call that the system does not offer, does not allow this process, or has no memory for.
 REFUSALS = (
@@ -72,7 +73,7 @@
     try:
         use()
     except OSError as error:
-        if error.errno in REFUSALS and error.errno not in OUT_OF_MEMORY_ERRORS:
+        if error.errno not in SHORTAGES:
             raise MissingCallError(f"{call} is refused ({error.strerror}), expected a system that offers it") from error
 
 
