Move looks at clients, and what connections use of the client server, to modules of their own

Change: platform/client_observer.py looks at a connection and holds the lease on its client's presence (it does not keep the connection: test_closed_connections_are_freed_without_the_garbage_collector); platform/client_owner.py is the interface of the client server. Tests patch the clock of the new module as they did that of the old.

--- a/tests/test_client_connection_ends.py
+++ b/tests/test_client_connection_ends.py
@@ -9,7 +9,7 @@
 from tests.rig import event_tuple
 from tests.timed_rig import TimedFrontEndCase
 from wickdyke.gateway.events import RequestReceived
-from wickdyke.platform import client_connection, client_server
+from wickdyke.platform import client_connection, client_observer, client_server
 from wickdyke.routing.model import RequestClass
 from wickdyke.transport import event_loop, write_buffer
 
@@ -20,7 +20,7 @@
     def setUp(self):
         self.now = 0.0
         self.addCleanup(patch.stopall)
-        for module in (event_loop, client_server, client_connection):
+        for module in (event_loop, client_server, client_connection, client_observer):
             patch.object(module, "clock", lambda: self.now).start()
         self.loop, self.events = event_loop.EventLoop(), []
         self.addCleanup(self.loop.close)
--- a/tests/test_platform_client_server.py
+++ b/tests/test_platform_client_server.py
@@ -186,7 +186,7 @@
         (connection,) = self.server.clients.values()
         client.send(data)
         connection.sock.recv(len(data), socket.MSG_PEEK | socket.MSG_WAITALL)
-        connection.last_looked_at = connection.waiting_since = 0.0  # long ago
+        connection.observer.last_looked_at = connection.waiting_since = 0.0  # long ago
         return connection, self.recorded[0].pending
 
     def test_requests_stay_unread_while_it_is_seen_that_their_client_waits(self):
--- a/tests/timed_rig.py
+++ b/tests/timed_rig.py
@@ -11,6 +11,7 @@
 from wickdyke.gateway import context
 from wickdyke.platform import (
     client_connection,
+    client_observer,
     client_server,
     configuration,
     discovery,
@@ -35,6 +36,7 @@
             event_loop,
             context,
             client_connection,
+            client_observer,
             client_server,
             reachability,
             worker_client,
--- a/wickdyke/platform/client_connection.py
+++ b/wickdyke/platform/client_connection.py
@@ -3,26 +3,19 @@
 A client that violates the protocol gets an application exception or is disconnected; its data never reaches a worker.
 """
 
-import math
 import socket
-from collections import Counter
-from collections.abc import Callable
 from contextlib import suppress
-from typing import Protocol
 
-from wickdyke.gateway.events import ClientClosed, Event, RequestCancelled, RequestReceived
+from wickdyke.gateway.events import ClientClosed, RequestCancelled, RequestReceived
 from wickdyke.gateway.interfaces import RejectionReason
 from wickdyke.platform import thrift
 from wickdyke.platform.client_close import CloseReason
-from wickdyke.platform.client_presence import PresenceLease
+from wickdyke.platform.client_observer import ClientObserver
+from wickdyke.platform.client_owner import ClientOwner
 from wickdyke.platform.client_request import PendingRequest
-from wickdyke.platform.ended_request_ids import EndedRequestIds
-from wickdyke.platform.memory_budget import MemoryAccount, MemoryBudget
-from wickdyke.platform.memory_reclaim import MemoryReclaimer
+from wickdyke.platform.memory_budget import MemoryAccount
 from wickdyke.platform.requests import InvalidRequestError, check_request
-from wickdyke.platform.withdrawals import ClientState, WithdrawalDetector
-from wickdyke.routing.model import RequestClass
-from wickdyke.transport.event_loop import EventLoop, Priority, clock
+from wickdyke.transport.event_loop import Priority, clock
 from wickdyke.transport.sockets import receive
 from wickdyke.transport.write_buffer import OutgoingMessage, PeerTooSlowError, WriteBuffer
 
@@ -40,58 +33,12 @@
 MAX_READ_TIME = 10.0  # ms that consecutive reads may take: other connections wait meanwhile
 
 
-class ConnectionOwner(Protocol):
-    """The client server, as its connections use it."""
-
-    loop: EventLoop
-    request_classes: dict[str, RequestClass]
-    tenants: tuple[str, ...]
-    clients: "dict[int, ClientConnection]"  # by number
-    open_requests: dict[bytes, PendingRequest]  # by the id that the client has set
-    ended_ids: EndedRequestIds
-    budget: MemoryBudget
-    reclaimer: MemoryReclaimer
-    counts: Counter[str]
-    read_count: int  # reads of data, over all connections
-    max_unread_bytes: int  # that the kernel may hold of one client
-    withdrawal_detector: WithdrawalDetector
-
-    @property
-    def post(self) -> Callable[[Event], None]:
-        """Passes an event to the coordinator."""
-
-    @property
-    def rejection_reason(self) -> Callable[[], RejectionReason | None]:
-        """Returns why no request can be admitted now, or None."""
-
-    def is_serving(self) -> bool:
-        """Returns whether requests are admitted."""
-
-    def count_invalid(self, reason: str) -> None:
-        """Counts an invalid request."""
-
-    def request_ended(self, pending: PendingRequest) -> None:
-        """Removes a request from the open ones: it has its answer, or its client has left."""
-
-    def limit_time_left(self, time_left: float) -> float:
-        """Returns how much of `time_left` (ms) a new request may use before the shutdown; 0 where that is too short."""
-
-    def read_all(self, client: "ClientConnection") -> None:
-        """Reads the data that the client has sent so far, up to a limit."""
-
-    def read_ahead(self, client: "ClientConnection", size: int) -> None:
-        """Reads up to `size` bytes of the client's data ahead of its turn, which comes later for that."""
-
-    def release_socket(self, client: "ClientConnection") -> None:
-        """Closes the socket of a connection that has ended."""
-
-
 class ClientConnection:
     """One connection of a client; `number` identifies it in the server."""
 
     priority = Priority.NORMAL
 
-    def __init__(self, server: ConnectionOwner, sock: socket.socket, number: int) -> None:
+    def __init__(self, server: "ClientOwner[ClientConnection]", sock: socket.socket, number: int) -> None:
         self.server = server
         self.sock = sock
         self.number = number
@@ -102,8 +49,7 @@
         self.last_request_number = 0  # number of the last request
         self.waiting_since = clock()  # ms; when the incomplete frame, or the wait for the first one, began
         self.last_used_at = clock()  # ms; when a request last ended
-        self.last_looked_at = -math.inf  # ms; when it was last looked for a cancel or a close
-        self.presence = PresenceLease()
+        self.observer = ClientObserver(server.withdrawal_detector)
         self.received_at = clock()  # ms; by when the data last read had certainly arrived
         self.bytes_read = 0
         self.answered = False  # whether anything was written to the client
@@ -138,38 +84,17 @@
             self.frame_parser.has_partial_frame or not self.answered
         ) and clock() - self.waiting_since < NEW_CONNECTION_TIME
 
-    def look_for_withdrawals(self) -> None:
-        """Looks for a cancel or a close, and reads the client's data where one may be among it.
-
-        Where the lease on its presence has expired and little data waits, that is read too: it may be the rest of a
-        burst, whose end shows whether the client is there.
-        """
-        if self.closed:
-            return
-        self.last_looked_at = clock()
-        state = self._look()
-        if state is ClientState.MAY_HAVE_WITHDRAWN:
-            self.server.read_all(self)
-            state = self._look()
-        if state in (ClientState.PRESENT, ClientState.MAY_HAVE_WITHDRAWN) or self.is_present():
-            return
-        if state is ClientState.UNKNOWN or self.server.withdrawal_detector.unread_bytes <= READ_SIZE:
-            self.server.read_ahead(self, READ_SIZE)
-            self._look()
+    def is_present(self) -> bool:
+        """Returns whether the client counts as present; a cancel or a close that has come is handled by then."""
+        return self.observer.is_present(self)
 
-    def _look(self) -> ClientState:
-        """Returns what a look at the client has shown; renews the lease on its presence where it has."""
-        if self.closed:
-            return ClientState.MAY_HAVE_WITHDRAWN
-        looked_at = clock()
-        state = self.server.withdrawal_detector.state_of(self.sock, self.frame_parser.buffer)
-        if state is ClientState.PRESENT:
-            self.presence.renew(looked_at)
-        return state
+    def read_all(self) -> None:
+        """Reads the data that the client has sent so far, up to a limit."""
+        self.server.read_all(self)
 
-    def is_present(self) -> bool:
-        """Returns whether the client counts as present: an attempt may begin for it."""
-        return self.presence.is_valid(clock())
+    def read_ahead(self, size: int) -> None:
+        """Reads up to `size` bytes of the client's data ahead of its turn, which comes later for that."""
+        self.server.read_ahead(self, size)
 
     def count_refused_absent(self) -> None:
         """Counts an attempt that does not begin, as it is not known whether the client is still there."""
@@ -197,15 +122,15 @@
         now = clock()
         # If this process was stopped or busy, a request may have waited in the kernel for that time.
         unread_time = self.server.loop.unread_for(self.sock, now)
-        self.presence.nothing_waited(now - unread_time)
+        self.observer.lease.nothing_waited(now - unread_time)
         self.received_at = now - (unread_time if unread_time > MAX_UNREAD_TIME else 0.0)
         received = receive(self.sock, READ_SIZE)
         data = received.data
         if received.nothing_waited:
-            self.presence.renew(now)
+            self.observer.lease.renew(now)
         self.server.loop.data_read(self.sock, data is not None and len(data) == READ_SIZE)
         if data:
-            self.presence.data_read(now)
+            self.observer.lease.data_read(now)
             self.bytes_read += len(data)
             self._handle_data(data)
         elif data is not None:
--- a/wickdyke/platform/client_request.py
+++ b/wickdyke/platform/client_request.py
@@ -7,9 +7,6 @@
 from wickdyke.platform.memory_budget import RECORD_BYTES, MemoryAccount
 from wickdyke.platform.requests import RequestParameters
 from wickdyke.routing.model import RequestClass
-from wickdyke.transport.event_loop import clock
-
-LOOK_INTERVAL = 50.0  # ms after which it is seen again, before an attempt begins, whether its client has left
 
 
 class RequestConnection(Protocol):
@@ -17,14 +14,10 @@
 
     number: int
     memory: MemoryAccount
-    last_looked_at: float  # ms
     open_requests: "dict[int, PendingRequest]"  # by the number of the message
 
-    def look_for_withdrawals(self) -> None:
-        """Looks for a cancel or a close, and reads the client's data where one may be among it."""
-
     def is_present(self) -> bool:
-        """Returns whether the client counts as present: an attempt may begin for it."""
+        """Returns whether the client counts as present; a cancel or a close that has come is handled by then."""
 
     def count_refused_absent(self) -> None:
         """Counts an attempt that does not begin, as it is not known whether the client is still there."""
@@ -90,14 +83,12 @@
         """Returns whether the client still waits for an answer, also after a cancel or close that was not read yet."""
         # On a busy machine a cancel or a close may wait in the kernel while a retry or a hedge is decided.
         client = self.client
-        if clock() - client.last_looked_at > LOOK_INTERVAL:
-            client.look_for_withdrawals()
+        is_present = client.is_present()
         if client.open_requests.get(self.ident) is not self:
             return False
-        if not client.is_present():
+        if not is_present:
             client.count_refused_absent()
-            return False
-        return True
+        return is_present
 
     def _send_answer(self, frame: bytes) -> None:
         if self.client.release(self):
