Look at a client again before it is refused, where its data was read since the last look

What callers would see: a client whose burst was read after a look is refused for the rest of the look's interval (50 ms), though nothing of it waits any more.

Change: where the lease has expired, one look more after each read.

--- a/wickdyke/platform/client_observer.py
+++ b/wickdyke/platform/client_observer.py
@@ -41,9 +41,11 @@
     def is_present(self, connection: ObservedConnection) -> bool:
         """Returns whether the client counts as present; a cancel that has come is handled by then.
 
-        It looks for a cancel or a close if the last look was long ago.
+        It looks for a cancel or a close if the last look was long ago, or data that it may have found was read since.
         """
-        if clock() - self.last_looked_at > LOOK_INTERVAL:
+        now = clock()
+        has_read_since = not self.lease.is_valid(now) and self.lease.last_read_at > self.last_looked_at
+        if has_read_since or now - self.last_looked_at > LOOK_INTERVAL:
             self._look_for_withdrawals(connection)
         return not connection.closed and self.lease.is_valid(clock())
 
