Test of a large descriptor limit: keep no 65,536 tracebacks, which delayed the next test

Cause, traced by running it behind each neighbour: the test of this issue raised one exception object 65,536 times through a Mock, whose traceback and calls stayed (145 MB). The collection at the start of the next test's front end walked them, the health check timed out and the requests were rejected.

Change: the test counts calls and raises anew, as strictly.

--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -1,6 +1,7 @@
 """The platform's configuration, and its front end as a process."""
 
 import errno
+import itertools
 import json
 import math
 import os
@@ -12,7 +13,7 @@
 import time
 import unittest
 from types import SimpleNamespace
-from unittest.mock import Mock, patch
+from unittest.mock import patch
 
 from tests import platform_rig as rig
 from wickdyke.platform import configuration, service
@@ -67,10 +68,15 @@
 
     def test_a_large_limit_of_descriptors_does_not_hold_up_the_start(self):
         """Guards against a start that looks at each descriptor below a limit of millions (issue 65)."""
-        looks = Mock(side_effect=OSError(errno.EBADF, "Bad file descriptor"))
-        with patch.object(service.os, "fstat", looks):
+        looks = itertools.count()
+
+        def refuse(number):
+            next(looks)
+            raise OSError(errno.EBADF, "Bad file descriptor")
+
+        with patch.object(service.os, "fstat", refuse):
             self.assertEqual(service.open_descriptors(1 << 40), 0)
-        self.assertEqual(looks.call_count, service.MAX_DESCRIPTORS_LOOKED_AT)
+        self.assertEqual(next(looks), service.MAX_DESCRIPTORS_LOOKED_AT)
 
     def test_values_of_a_valid_configuration(self):
         with tempfile.TemporaryDirectory() as folder:
